--- /dev/null
+++ b/include/dragonflytack/base/hash.h
@@ -0,0 +1,30 @@
+#ifndef DRAGONFLYTACK_BASE_HASH_H_
+#define DRAGONFLYTACK_BASE_HASH_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dragonflytack {
+
+// Returns the 64-bit xxHash of `data`. It is the same on every node, so ranks
+// and digests agree.
+uint64_t Hash64(std::string_view data, uint64_t seed = 0);
+
+// Returns the 32 raw bytes of HMAC-SHA256 of `data` under `key`.
+std::string HmacSha256(std::string_view key, std::string_view data);
+
+// Compares in a time that depends on the lengths only, for authentication
+// codes.
+bool ConstantTimeEqual(std::string_view a, std::string_view b);
+
+// Returns `size` bytes from the operating system's random generator, as
+// lower-case hexadecimal text of twice that length, for ids and keys.
+std::string RandomHex(int size);
+
+// Returns lower-case hexadecimal text.
+std::string ToHex(std::string_view bytes);
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_BASE_HASH_H_
--- /dev/null
+++ b/include/dragonflytack/base/host_port.h
@@ -0,0 +1,28 @@
+#ifndef DRAGONFLYTACK_BASE_HOST_PORT_H_
+#define DRAGONFLYTACK_BASE_HOST_PORT_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dragonflytack {
+
+// An IP number and a port. Names are never resolved.
+struct HostPort final {
+  std::string address;
+  uint16_t port = 0;
+
+  // Reads "a.b.c.d:port" or "[v6]:port". Returns nothing for anything else,
+  // port 0 included.
+  static std::optional<HostPort> Parse(std::string_view text);
+
+  std::string ToString() const;
+
+  friend auto operator<=>(const HostPort&, const HostPort&) = default;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_BASE_HOST_PORT_H_
--- /dev/null
+++ b/include/dragonflytack/base/settings.h
@@ -0,0 +1,56 @@
+#ifndef DRAGONFLYTACK_BASE_SETTINGS_H_
+#define DRAGONFLYTACK_BASE_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/base/host_port.h"
+#include "dragonflytack/base/logger.h"
+
+namespace dragonflytack {
+
+// The settings of one daemon, checked whole when they are read. The comments
+// name the INI keys; the settings reference in docs/ lists units, ranges and
+// defaults.
+struct Settings final {
+  // [node]
+  std::string node_id;      // id
+  std::string region;       // region
+  std::string data_centre;  // data_centre
+  std::string address;      // address: IP number of this host
+  uint16_t call_port = 0;   // call_port
+  uint16_t mesh_port = 0;   // mesh_port
+  uint16_t peer_port = 0;   // peer_port
+  uint16_t admin_port = 0;  // admin_port
+  // [store]
+  HostPort store;               // address, port
+  std::string store_region;     // region: the region nearest to the store
+  int store_timeout_ms = 2000;  // timeout_ms
+  bool watch_on_every_node =
+      false;  // watch_on_every_node: baseline for measurements
+  // [peers]
+  std::vector<HostPort> seeds;  // seeds: IP:port, separated by commas
+  // [security]
+  std::string shared_key;  // shared_key; empty: loopback peers only
+  // [trace]
+  double trace_sample = 0.01;               // sample: share of calls, 0 to 1
+  std::optional<HostPort> trace_collector;  // collector: IP:port
+  // [log]
+  LogLevel log_level = LogLevel::kInfo;  // level
+  // [calls]
+  int drain_timeout_ms =
+      30'000;  // drain_timeout_ms: longest wait for calls in flight at a stop
+
+  // Reads an INI file. Returns nothing when a setting is missing, unknown or
+  // invalid; `reason` then names the file and the line.
+  static std::optional<Settings> Load(const std::string& path, Failure* reason);
+
+  friend bool operator==(const Settings&, const Settings&) = default;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_BASE_SETTINGS_H_
--- /dev/null
+++ b/include/dragonflytack/base/wakeup.h
@@ -0,0 +1,34 @@
+#ifndef DRAGONFLYTACK_BASE_WAKEUP_H_
+#define DRAGONFLYTACK_BASE_WAKEUP_H_
+
+#include <functional>
+
+struct event;
+
+namespace dragonflytack {
+
+class EventLoop;
+
+// Lets any thread run a function on a loop's thread. Several signals before the
+// function runs are folded into one call.
+class Wakeup final {
+ public:
+  // `loop` must outlive the object.
+  Wakeup(EventLoop* loop, std::function<void()> on_signal);
+  ~Wakeup();
+  Wakeup(const Wakeup&) = delete;
+  Wakeup& operator=(const Wakeup&) = delete;
+
+  // May be called from any thread.
+  void Signal();
+
+ private:
+  static void OnEvent(int fd, short what, void* self);
+
+  std::function<void()> on_signal_;
+  event* event_ = nullptr;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_BASE_WAKEUP_H_
--- /dev/null
+++ b/include/dragonflytack/calls/call_task.h
@@ -0,0 +1,73 @@
+#ifndef DRAGONFLYTACK_CALLS_CALL_TASK_H_
+#define DRAGONFLYTACK_CALLS_CALL_TASK_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/calls/local_target.h"
+#include "dragonflytack/registry/node_id.h"
+
+namespace dragonflytack {
+
+class Clock;
+class Logger;
+class MetricsRegistry;
+class Tracer;
+struct RouteSnapshot;
+struct Settings;
+
+// The task that carries calls: it owns the servers on the call and mesh ports,
+// the connections to other nodes and to the local target, and the one-time
+// records, all on a thread of its own.
+class CallTask final {
+ public:
+  // Reports to the control task. They are called on the call task's thread; the
+  // receiver posts them to its own mailbox.
+  struct Events {
+    // All calls have ended and the one-time records are handed to `successor`,
+    // which is empty when there was nothing to hand over or nobody to take it.
+    std::function<void(const NodeId& successor)> on_stopped;
+    // This node now answers for the one-time records of (home, incarnation).
+    std::function<void(const NodeId& home, uint64_t incarnation)> on_inherited;
+  };
+
+  // Binds the ports and starts the thread. Returns nothing when a port cannot
+  // be bound. The pointers must outlive the task. `incarnation` is the one of
+  // this node's record.
+  static std::unique_ptr<CallTask> Make(const Settings& settings,
+                                        uint64_t incarnation,
+                                        const Clock* clock,
+                                        Logger* logger,
+                                        MetricsRegistry* metrics,
+                                        Tracer* tracer,
+                                        Events events,
+                                        Failure* reason);
+
+  // Stops the thread without waiting for calls.
+  ~CallTask();
+  CallTask(const CallTask&) = delete;
+  CallTask& operator=(const CallTask&) = delete;
+
+  // Messages to the task; they may be posted from any thread.
+
+  // Puts a snapshot in force for all calls that arrive from then on.
+  void PostRoutes(std::shared_ptr<const RouteSnapshot> routes);
+
+  // The local target's last announcement.
+  void PostTarget(const LocalTarget& target);
+
+  // Refuses new calls for the local target, finishes all calls in flight, hands
+  // over the one-time records, then reports on_stopped.
+  void PostStop();
+
+ private:
+  class Impl;
+  explicit CallTask(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_CALLS_CALL_TASK_H_
--- /dev/null
+++ b/include/dragonflytack/routing/node_location.h
@@ -0,0 +1,26 @@
+#ifndef DRAGONFLYTACK_ROUTING_NODE_LOCATION_H_
+#define DRAGONFLYTACK_ROUTING_NODE_LOCATION_H_
+
+#include <cstdint>
+#include <string>
+
+#include "dragonflytack/registry/liveness.h"
+#include "dragonflytack/registry/node_id.h"
+
+namespace dragonflytack {
+
+// Where a one-time key's home can be reached: the node's present incarnation,
+// or the successor that took over the records of an earlier incarnation.
+struct NodeLocation final {
+  NodeId id;
+  uint64_t incarnation = 0;
+  std::string address;
+  uint16_t mesh_port = 0;
+  Liveness liveness = Liveness::kAlive;
+
+  friend bool operator==(const NodeLocation&, const NodeLocation&) = default;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_ROUTING_NODE_LOCATION_H_
--- /dev/null
+++ b/include/dragonflytack/store/store_object.h
@@ -0,0 +1,25 @@
+#ifndef DRAGONFLYTACK_STORE_STORE_OBJECT_H_
+#define DRAGONFLYTACK_STORE_STORE_OBJECT_H_
+
+#include <cstdint>
+#include <string>
+
+namespace dragonflytack {
+
+// A number that the store gives to each write. It rises over all objects,
+// deletions included.
+using StoreVersion = uint64_t;
+
+// An object as the store answered it. Version 0 with an empty value means that
+// it does not exist.
+struct StoreObject final {
+  std::string key;
+  std::string value;
+  StoreVersion version = 0;
+
+  friend bool operator==(const StoreObject&, const StoreObject&) = default;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_STORE_STORE_OBJECT_H_
--- /dev/null
+++ b/include/dragonflytack/table/table_delta.h
@@ -0,0 +1,42 @@
+#ifndef DRAGONFLYTACK_TABLE_TABLE_DELTA_H_
+#define DRAGONFLYTACK_TABLE_TABLE_DELTA_H_
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/table/service_row.h"
+#include "dragonflytack/table/table_version.h"
+
+namespace dragonflytack {
+
+class Table;
+
+// The rows in which one version of the table differs from an older one.
+struct TableDelta final {
+  TableVersion from = 0;
+  TableVersion to = 0;
+  // Rows of `to` that are new or changed.
+  std::vector<ServiceRow> changed;
+  // Services of `from` that `to` does not have.
+  std::set<std::string> removed;
+  // Table::digest() of the whole of `to`.
+  uint64_t digest = 0;
+
+  // Returns the difference between two versions.
+  static TableDelta Between(const Table& from, const Table& to);
+
+  // Returns the table that results. Nothing, with the reason, when `base` is
+  // not version `from`, the result is invalid, or its digest differs.
+  std::shared_ptr<const Table> ApplyTo(const Table& base,
+                                       Failure* reason) const;
+
+  friend bool operator==(const TableDelta&, const TableDelta&) = default;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_TABLE_TABLE_DELTA_H_
--- /dev/null
+++ b/src/base/event_loop.cc
@@ -0,0 +1,64 @@
+#include "dragonflytack/base/event_loop.h"
+
+#include <algorithm>
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+namespace dragonflytack {
+
+std::unique_ptr<EventLoop> EventLoop::Make(const Clock* clock) {
+  static const int threads_enabled = evthread_use_pthreads();
+  if (threads_enabled != 0) {
+    return nullptr;
+  }
+  event_base* base = event_base_new();
+  if (base == nullptr) {
+    return nullptr;
+  }
+  return std::unique_ptr<EventLoop>(new EventLoop(clock, base));
+}
+
+EventLoop::EventLoop(const Clock* clock, event_base* base)
+    : base_(base), timers_(clock) {
+  timer_event_ = evtimer_new(base_, &EventLoop::OnTimer, this);
+  timers_.set_on_changed([this] { ArmTimer(); });
+}
+
+EventLoop::~EventLoop() {
+  event_free(timer_event_);
+  event_base_free(base_);
+}
+
+void EventLoop::Run() {
+  ArmTimer();
+  event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::Stop() {
+  event_base_loopexit(base_, nullptr);
+}
+
+void EventLoop::ArmTimer() {
+  const std::optional<TimePoint> due = timers_.NextDue();
+  if (!due) {
+    return;
+  }
+  const auto delay = std::max<std::chrono::microseconds::rep>(
+      0, std::chrono::duration_cast<std::chrono::microseconds>(*due -
+                                                               clock().Now())
+             .count());
+  constexpr int64_t kMicrosPerSecond = 1'000'000;
+  timeval timeout;
+  timeout.tv_sec = delay / kMicrosPerSecond;
+  timeout.tv_usec = delay % kMicrosPerSecond;
+  evtimer_add(timer_event_, &timeout);
+}
+
+void EventLoop::OnTimer(int /*fd*/, short /*what*/, void* self) {
+  auto* loop = static_cast<EventLoop*>(self);
+  loop->timers_.RunDue();
+  loop->ArmTimer();
+}
+
+}  // namespace dragonflytack
