--- a/src/observe/tracer.cc
+++ b/src/observe/tracer.cc
@@ -1,5 +1,6 @@
 #include "dragonflytack/observe/tracer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
