--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -1,10 +1,10 @@
 #include "dragonflytack/base/event_loop.h"
 
-#include <algorithm>
-
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include "dragonflytack/base/timeval.h"
+
 namespace dragonflytack {
 
 std::unique_ptr<EventLoop> EventLoop::Make(const Clock* clock) {
@@ -44,14 +44,9 @@
   if (!due) {
     return;
   }
-  const auto delay = std::max<std::chrono::microseconds::rep>(
-      0, std::chrono::duration_cast<std::chrono::microseconds>(*due -
-                                                               clock().Now())
-             .count());
-  constexpr int64_t kMicrosPerSecond = 1'000'000;
-  timeval timeout;
-  timeout.tv_sec = delay / kMicrosPerSecond;
-  timeout.tv_usec = delay % kMicrosPerSecond;
+  const timeval timeout =
+      ToTimeval(std::chrono::duration_cast<std::chrono::microseconds>(
+          *due - clock().Now()));
   evtimer_add(timer_event_, &timeout);
 }
 
--- a/tools/measure_driver/child_process.cc
+++ b/tools/support/child_process.cc
@@ -1,4 +1,4 @@
-#include "measure_driver/child_process.h"
+#include "support/child_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -129,7 +129,8 @@
 double ChildProcess::CpuSeconds() const {
   std::ifstream stat(fmt::format("/proc/{}/stat", pid_));
   std::string field;
-  // Fields 14 and 15 are user and system time in clock ticks; field 2, the name, has no blanks here.
+  // Fields 14 and 15 are user and system time in clock ticks; field 2, the
+  // name, has no blanks here.
   constexpr int kFieldsBefore = 13;
   for (int i = 0; i < kFieldsBefore; ++i) {
     stat >> field;
--- a/tools/measure_driver/child_process.h
+++ b/tools/support/child_process.h
@@ -1,5 +1,5 @@
-#ifndef TOOLS_MEASURE_DRIVER_CHILD_PROCESS_H_
-#define TOOLS_MEASURE_DRIVER_CHILD_PROCESS_H_
+#ifndef TOOLS_SUPPORT_CHILD_PROCESS_H_
+#define TOOLS_SUPPORT_CHILD_PROCESS_H_
 
 #include <sys/types.h>
 
@@ -9,11 +9,13 @@
 
 namespace dragonflytack {
 
-// A program that the driver started. Destroying the object kills the program by its process id.
+// A program that the driver started. Destroying the object kills the program by
+// its process id.
 class ChildProcess final {
  public:
-  // Starts `arguments[0]`, an absolute or relative path, with standard output and error appended to
-  // `log_path`. Returns nothing when the process cannot be made.
+  // Starts `arguments[0]`, an absolute or relative path, with standard output
+  // and error appended to `log_path`. Returns nothing when the process cannot
+  // be made.
   static std::optional<ChildProcess> Start(
       const std::vector<std::string>& arguments,
       const std::string& log_path);
@@ -29,12 +31,14 @@
   // Kills the program and waits for its end.
   void Kill();
 
-  // Waits up to `timeout_ms` for the end and returns the exit code; nothing when it still runs or was ended by a signal.
+  // Waits up to `timeout_ms` for the end and returns the exit code; nothing
+  // when it still runs or was ended by a signal.
   std::optional<int> WaitExit(int timeout_ms);
 
   bool IsRunning();
 
-  // Resident memory in bytes, pages of shared libraries included; 0 when the process has ended.
+  // Resident memory in bytes, pages of shared libraries included; 0 when the
+  // process has ended.
   int64_t ResidentBytes() const;
 
   // Processor time used so far, user and system, in seconds.
@@ -50,4 +54,4 @@
 
 }  // namespace dragonflytack
 
-#endif  // TOOLS_MEASURE_DRIVER_CHILD_PROCESS_H_
+#endif  // TOOLS_SUPPORT_CHILD_PROCESS_H_
--- a/tools/measure_driver/http_batch.cc
+++ b/tools/support/http_batch.cc
@@ -1,4 +1,4 @@
-#include "measure_driver/http_batch.h"
+#include "support/http_batch.h"
 
 #include <utility>
 
@@ -7,6 +7,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "dragonflytack/base/timeval.h"
+
 namespace dragonflytack {
 
 namespace {
@@ -51,7 +53,7 @@
   std::vector<PendingExchange> pending;
   pending.reserve(exchanges->size());
   std::vector<evhttp_connection*> connections;
-  const timeval timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1000};
+  const timeval timeout = ToTimeval(std::chrono::milliseconds(timeout_ms));
   for (HttpExchange& exchange : *exchanges) {
     pending.push_back({&batch, &exchange});
     evhttp_connection* connection = evhttp_connection_base_new(
--- a/tools/measure_driver/http_batch.h
+++ b/tools/support/http_batch.h
@@ -1,5 +1,5 @@
-#ifndef TOOLS_MEASURE_DRIVER_HTTP_BATCH_H_
-#define TOOLS_MEASURE_DRIVER_HTTP_BATCH_H_
+#ifndef TOOLS_SUPPORT_HTTP_BATCH_H_
+#define TOOLS_SUPPORT_HTTP_BATCH_H_
 
 #include <map>
 #include <string>
@@ -9,7 +9,8 @@
 
 namespace dragonflytack {
 
-// One HTTP request of a batch and its answer. Status 0 means that no answer came.
+// One HTTP request of a batch and its answer. Status 0 means that no answer
+// came.
 struct HttpExchange final {
   HostPort server;
   std::string path;
@@ -21,8 +22,8 @@
   std::map<std::string, std::string> answer_headers;
 };
 
-// Sends all requests at once, each on a connection of its own, and returns when each has its answer
-// or `timeout_ms` has passed.
+// Sends all requests at once, each on a connection of its own, and returns when
+// each has its answer or `timeout_ms` has passed.
 void RunHttpBatch(std::vector<HttpExchange>* exchanges, int timeout_ms);
 
 // Sends one request.
@@ -30,4 +31,4 @@
 
 }  // namespace dragonflytack
 
-#endif  // TOOLS_MEASURE_DRIVER_HTTP_BATCH_H_
+#endif  // TOOLS_SUPPORT_HTTP_BATCH_H_
--- /dev/null
+++ b/tools/support/load_generator.cc
@@ -0,0 +1,268 @@
+#include "support/load_generator.h"
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+
+#include "dragonflytack/base/timeval.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr timeval kTick{0, 500};
+constexpr int kHttpOk = 200;
+constexpr size_t kMaxIdlePerEntry = 256;
+
+double Seconds(SteadyClock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+std::string HeaderOf(evhttp_request* request, const char* name) {
+  const char* value =
+      evhttp_find_header(evhttp_request_get_input_headers(request), name);
+  return value == nullptr ? std::string() : std::string(value);
+}
+
+std::string BodyOf(evhttp_request* request) {
+  evbuffer* buffer = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_copyout(buffer, body.data(), body.size());
+  return body;
+}
+
+}  // namespace
+
+class LoadGenerator::Impl final {
+ public:
+  explicit Impl(LoadPlan plan)
+      : plan_(std::move(plan)),
+        base_(event_base_new()),
+        idle_(plan_.entries.size()) {}
+
+  ~Impl() {
+    for (auto& connections : idle_) {
+      for (evhttp_connection* connection : connections) {
+        evhttp_connection_free(connection);
+      }
+    }
+    event_base_free(base_);
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  LoadResult Run() {
+    start_ = SteadyClock::now();
+    event* tick = event_new(base_, -1, EV_PERSIST, &Impl::OnTick, this);
+    event_add(tick, &kTick);
+    event_base_dispatch(base_);
+    event_free(tick);
+    result_.counted_seconds = sending_seconds_ - plan_.warm_up_seconds;
+    return std::move(result_);
+  }
+
+  void StopSending() { stop_ = true; }
+
+ private:
+  struct Call {
+    Impl* generator;
+    evhttp_connection* connection;
+    size_t entry;
+    std::string id;
+    SteadyClock::time_point sent;
+    bool counted;
+    bool fetching_key;
+  };
+
+  static void OnTick(int /*fd*/, short /*what*/, void* self) {
+    static_cast<Impl*>(self)->SendDueCalls();
+  }
+
+  void SendDueCalls() {
+    const double elapsed = Seconds(SteadyClock::now() - start_);
+    if (!sending_ended_ && (stop_ || elapsed >= plan_.seconds)) {
+      sending_ended_ = true;
+      sending_seconds_ = elapsed;
+    }
+    while (!sending_ended_ &&
+           static_cast<double>(next_call_) < elapsed * plan_.calls_per_second) {
+      StartCall(elapsed);
+    }
+    if (sending_ended_ && open_calls_ == 0) {
+      event_base_loopbreak(base_);
+    }
+  }
+
+  void StartCall(double elapsed) {
+    const size_t entry = next_call_ % plan_.entries.size();
+    auto* call = new Call{this,
+                          TakeConnection(entry),
+                          entry,
+                          fmt::format("{}-{}", plan_.run_id, next_call_),
+                          SteadyClock::now(),
+                          elapsed >= plan_.warm_up_seconds,
+                          plan_.fetch_keys};
+    ++next_call_;
+    ++open_calls_;
+    result_.sent += call->counted ? 1 : 0;
+    if (call->fetching_key) {
+      Send(call, EVHTTP_REQ_POST, "/-/keys", {});
+    } else {
+      Send(call, EVHTTP_REQ_GET, plan_.path, {});
+    }
+  }
+
+  evhttp_connection* TakeConnection(size_t entry) {
+    if (!idle_[entry].empty()) {
+      evhttp_connection* connection = idle_[entry].back();
+      idle_[entry].pop_back();
+      return connection;
+    }
+    const HostPort& server = plan_.entries[entry];
+    evhttp_connection* connection = evhttp_connection_base_new(
+        base_, nullptr, server.address.c_str(), server.port);
+    const timeval timeout = ToTimeval(std::chrono::milliseconds(plan_.hang_ms));
+    evhttp_connection_set_timeout_tv(connection, &timeout);
+    return connection;
+  }
+
+  void Send(Call* call,
+            evhttp_cmd_type method,
+            const std::string& path,
+            const std::string& key) {
+    evhttp_request* request = evhttp_request_new(&Impl::OnAnswer, call);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host",
+                      plan_.entries[call->entry].ToString().c_str());
+    evhttp_add_header(headers, "x-request-id", call->id.c_str());
+    if (!key.empty()) {
+      evhttp_add_header(headers, "idempotency-key", key.c_str());
+    }
+    for (const auto& [name, value] : plan_.headers) {
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    evhttp_make_request(call->connection, request, method, path.c_str());
+  }
+
+  static void OnAnswer(evhttp_request* request, void* context) {
+    auto* call = static_cast<Call*>(context);
+    call->generator->HandleAnswer(request, call);
+  }
+
+  void HandleAnswer(evhttp_request* request, Call* call) {
+    const int status =
+        request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (call->fetching_key && status == kHttpOk) {
+      call->fetching_key = false;
+      call->sent = SteadyClock::now();
+      Send(call, EVHTTP_REQ_GET, plan_.path, KeyOf(BodyOf(request)));
+      return;
+    }
+    if (call->counted) {
+      Judge(request, status, *call);
+    }
+    EndCall(call, status != 0);
+  }
+
+  // The body is {"key":"...","expires_ms":...}; the key has no character that
+  // JSON escapes.
+  static std::string KeyOf(const std::string& body) {
+    constexpr std::string_view kName = "\"key\":\"";
+    const size_t begin = body.find(kName);
+    if (begin == std::string::npos) {
+      return {};
+    }
+    const size_t end = body.find('"', begin + kName.size());
+    return body.substr(begin + kName.size(), end - begin - kName.size());
+  }
+
+  void Judge(evhttp_request* request, int status, const Call& call) {
+    const double seconds = Seconds(SteadyClock::now() - call.sent);
+    if (status == 0) {
+      const bool hung = seconds * 1000 >= plan_.hang_ms;
+      ++(hung ? result_.hung : result_.no_answer);
+      return;
+    }
+    if (status != kHttpOk) {
+      ++result_.refused[fmt::format("{} {}", status,
+                                    HeaderOf(request, "x-reason"))];
+      if (HeaderOf(request, "x-outcome") == "not-run") {
+        result_.not_run_ids.push_back(call.id);
+      }
+      return;
+    }
+    const std::string body = BodyOf(request);
+    // The id is delimited in the body, so that "run-1" is not found in an
+    // answer to "run-12".
+    if (body.find("\"" + call.id + "\"") == std::string::npos) {
+      ++result_.wrong_answer;
+      return;
+    }
+    ++result_.done;
+    result_.done_ids.push_back(call.id);
+    result_.latency_ms.push_back(static_cast<float>(seconds * 1000));
+  }
+
+  void EndCall(Call* call, bool reusable) {
+    --open_calls_;
+    if (reusable && idle_[call->entry].size() < kMaxIdlePerEntry) {
+      idle_[call->entry].push_back(call->connection);
+    } else if (reusable) {
+      // The connection cannot be freed within its own callback.
+      evhttp_connection_free_on_completion(call->connection);
+    } else {
+      doomed_.push_back(call->connection);
+    }
+    delete call;
+    if (doomed_.size() > kMaxIdlePerEntry) {
+      const timeval now{0, 0};
+      event_base_once(base_, -1, EV_TIMEOUT, &Impl::FreeDoomed, this, &now);
+    }
+  }
+
+  static void FreeDoomed(int /*fd*/, short /*what*/, void* self) {
+    auto* generator = static_cast<Impl*>(self);
+    for (evhttp_connection* connection :
+         std::exchange(generator->doomed_, {})) {
+      evhttp_connection_free(connection);
+    }
+  }
+
+  const LoadPlan plan_;
+  event_base* const base_;
+  std::vector<std::vector<evhttp_connection*>> idle_;
+  std::vector<evhttp_connection*> doomed_;
+  SteadyClock::time_point start_;
+  std::atomic<bool> stop_{false};
+  bool sending_ended_ = false;
+  double sending_seconds_ = 0;
+  uint64_t next_call_ = 0;
+  uint64_t open_calls_ = 0;
+  LoadResult result_;
+};
+
+LoadGenerator::LoadGenerator(LoadPlan plan)
+    : impl_(std::make_unique<Impl>(std::move(plan))) {}
+
+LoadGenerator::~LoadGenerator() = default;
+
+LoadResult LoadGenerator::Run() {
+  return impl_->Run();
+}
+
+void LoadGenerator::StopSending() {
+  impl_->StopSending();
+}
+
+}  // namespace dragonflytack
