Add the table: validation, digest, delta and document

Cause: nodes and the tool must accept or refuse a version alike. Change: one table of columns carries parsers, formatters, ranges and defaults for text, JSON and validation; Table, TableDelta and TableDocument use it. Conclusion: the distribution can build on Table and TableDelta.

--- a/include/dragonflytack/table/table.h
+++ b/include/dragonflytack/table/table.h
@@ -23,7 +23,8 @@
 
   // Returns nothing when a row is invalid; `reason` then names the row and the
   // column. The verdict depends on the arguments only, so all nodes accept or
-  // refuse a version alike.
+  // refuse a version alike. The subject of `reason` is "service/column" or
+  // "table".
   static std::shared_ptr<const Table> Make(TableVersion version,
                                            Rows rows,
                                            Failure* reason);
--- /dev/null
+++ b/src/table/table.cc
@@ -0,0 +1,79 @@
+#include "dragonflytack/table/table.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "dragonflytack/base/hash.h"
+#include "dragonflytack/table/table_document.h"
+#include "table/column.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Each cell is preceded by its length, so that different rows never give the
+// same bytes.
+std::string CanonicalEncoding(const Table::Rows& rows) {
+  std::string encoding;
+  for (const auto& [service, row] : rows) {
+    for (const Column& column : Columns()) {
+      const std::string text = column.format_text(column, row);
+      fmt::format_to(std::back_inserter(encoding), "{}:{},", text.size(), text);
+    }
+  }
+  return encoding;
+}
+
+std::optional<Failure> ValidateRow(const std::string& key,
+                                   const ServiceRow& row) {
+  if (key != row.service) {
+    return Failure{FailureCode::kInvalidTable, CellName(key, "service"),
+                   fmt::format("the row is named \"{}\"", row.service)};
+  }
+  for (const Column& column : Columns()) {
+    if (std::optional<std::string> fault = column.validate(column, row)) {
+      return Failure{FailureCode::kInvalidTable, CellName(key, column.name),
+                     *std::move(fault)};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::shared_ptr<const Table> Table::Make(TableVersion version,
+                                         Rows rows,
+                                         Failure* reason) {
+  if (rows.size() > kMaxRows) {
+    *reason =
+        Failure{FailureCode::kInvalidTable, "table",
+                fmt::format("{} rows are more than {}", rows.size(), kMaxRows)};
+    return nullptr;
+  }
+  for (const auto& [service, row] : rows) {
+    if (std::optional<Failure> fault = ValidateRow(service, row)) {
+      *reason = *std::move(fault);
+      return nullptr;
+    }
+  }
+  const std::string encoding = CanonicalEncoding(rows);
+  if (encoding.size() > TableDocument::kMaxBytes) {
+    *reason = Failure{FailureCode::kInvalidTable, "table",
+                      fmt::format("{} bytes are more than {}", encoding.size(),
+                                  TableDocument::kMaxBytes)};
+    return nullptr;
+  }
+  return std::shared_ptr<const Table>(
+      new Table(version, std::move(rows), Hash64(encoding)));
+}
+
+Table::Table(TableVersion version, Rows rows, uint64_t digest)
+    : version_(version), rows_(std::move(rows)), digest_(digest) {}
+
+const ServiceRow* Table::Find(const std::string& service) const {
+  const auto found = rows_.find(service);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/table/table_delta.cc
@@ -0,0 +1,59 @@
+#include "dragonflytack/table/table_delta.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "dragonflytack/table/table.h"
+
+namespace dragonflytack {
+
+TableDelta TableDelta::Between(const Table& from, const Table& to) {
+  TableDelta delta{from.version(), to.version(), {}, {}, to.digest()};
+  for (const auto& [service, row] : to.rows()) {
+    const ServiceRow* old_row = from.Find(service);
+    if (old_row == nullptr || *old_row != row) {
+      delta.changed.push_back(row);
+    }
+  }
+  for (const auto& [service, row] : from.rows()) {
+    if (to.Find(service) == nullptr) {
+      delta.removed.insert(service);
+    }
+  }
+  return delta;
+}
+
+std::shared_ptr<const Table> TableDelta::ApplyTo(const Table& base,
+                                                 Failure* reason) const {
+  const std::string subject = fmt::format("delta {}-{}", from, to);
+  if (base.version() != from) {
+    *reason =
+        Failure{FailureCode::kInvalidMessage, subject,
+                fmt::format("it was applied to version {}", base.version())};
+    return nullptr;
+  }
+  if (to <= from) {
+    *reason = Failure{FailureCode::kVersionRegressed, subject,
+                      "the version does not rise"};
+    return nullptr;
+  }
+  Table::Rows rows = base.rows();
+  for (const std::string& service : removed) {
+    rows.erase(service);
+  }
+  for (const ServiceRow& row : changed) {
+    rows[row.service] = row;
+  }
+  std::shared_ptr<const Table> table = Table::Make(to, std::move(rows), reason);
+  if (table != nullptr && table->digest() != digest) {
+    *reason = Failure{FailureCode::kInvalidMessage, subject,
+                      fmt::format("the digest of the result is {:016x}, "
+                                  "not {:016x}",
+                                  table->digest(), digest)};
+    return nullptr;
+  }
+  return table;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/table/table_document.cc
@@ -0,0 +1,78 @@
+#include "dragonflytack/table/table_document.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "table/column.h"
+#include "table/table_json.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+Failure DocumentFailure(std::string detail) {
+  return Failure{FailureCode::kInvalidTable, "table", std::move(detail)};
+}
+
+}  // namespace
+
+std::optional<TableDocument> TableDocument::Parse(const std::string& text,
+                                                  Failure* reason) {
+  if (text.size() > kMaxBytes) {
+    *reason = Failure{
+        FailureCode::kTooLarge, "table",
+        fmt::format("{} bytes are more than {}", text.size(), kMaxBytes)};
+    return std::nullopt;
+  }
+  const json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!value.is_object() || value.size() != 2 || !value.contains("rows") ||
+      !value["rows"].is_array() || !value.contains("recent") ||
+      !value["recent"].is_array()) {
+    *reason = DocumentFailure(
+        "it is not a JSON object with the arrays rows and recent");
+    return std::nullopt;
+  }
+  TableDocument document;
+  for (const json& item : value["rows"]) {
+    std::optional<ServiceRow> row = RowFromJson(item, reason);
+    if (!row) {
+      return std::nullopt;
+    }
+    const std::string service = row->service;
+    if (!document.rows.emplace(service, *std::move(row)).second) {
+      *reason =
+          Failure{FailureCode::kInvalidTable, CellName(service, "service"),
+                  "there are two rows of this service"};
+      return std::nullopt;
+    }
+  }
+  for (const json& item : value["recent"]) {
+    std::optional<EditRecord> edit = EditFromJson(item, reason);
+    if (!edit) {
+      return std::nullopt;
+    }
+    document.recent.push_back(*std::move(edit));
+  }
+  return document;
+}
+
+std::string TableDocument::ToJson() const {
+  json row_values = json::array();
+  for (const auto& [service, row] : rows) {
+    row_values.push_back(RowToJson(row));
+  }
+  json edit_values = json::array();
+  for (const EditRecord& edit : recent) {
+    edit_values.push_back(EditToJson(edit));
+  }
+  const json value = {{"rows", std::move(row_values)},
+                      {"recent", std::move(edit_values)}};
+  // Names and texts that are not UTF-8 are replaced rather than thrown on.
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace dragonflytack
