Add the HTTP store client and the store protocol

Cause: nodes and the tool reach the platform's store through StoreClient. Conclusion: speakers and the editor can use HttpStoreClient::Make().

--- /dev/null
+++ b/src/store/http_connection.cc
@@ -0,0 +1,178 @@
+#include "store/http_connection.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <limits>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "dragonflytack/base/event_loop.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr int kNoContent = 204;
+
+evhttp_cmd_type Command(const std::string& method) {
+  static const std::map<std::string, evhttp_cmd_type> kCommands = {
+      {"GET", EVHTTP_REQ_GET},
+      {"PUT", EVHTTP_REQ_PUT},
+      {"POST", EVHTTP_REQ_POST},
+      {"DELETE", EVHTTP_REQ_DELETE},
+  };
+  return kCommands.at(method);
+}
+
+std::string TakeBody(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+HttpAnswer ReadAnswer(evhttp_request* request) {
+  HttpAnswer answer;
+  answer.status = evhttp_request_get_response_code(request);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    std::string name = header->key;
+    std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+      return static_cast<char>(
+          std::tolower(static_cast<unsigned char>(letter)));
+    });
+    answer.headers[std::move(name)] = header->value;
+  }
+  answer.body = TakeBody(request);
+  // Without a length, evhttp takes an answer that was cut off for a whole one.
+  const auto length = answer.headers.find("content-length");
+  const bool whole = answer.status == kNoContent ||
+                     (length != answer.headers.end() &&
+                      length->second == std::to_string(answer.body.size()));
+  answer.end = whole ? HttpEnd::kAnswered : HttpEnd::kLost;
+  return answer;
+}
+
+void CountWritten(evbuffer*, const evbuffer_cb_info* info, void* written) {
+  *static_cast<uint64_t*>(written) += info->n_added;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(EventLoop* loop,
+                               HostPort peer,
+                               size_t max_answer_bytes)
+    : loop_(loop),
+      peer_(std::move(peer)),
+      max_answer_bytes_(max_answer_bytes) {}
+
+HttpConnection::~HttpConnection() {
+  loop_->timers().Cancel(timeout_timer_);
+  loop_->timers().Cancel(finish_timer_);
+  Close();
+}
+
+void HttpConnection::Open() {
+  connection_ = evhttp_connection_base_new(loop_->base(), nullptr,
+                                           peer_.address.c_str(), peer_.port);
+  assert(connection_ != nullptr);
+  // 0 is evhttp's default; it is set because a retry could run a write twice.
+  evhttp_connection_set_retries(connection_, 0);
+  // The limit on time is the timer of Send(), which covers the whole exchange;
+  // evhttp's own one starts again with each byte.
+  evhttp_connection_set_timeout(connection_, std::numeric_limits<int>::max());
+  evhttp_connection_set_max_body_size(
+      connection_, static_cast<ev_ssize_t>(max_answer_bytes_));
+  write_counter_ = evbuffer_add_cb(
+      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
+      CountWritten, &written_);
+}
+
+void HttpConnection::Close() {
+  if (connection_ == nullptr) {
+    return;
+  }
+  // libevent frees the buffer later, when `written_` may be gone.
+  evbuffer_remove_cb_entry(
+      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
+      write_counter_);
+  evhttp_connection_free(std::exchange(connection_, nullptr));
+}
+
+void HttpConnection::Send(const HttpRequest& request,
+                          Milliseconds timeout,
+                          Callback callback) {
+  assert(!busy());
+  callback_ = std::move(callback);
+  answer_ = HttpAnswer{};
+  written_ = 0;
+  too_large_ = false;
+  finish_timer_ = 0;
+  if (connection_ == nullptr) {
+    Open();
+  }
+  timeout_timer_ = loop_->timers().SubscribeOnce(timeout, [this] {
+    loop_->timers().Cancel(finish_timer_);
+    answer_ = HttpAnswer{};
+    answer_.end = written_ == 0 ? HttpEnd::kNotSent : HttpEnd::kTimeout;
+    Finish();
+  });
+
+  evhttp_request* sent = evhttp_request_new(&HttpConnection::OnAnswer, this);
+  assert(sent != nullptr);
+  evhttp_request_set_error_cb(sent, [](evhttp_request_error error, void* self) {
+    static_cast<HttpConnection*>(self)->too_large_ =
+        error == EVREQ_HTTP_DATA_TOO_LONG;
+  });
+  evkeyvalq* headers = evhttp_request_get_output_headers(sent);
+  evhttp_add_header(headers, "Host", peer_.ToString().c_str());
+  for (const auto& [name, value] : request.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(sent), request.body.data(),
+               request.body.size());
+  // On failure evhttp has freed the request and calls nothing.
+  if (evhttp_make_request(connection_, sent, Command(request.method),
+                          request.target.c_str()) != 0) {
+    OnAnswer(nullptr, this);
+  }
+}
+
+void HttpConnection::OnAnswer(evhttp_request* request, void* self) {
+  auto* connection = static_cast<HttpConnection*>(self);
+  // evhttp_make_request() may both call back and return a failure.
+  if (connection->finish_timer_ != 0) {
+    return;
+  }
+  // evhttp passes a request without a status when no connection was made.
+  if (request != nullptr && evhttp_request_get_response_code(request) != 0) {
+    connection->answer_ = ReadAnswer(request);
+  } else if (connection->written_ == 0) {
+    connection->answer_.end = HttpEnd::kNotSent;
+  } else {
+    connection->answer_.end =
+        connection->too_large_ ? HttpEnd::kTooLarge : HttpEnd::kLost;
+  }
+  // evhttp still uses the connection after this callback, so it must not be
+  // closed here.
+  connection->finish_timer_ = connection->loop_->timers().SubscribeOnce(
+      Milliseconds(0), [connection] { connection->Finish(); });
+}
+
+void HttpConnection::Finish() {
+  loop_->timers().Cancel(timeout_timer_);
+  if (answer_.end != HttpEnd::kAnswered) {
+    Close();
+  }
+  const Callback callback = std::exchange(callback_, nullptr);
+  callback(std::move(answer_));
+  // The callback may have destroyed this object.
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/store/http_store_client.cc
@@ -0,0 +1,388 @@
+#include "store/http_store_client.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/logger.h"
+#include "store/http_connection.h"
+#include "store/store_protocol.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConditionFailed = 412;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kServiceUnavailable = 503;
+
+std::optional<StoreVersion> VersionOf(const HttpAnswer& answer) {
+  const auto found = answer.headers.find(StoreProtocol::kVersionHeader);
+  if (found == answer.headers.end()) {
+    return std::nullopt;
+  }
+  return StoreProtocol::ParseVersion(found->second);
+}
+
+// True when a status promises that the store changed nothing.
+bool IsRefusal(int status) {
+  return (status >= 400 && status < 500) || status == kServiceUnavailable;
+}
+
+}  // namespace
+
+// A few connections and the calls that wait for one.
+class HttpStoreClient::Pool final {
+ public:
+  Pool(EventLoop* loop, HostPort store, size_t max_connections)
+      : loop_(loop),
+        store_(std::move(store)),
+        max_connections_(max_connections) {}
+
+  ~Pool() {
+    for (const Call& call : waiting_) {
+      loop_->timers().Cancel(call.timer);
+    }
+  }
+
+  void Send(HttpRequest request,
+            Milliseconds timeout,
+            AnswerCallback callback) {
+    const uint64_t id = next_id_++;
+    const TimerId timer = loop_->timers().SubscribeOnce(
+        timeout, [this, id] { ExpireWaiting(id); });
+    waiting_.push_back(Call{id, std::move(request),
+                            loop_->clock().Now() + timeout, timer,
+                            std::move(callback)});
+    Dispatch();
+  }
+
+ private:
+  struct Call {
+    uint64_t id = 0;
+    HttpRequest request;
+    TimePoint deadline;
+    TimerId timer = 0;
+    AnswerCallback callback;
+  };
+
+  HttpConnection* FreeConnection() {
+    for (const auto& connection : connections_) {
+      if (!connection->busy()) {
+        return connection.get();
+      }
+    }
+    if (connections_.size() == max_connections_) {
+      return nullptr;
+    }
+    connections_.push_back(std::make_unique<HttpConnection>(
+        loop_, store_, StoreProtocol::kMaxAnswerBytes));
+    return connections_.back().get();
+  }
+
+  void Dispatch() {
+    while (!waiting_.empty()) {
+      HttpConnection* connection = FreeConnection();
+      if (connection == nullptr) {
+        return;
+      }
+      Call call = std::move(waiting_.front());
+      waiting_.pop_front();
+      loop_->timers().Cancel(call.timer);
+      const auto left =
+          std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(
+                                        call.deadline - loop_->clock().Now()));
+      connection->Send(
+          call.request, left,
+          [this, callback = std::move(call.callback)](HttpAnswer answer) {
+            // The next call goes first because the callback may destroy the
+            // client.
+            Dispatch();
+            callback(std::move(answer));
+          });
+    }
+  }
+
+  void ExpireWaiting(uint64_t id) {
+    const auto found =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [id](const Call& call) { return call.id == id; });
+    if (found == waiting_.end()) {
+      return;
+    }
+    const AnswerCallback callback = std::move(found->callback);
+    waiting_.erase(found);
+    HttpAnswer answer;
+    answer.end = HttpEnd::kNotSent;
+    callback(std::move(answer));
+  }
+
+  EventLoop* const loop_;
+  const HostPort store_;
+  const size_t max_connections_;
+  uint64_t next_id_ = 1;
+  std::vector<std::unique_ptr<HttpConnection>> connections_;
+  std::deque<Call> waiting_;
+};
+
+std::unique_ptr<HttpStoreClient> HttpStoreClient::Make(EventLoop* loop,
+                                                       const HostPort& store,
+                                                       Milliseconds timeout,
+                                                       Logger* logger) {
+  if (store.port == 0 || store.address.empty() ||
+      timeout <= Milliseconds::zero()) {
+    return nullptr;
+  }
+  return std::unique_ptr<HttpStoreClient>(
+      new HttpStoreClient(loop, store, timeout, logger));
+}
+
+HttpStoreClient::HttpStoreClient(EventLoop* loop,
+                                 const HostPort& store,
+                                 Milliseconds timeout,
+                                 Logger* logger)
+    : loop_(loop),
+      store_(store),
+      timeout_(timeout),
+      logger_(logger),
+      calls_(std::make_unique<Pool>(loop, store, kMaxConnections)),
+      watches_(std::make_unique<Pool>(loop, store, kMaxWatches)) {}
+
+HttpStoreClient::~HttpStoreClient() = default;
+
+Failure HttpStoreClient::Judge(const HttpAnswer& answer,
+                               const std::string& key) const {
+  const std::string subject = fmt::format("{} at {}", key, store_.ToString());
+  const auto failed = [&](FailureCode code, std::string detail) {
+    logger_->Log(LogLevel::kDebug, "store_call_failed",
+                 {{"key", key},
+                  {"code", std::string(FailureCodeName(code))},
+                  {"detail", detail}});
+    return Failure{code, subject, std::move(detail)};
+  };
+  switch (answer.end) {
+    case HttpEnd::kNotSent:
+      return failed(FailureCode::kStoreUnreachable,
+                    "no connection to the store was made");
+    case HttpEnd::kTimeout:
+      return failed(FailureCode::kStoreTimeout,
+                    "the store did not answer in time");
+    case HttpEnd::kLost:
+      return failed(FailureCode::kStoreTimeout,
+                    "the connection closed before the whole answer");
+    case HttpEnd::kTooLarge:
+      return failed(FailureCode::kStoreTimeout,
+                    fmt::format("the answer has more than {} bytes",
+                                StoreProtocol::kMaxAnswerBytes));
+    case HttpEnd::kAnswered:
+      break;
+  }
+  if (answer.status == kOk) {
+    return Failure{};
+  }
+  if (answer.status == kConditionFailed) {
+    return failed(FailureCode::kConflict,
+                  fmt::format("the object is at version {}",
+                              VersionOf(answer).value_or(0)));
+  }
+  if (answer.status == kPayloadTooLarge) {
+    return failed(FailureCode::kTooLarge, "the store refused the size");
+  }
+  // Any other status leaves open whether a write took effect.
+  return failed(IsRefusal(answer.status) ? FailureCode::kStoreRejected
+                                         : FailureCode::kStoreTimeout,
+                fmt::format("the store answered status {}", answer.status));
+}
+
+void HttpStoreClient::AnswerVersion(const HttpAnswer& answer,
+                                    const std::string& key,
+                                    const VersionCallback& callback) const {
+  const Failure failure = Judge(answer, key);
+  if (failure.code != FailureCode::kNone) {
+    callback(std::nullopt, failure);
+    return;
+  }
+  const std::optional<StoreVersion> version = VersionOf(answer);
+  if (!version) {
+    callback(std::nullopt, Failure{FailureCode::kStoreTimeout, key,
+                                   "the answer has no valid version"});
+    return;
+  }
+  callback(version, Failure{});
+}
+
+void HttpStoreClient::Refuse(std::function<void()> report) {
+  loop_->timers().SubscribeOnce(
+      Milliseconds(0),
+      [alive = std::weak_ptr<int>(alive_), report = std::move(report)] {
+        if (!alive.expired()) {
+          report();
+        }
+      });
+}
+
+void HttpStoreClient::Get(const std::string& key, ObjectCallback callback) {
+  if (!StoreProtocol::IsKey(key)) {
+    Refuse([key, callback = std::move(callback)] {
+      callback(std::nullopt, Failure{FailureCode::kStoreRejected, key,
+                                     "it is not a valid key"});
+    });
+    return;
+  }
+  calls_->Send(
+      HttpRequest{.target = StoreProtocol::kObjectsPath + key}, timeout_,
+      [this, key, callback = std::move(callback)](HttpAnswer answer) {
+        if (answer.end == HttpEnd::kAnswered && answer.status == kNotFound) {
+          callback(StoreObject{key, {}, 0}, Failure{});
+          return;
+        }
+        // The body is taken first because the callback may destroy the client.
+        std::string body = std::move(answer.body);
+        AnswerVersion(
+            answer, key,
+            [&](std::optional<StoreVersion> version, const Failure& reason) {
+              if (!version || *version == 0) {
+                callback(std::nullopt,
+                         version ? Failure{FailureCode::kStoreTimeout, key,
+                                           "the answer has version 0"}
+                                 : reason);
+                return;
+              }
+              callback(StoreObject{key, std::move(body), *version}, Failure{});
+            });
+      });
+}
+
+void HttpStoreClient::Put(const std::string& key,
+                          const std::string& value,
+                          StoreVersion if_version,
+                          VersionCallback callback) {
+  if (!StoreProtocol::IsKey(key) ||
+      value.size() > StoreProtocol::kMaxValueBytes) {
+    const bool large = value.size() > StoreProtocol::kMaxValueBytes;
+    Refuse([key, large, callback = std::move(callback)] {
+      callback(
+          std::nullopt,
+          Failure{large ? FailureCode::kTooLarge : FailureCode::kStoreRejected,
+                  key,
+                  large ? "the value has more than 1000000 bytes"
+                        : "it is not a valid key"});
+    });
+    return;
+  }
+  calls_->Send(HttpRequest{.method = "PUT",
+                           .target = StoreProtocol::kObjectsPath + key,
+                           .headers = {{StoreProtocol::kConditionHeader,
+                                        std::to_string(if_version)}},
+                           .body = value},
+               timeout_,
+               [this, key, callback = std::move(callback)](HttpAnswer answer) {
+                 AnswerVersion(answer, key, callback);
+               });
+}
+
+void HttpStoreClient::Delete(const std::string& key,
+                             StoreVersion if_version,
+                             VersionCallback callback) {
+  if (!StoreProtocol::IsKey(key)) {
+    Refuse([key, callback = std::move(callback)] {
+      callback(std::nullopt, Failure{FailureCode::kStoreRejected, key,
+                                     "it is not a valid key"});
+    });
+    return;
+  }
+  calls_->Send(HttpRequest{.method = "DELETE",
+                           .target = StoreProtocol::kObjectsPath + key,
+                           .headers = {{StoreProtocol::kConditionHeader,
+                                        std::to_string(if_version)}}},
+               timeout_,
+               [this, key, callback = std::move(callback)](HttpAnswer answer) {
+                 AnswerVersion(answer, key, callback);
+               });
+}
+
+void HttpStoreClient::Watch(const std::string& key,
+                            StoreVersion after,
+                            Milliseconds timeout,
+                            VersionCallback callback) {
+  if (!StoreProtocol::IsKey(key)) {
+    Refuse([key, callback = std::move(callback)] {
+      callback(std::nullopt, Failure{FailureCode::kStoreRejected, key,
+                                     "it is not a valid key"});
+    });
+    return;
+  }
+  watches_->Send(
+      HttpRequest{.target = fmt::format("{}{}?after={}&timeout_ms={}",
+                                        StoreProtocol::kWatchPath, key, after,
+                                        timeout.count())},
+      timeout + timeout_,
+      [this, key, callback = std::move(callback)](HttpAnswer answer) {
+        AnswerVersion(answer, key, callback);
+      });
+}
+
+void HttpStoreClient::List(const std::string& prefix,
+                           const std::string& start_after,
+                           int limit,
+                           ListCallback callback) {
+  if ((!prefix.empty() && !StoreProtocol::IsKey(prefix)) ||
+      (!start_after.empty() && !StoreProtocol::IsKey(start_after)) ||
+      limit < 1) {
+    Refuse([prefix, callback = std::move(callback)] {
+      callback(std::nullopt,
+               Failure{FailureCode::kStoreRejected, prefix,
+                       "it is not a valid prefix, start or limit"});
+    });
+    return;
+  }
+  ListPage(prefix, start_after, limit, {}, std::move(callback));
+}
+
+void HttpStoreClient::ListPage(const std::string& prefix,
+                               const std::string& start_after,
+                               int limit,
+                               std::vector<StoreObject> found,
+                               ListCallback callback) {
+  const int wanted = std::min(limit - static_cast<int>(found.size()),
+                              StoreProtocol::kMaxListLimit);
+  // Keys hold no character that needs an escape in a query.
+  HttpRequest request{.target =
+                          fmt::format("{}?prefix={}&start_after={}&limit={}",
+                                      StoreProtocol::kListPath, prefix,
+                                      start_after, wanted)};
+  calls_->Send(
+      std::move(request), timeout_,
+      [this, prefix, start_after, limit, found = std::move(found),
+       callback = std::move(callback)](HttpAnswer answer) mutable {
+        const Failure failure = Judge(answer, prefix);
+        if (failure.code != FailureCode::kNone) {
+          callback(std::nullopt, failure);
+          return;
+        }
+        std::optional<std::vector<StoreObject>> page =
+            StoreProtocol::DecodeObjects(answer.body);
+        const auto more = answer.headers.find(StoreProtocol::kMoreHeader);
+        // An empty page that promises more would be asked for again forever.
+        if (!page || more == answer.headers.end() ||
+            (more->second == "1" && page->empty())) {
+          callback(std::nullopt, Failure{FailureCode::kStoreTimeout, prefix,
+                                         "the answer is not a valid list"});
+          return;
+        }
+        std::move(page->begin(), page->end(), std::back_inserter(found));
+        if (more->second != "1" || found.size() >= static_cast<size_t>(limit)) {
+          callback(std::move(found), Failure{});
+          return;
+        }
+        const std::string last = found.back().key;
+        ListPage(prefix, last, limit, std::move(found), std::move(callback));
+      });
+}
+
+}  // namespace dragonflytack
