Add settings, state charts, peer links and the admin API

Cause: the daemon needs checked settings, links between nodes and an operators' port before its tasks can be wired. Change: Settings::Load on Boost's INI parser, an SCXML interpreter with embedded charts, a LinkLayer over WebSocket with a mutual proof of the shared key, the target life cycle and the requests of the admin port. Conclusion: the control task can be wired to it.

--- /dev/null
+++ b/src/base/settings.cc
@@ -0,0 +1,331 @@
+#include "dragonflytack/base/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <boost/program_options/parsers.hpp>
+
+#include "base/setting_keys.h"
+
+namespace dragonflytack {
+
+namespace {
+
+namespace po = boost::program_options;
+
+// Bounds the work of LocateOptions(), which parses each prefix of the file.
+constexpr size_t kMaxFileBytes = 65'536;
+constexpr int kMaxLines = 500;
+
+constexpr size_t kMaxNameLength = 63;
+constexpr size_t kMinSharedKeyLength = 16;
+constexpr size_t kMaxSharedKeyLength = 256;
+constexpr int kMaxTimeoutMs = 60'000;
+constexpr int kMaxDrainTimeoutMs = 600'000;
+
+bool IsName(const std::string& text, std::string_view punctuation) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         std::all_of(text.begin(), text.end(), [punctuation](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') ||
+                  punctuation.find(c) != std::string_view::npos;
+         });
+}
+
+bool IsNodeId(const std::string& text) {
+  return IsName(text, "-.");
+}
+
+bool IsPlace(const std::string& text) {
+  return IsName(text, "-");
+}
+
+bool IsIpNumber(const std::string& text) {
+  unsigned char bytes[sizeof(in6_addr)];
+  return inet_pton(AF_INET, text.c_str(), bytes) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), bytes) == 1;
+}
+
+bool IsSharedKey(const std::string& text) {
+  return text.size() >= kMinSharedKeyLength &&
+         text.size() <= kMaxSharedKeyLength &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(const std::string& text,
+                                  Number minimum,
+                                  Number maximum) {
+  Number number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parsed, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || parsed != end || !(number >= minimum) ||
+      !(number <= maximum)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+template <auto kMember, bool (*kIsValid)(const std::string&)>
+bool ApplyText(const std::string& text, Settings* settings) {
+  settings->*kMember = text;
+  return kIsValid(text);
+}
+
+template <auto kMember, int kMinimum, int kMaximum>
+bool ApplyInteger(const std::string& text, Settings* settings) {
+  const std::optional<int> number = ParseNumber(text, kMinimum, kMaximum);
+  settings->*kMember = number.value_or(0);
+  return number.has_value();
+}
+
+template <auto kMember>
+bool ApplyPort(const std::string& text, Settings* settings) {
+  return ApplyInteger<kMember, 1, UINT16_MAX>(text, settings);
+}
+
+bool ApplyStoreAddress(const std::string& text, Settings* settings) {
+  settings->store.address = text;
+  return IsIpNumber(text);
+}
+
+bool ApplyStorePort(const std::string& text, Settings* settings) {
+  const std::optional<int> port = ParseNumber(text, 1, UINT16_MAX);
+  settings->store.port = static_cast<uint16_t>(port.value_or(0));
+  return port.has_value();
+}
+
+bool ApplyWatchOnEveryNode(const std::string& text, Settings* settings) {
+  settings->watch_on_every_node = text == "true";
+  return text == "true" || text == "false";
+}
+
+bool ApplySeeds(const std::string& text, Settings* settings) {
+  std::istringstream items(text);
+  for (std::string item; std::getline(items, item, ',');) {
+    const size_t first = item.find_first_not_of(" \t");
+    const size_t last = item.find_last_not_of(" \t");
+    if (first == std::string::npos) {
+      return false;
+    }
+    const std::optional<HostPort> seed =
+        HostPort::Parse(item.substr(first, last - first + 1));
+    if (!seed) {
+      return false;
+    }
+    settings->seeds.push_back(*seed);
+  }
+  // std::getline() does not report the empty item after a comma at the end.
+  return text.back() != ',';
+}
+
+bool ApplyTraceSample(const std::string& text, Settings* settings) {
+  const std::optional<double> share = ParseNumber(text, 0.0, 1.0);
+  settings->trace_sample = share.value_or(0);
+  return share.has_value();
+}
+
+bool ApplyTraceCollector(const std::string& text, Settings* settings) {
+  settings->trace_collector = HostPort::Parse(text);
+  return settings->trace_collector.has_value();
+}
+
+bool ApplyLogLevel(const std::string& text, Settings* settings) {
+  static const std::map<std::string, LogLevel> levels = {
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warning", LogLevel::kWarning},
+      {"error", LogLevel::kError}};
+  const auto found = levels.find(text);
+  if (found == levels.end()) {
+    return false;
+  }
+  settings->log_level = found->second;
+  return true;
+}
+
+constexpr std::string_view kNodeIdText = "1 to 63 characters of a-z 0-9 - .";
+constexpr std::string_view kPlaceText = "1 to 63 characters of a-z 0-9 -";
+constexpr std::string_view kIpText = "an IP number";
+constexpr std::string_view kPortText = "a number from 1 to 65535";
+
+constexpr SettingKey kKeys[] = {
+    {"node.id", true, kNodeIdText, &ApplyText<&Settings::node_id, IsNodeId>},
+    {"node.region", true, kPlaceText, &ApplyText<&Settings::region, IsPlace>},
+    {"node.data_centre", true, kPlaceText,
+     &ApplyText<&Settings::data_centre, IsPlace>},
+    {"node.address", true, kIpText, &ApplyText<&Settings::address, IsIpNumber>},
+    {"node.call_port", true, kPortText, &ApplyPort<&Settings::call_port>},
+    {"node.mesh_port", true, kPortText, &ApplyPort<&Settings::mesh_port>},
+    {"node.peer_port", true, kPortText, &ApplyPort<&Settings::peer_port>},
+    {"node.admin_port", true, kPortText, &ApplyPort<&Settings::admin_port>},
+    {"store.address", true, kIpText, &ApplyStoreAddress},
+    {"store.port", true, kPortText, &ApplyStorePort},
+    {"store.region", true, kPlaceText,
+     &ApplyText<&Settings::store_region, IsPlace>},
+    {"store.timeout_ms", false, "a number from 100 to 60000",
+     &ApplyInteger<&Settings::store_timeout_ms, 100, kMaxTimeoutMs>},
+    {"store.watch_on_every_node", false, "true or false",
+     &ApplyWatchOnEveryNode},
+    {"peers.seeds", false, "IP:port, separated by commas", &ApplySeeds},
+    {"security.shared_key", false, "16 to 256 printable characters, no spaces",
+     &ApplyText<&Settings::shared_key, IsSharedKey>},
+    {"trace.sample", false, "a number from 0 to 1", &ApplyTraceSample},
+    {"trace.collector", false, "IP:port", &ApplyTraceCollector},
+    {"log.level", false, "debug, info, warning or error", &ApplyLogLevel},
+    {"calls.drain_timeout_ms", false, "a number from 1000 to 600000",
+     &ApplyInteger<&Settings::drain_timeout_ms, 1000, kMaxDrainTimeoutMs>},
+};
+
+struct LocatedOption {
+  std::string name;
+  std::string value;
+  int line = 0;
+};
+
+// Boost's parser does not report lines. A line belongs to the option that
+// appears, or to the error that arises, when the prefix of the file that ends
+// with it is parsed.
+std::optional<std::vector<LocatedOption>> LocateOptions(const std::string& path,
+                                                        std::istream* input,
+                                                        int* lines,
+                                                        Failure* reason) {
+  static const po::options_description no_options;
+  std::vector<LocatedOption> located;
+  std::string prefix;
+  *lines = 0;
+  for (std::string line; std::getline(*input, line);) {
+    ++*lines;
+    prefix += line;
+    prefix += '\n';
+    if (prefix.size() > kMaxFileBytes || *lines > kMaxLines) {
+      *reason = {FailureCode::kTooLarge, fmt::format("{}:{}", path, *lines),
+                 fmt::format("settings are over {} bytes or {} lines",
+                             kMaxFileBytes, kMaxLines)};
+      return std::nullopt;
+    }
+    std::istringstream text(prefix);
+    try {
+      const po::parsed_options parsed =
+          po::parse_config_file(text, no_options, /*allow_unregistered=*/true);
+      if (parsed.options.size() > located.size()) {
+        const po::option& option = parsed.options.back();
+        located.push_back({option.string_key,
+                           option.value.empty() ? "" : option.value.front(),
+                           *lines});
+      }
+    } catch (const po::error& error) {
+      *reason = {FailureCode::kInvalidSetting,
+                 fmt::format("{}:{}", path, *lines), error.what()};
+      return std::nullopt;
+    }
+  }
+  return located;
+}
+
+const SettingKey* FindKey(const std::string& name) {
+  const auto* const found =
+      std::find_if(std::begin(kKeys), std::end(kKeys),
+                   [&name](const SettingKey& key) { return key.name == name; });
+  return found == std::end(kKeys) ? nullptr : found;
+}
+
+// Returns the problem with an option, empty when there is none.
+std::string ApplyOption(const LocatedOption& option,
+                        std::map<std::string, int>* lines_of_keys,
+                        Settings* settings) {
+  const SettingKey* const key = FindKey(option.name);
+  if (key == nullptr) {
+    return fmt::format("unknown key {}", option.name);
+  }
+  const auto [earlier, is_new] =
+      lines_of_keys->emplace(option.name, option.line);
+  if (!is_new) {
+    return fmt::format("{} is already set in line {}", option.name,
+                       earlier->second);
+  }
+  if (option.value.empty()) {
+    return fmt::format("{} has no value; expected {}", option.name,
+                       key->expects);
+  }
+  if (!key->apply(option.value, settings)) {
+    // The value of the shared key must not get into logs.
+    return fmt::format("{} is invalid; expected {}", option.name, key->expects);
+  }
+  return {};
+}
+
+// Returns the key that names a port of an earlier one, with that earlier one.
+std::optional<std::pair<std::string, std::string>> FindPortClash(
+    const Settings& settings) {
+  const std::pair<std::string, uint16_t> ports[] = {
+      {"node.call_port", settings.call_port},
+      {"node.mesh_port", settings.mesh_port},
+      {"node.peer_port", settings.peer_port},
+      {"node.admin_port", settings.admin_port}};
+  for (const auto& [name, port] : ports) {
+    for (const auto& [earlier_name, earlier_port] : ports) {
+      if (earlier_name == name) {
+        break;
+      }
+      if (earlier_port == port) {
+        return std::pair(name, earlier_name);
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::span<const SettingKey> SettingKeys() {
+  return kKeys;
+}
+
+std::optional<Settings> Settings::Load(const std::string& path,
+                                       Failure* reason) {
+  std::ifstream file(path);
+  if (!file) {
+    *reason = {FailureCode::kNotFound, path, "settings file cannot be read"};
+    return std::nullopt;
+  }
+  int lines = 0;
+  const std::optional<std::vector<LocatedOption>> options =
+      LocateOptions(path, &file, &lines, reason);
+  if (!options) {
+    return std::nullopt;
+  }
+  const auto fail = [&](int line, std::string detail) {
+    *reason = {FailureCode::kInvalidSetting, fmt::format("{}:{}", path, line),
+               std::move(detail)};
+    return std::nullopt;
+  };
+  Settings settings;
+  std::map<std::string, int> lines_of_keys;
+  for (const LocatedOption& option : *options) {
+    std::string problem = ApplyOption(option, &lines_of_keys, &settings);
+    if (!problem.empty()) {
+      return fail(option.line, std::move(problem));
+    }
+  }
+  for (const SettingKey& key : kKeys) {
+    if (key.required && lines_of_keys.count(std::string(key.name)) == 0) {
+      return fail(lines, fmt::format("{} is missing; expected {}", key.name,
+                                     key.expects));
+    }
+  }
+  if (const auto clash = FindPortClash(settings)) {
+    return fail(lines_of_keys[clash->first],
+                fmt::format("{} is the same as {}; the ports must differ",
+                            clash->first, clash->second));
+  }
+  return settings;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/daemon/admin_api.cc
@@ -0,0 +1,198 @@
+#include "daemon/admin_api.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "daemon/admin_source.h"
+#include "daemon/announcement.h"
+#include "dragonflytack/base/admin_authorization.h"
+#include "dragonflytack/base/hash.h"
+#include "net/loopback.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+enum HttpStatus {
+  kOk = 200,
+  kBadRequest = 400,
+  kUnauthorized = 401,
+  kForbidden = 403,
+  kNotFound = 404,
+  kMethodNotAllowed = 405,
+  kTooLarge = 413,
+  kUnavailable = 503,
+};
+
+constexpr size_t kTraceIdLength = 32;
+
+AdminResponse Ok(const json& body) {
+  // Texts of a table may hold bytes that are not UTF-8 only if a peer is
+  // faulty; they must not end the process.
+  return {kOk, "application/json",
+          body.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+AdminResponse Error(HttpStatus status, const Failure& failure) {
+  const json body = {{"error",
+                      {{"code", FailureCodeName(failure.code)},
+                       {"subject", failure.subject},
+                       {"detail", failure.detail}}}};
+  return {status, "application/json",
+          body.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+// Returns a query parameter, or nothing when it is missing or empty.
+std::optional<std::string> QueryValue(const AdminRequest& request,
+                                      const std::string& name) {
+  const auto found = request.query.find(name);
+  if (found == request.query.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+AdminResponse MissingParameter(const std::string& name,
+                               const std::string& expected) {
+  return Error(kBadRequest,
+               {FailureCode::kInvalidArgument, name,
+                "the query parameter must be given as " + expected});
+}
+
+bool IsTraceId(const std::string& text) {
+  return text.size() == kTraceIdLength &&
+         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+}  // namespace
+
+const AdminApi::Endpoint AdminApi::kEndpoints[] = {
+    {"GET", "/status", true, &AdminApi::GetStatus},
+    {"GET", "/nodes", true, &AdminApi::GetNodes},
+    {"GET", "/routes", true, &AdminApi::GetRoutes},
+    {"GET", "/table", true, &AdminApi::GetTable},
+    {"GET", "/trace", true, &AdminApi::GetTrace},
+    {"GET", "/metrics", true, &AdminApi::GetMetrics},
+    {"GET", "/healthz", false, &AdminApi::GetHealth},
+    {"POST", "/announce", false, &AdminApi::PostAnnounce},
+};
+
+AdminApi::AdminApi(const std::string& shared_key,
+                   const std::string& own_address,
+                   AdminSource* source)
+    : authorization_(shared_key.empty() ? "" : AdminAuthorization(shared_key)),
+      own_address_(own_address),
+      source_(source) {}
+
+AdminResponse AdminApi::Handle(const AdminRequest& request) const {
+  const auto* const endpoint = std::find_if(
+      std::begin(kEndpoints), std::end(kEndpoints),
+      [&request](const Endpoint& e) { return e.path == request.path; });
+  if (endpoint == std::end(kEndpoints)) {
+    return Error(kNotFound, {FailureCode::kNotFound, request.path,
+                             "the admin port has no such path"});
+  }
+  if (endpoint->method != request.method) {
+    return Error(kMethodNotAllowed,
+                 {FailureCode::kInvalidArgument, request.path,
+                  fmt::format("the method must be {}", endpoint->method)});
+  }
+  if (request.body.size() > kMaxBodyBytes) {
+    return Error(kTooLarge,
+                 {FailureCode::kTooLarge, request.path,
+                  fmt::format("the body is over {} bytes", kMaxBodyBytes)});
+  }
+  if (endpoint->needs_authorization && !authorization_.empty() &&
+      !ConstantTimeEqual(request.authorization, authorization_)) {
+    return Error(kUnauthorized,
+                 {FailureCode::kAuthentication, request.path,
+                  "the header authorization is missing or wrong"});
+  }
+  return (this->*endpoint->handler)(request);
+}
+
+AdminResponse AdminApi::GetStatus(const AdminRequest& /*request*/) const {
+  return Ok(source_->Status());
+}
+
+AdminResponse AdminApi::GetNodes(const AdminRequest& /*request*/) const {
+  return Ok(source_->Nodes());
+}
+
+AdminResponse AdminApi::GetRoutes(const AdminRequest& request) const {
+  const std::optional<std::string> service = QueryValue(request, "service");
+  if (!service) {
+    return MissingParameter("service", "the name of a service");
+  }
+  const std::optional<json> routes = source_->Routes(*service);
+  return routes ? Ok(*routes)
+                : Error(kNotFound, {FailureCode::kNotFound, *service,
+                                    "the table in force has no such service"});
+}
+
+AdminResponse AdminApi::GetTable(const AdminRequest& /*request*/) const {
+  const std::optional<json> table = source_->Table();
+  return table ? Ok(*table)
+               : Error(kUnavailable, {FailureCode::kNotFound, "table",
+                                      "no table is in force yet"});
+}
+
+AdminResponse AdminApi::GetTrace(const AdminRequest& request) const {
+  const std::optional<std::string> id = QueryValue(request, "id");
+  if (!id || !IsTraceId(*id)) {
+    return MissingParameter("id", "32 hexadecimal digits");
+  }
+  json spans = json::array();
+  for (const Span& span : source_->Trace(*id)) {
+    spans.push_back({{"trace_id", span.trace_id},
+                     {"span_id", span.span_id},
+                     {"parent_id", span.parent_id},
+                     {"name", span.name},
+                     {"node", span.node},
+                     {"service", span.service},
+                     {"target", span.target},
+                     {"attempt", span.attempt},
+                     {"outcome", span.outcome},
+                     {"table_version", span.table_version},
+                     {"start_us", span.start_us},
+                     {"end_us", span.end_us}});
+  }
+  return Ok({{"trace_id", *id}, {"spans", std::move(spans)}});
+}
+
+AdminResponse AdminApi::GetMetrics(const AdminRequest& /*request*/) const {
+  return {kOk, "text/plain; version=0.0.4", source_->Metrics()};
+}
+
+AdminResponse AdminApi::GetHealth(const AdminRequest& /*request*/) const {
+  return Ok({{"ok", true}});
+}
+
+AdminResponse AdminApi::PostAnnounce(const AdminRequest& request) const {
+  if (!IsLoopback(request.remote_address) &&
+      request.remote_address != own_address_) {
+    return Error(kForbidden,
+                 {FailureCode::kAuthentication, request.remote_address,
+                  "announcements are taken from the same host only"});
+  }
+  Failure reason;
+  const std::optional<LocalTarget> target = ParseAnnouncement(
+      request.body, request.remote_address, own_address_, &reason);
+  if (!target) {
+    return Error(kBadRequest, reason);
+  }
+  const Failure refused = source_->Announce(*target);
+  if (refused.code != FailureCode::kNone) {
+    return Error(kUnavailable, refused);
+  }
+  return Ok({{"ok", true}});
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/daemon/admin_api.h
@@ -0,0 +1,55 @@
+#ifndef DRAGONFLYTACK_DAEMON_ADMIN_API_H_
+#define DRAGONFLYTACK_DAEMON_ADMIN_API_H_
+
+#include <string>
+
+#include "daemon/admin_request.h"
+#include "dragonflytack/base/failure.h"
+
+namespace dragonflytack {
+
+class AdminSource;
+
+// Answers requests to the admin port: checks path, method, authorization and
+// input, and reads from the source. It does no I/O.
+class AdminApi final {
+ public:
+  // Size of the largest body that a request may have.
+  static constexpr size_t kMaxBodyBytes = 4096;
+
+  // `own_address` is the node's IP number, from which announcements are taken
+  // too. `source` must outlive the object.
+  AdminApi(const std::string& shared_key,
+           const std::string& own_address,
+           AdminSource* source);
+
+  AdminResponse Handle(const AdminRequest& request) const;
+
+ private:
+  using Handler = AdminResponse (AdminApi::*)(const AdminRequest&) const;
+  struct Endpoint {
+    std::string_view method;
+    std::string_view path;
+    bool needs_authorization;
+    Handler handler;
+  };
+  static const Endpoint kEndpoints[];
+
+  AdminResponse GetStatus(const AdminRequest& request) const;
+  AdminResponse GetNodes(const AdminRequest& request) const;
+  AdminResponse GetRoutes(const AdminRequest& request) const;
+  AdminResponse GetTable(const AdminRequest& request) const;
+  AdminResponse GetTrace(const AdminRequest& request) const;
+  AdminResponse GetMetrics(const AdminRequest& request) const;
+  AdminResponse GetHealth(const AdminRequest& request) const;
+  AdminResponse PostAnnounce(const AdminRequest& request) const;
+
+  // Empty when no authorization is needed.
+  const std::string authorization_;
+  const std::string own_address_;
+  AdminSource* const source_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_DAEMON_ADMIN_API_H_
--- /dev/null
+++ b/src/daemon/admin_server.cc
@@ -0,0 +1,106 @@
+#include "daemon/admin_server.h"
+
+#include <cstring>
+#include <string>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
+
+#include "daemon/admin_api.h"
+#include "dragonflytack/base/event_loop.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr size_t kMaxHeaderBytes = 16'384;
+// Idle connections of operators and metrics collectors are closed.
+constexpr int kIdleTimeoutSeconds = 20;
+// Every method is let through to the handler, which answers a typed error.
+constexpr uint32_t kAllMethods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+std::string MethodName(evhttp_cmd_type command) {
+  switch (command) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    default:
+      return "other";
+  }
+}
+
+AdminRequest FromHttp(evhttp_request* http) {
+  AdminRequest request;
+  request.method = MethodName(evhttp_request_get_command(http));
+  const evhttp_uri* const uri = evhttp_request_get_evhttp_uri(http);
+  const char* const path = evhttp_uri_get_path(uri);
+  request.path = path == nullptr ? "" : path;
+  const char* const query = evhttp_uri_get_query(uri);
+  evkeyvalq parameters;
+  if (query != nullptr && evhttp_parse_query_str(query, &parameters) == 0) {
+    for (const evkeyval* item = parameters.tqh_first; item != nullptr;
+         item = item->next.tqe_next) {
+      request.query[item->key] = item->value;
+    }
+    evhttp_clear_headers(&parameters);
+  }
+  const char* const authorization = evhttp_find_header(
+      evhttp_request_get_input_headers(http), "authorization");
+  request.authorization = authorization == nullptr ? "" : authorization;
+  evbuffer* const body = evhttp_request_get_input_buffer(http);
+  request.body.resize(evbuffer_get_length(body));
+  evbuffer_copyout(body, request.body.data(), request.body.size());
+  char* address = nullptr;
+  ev_uint16_t port = 0;
+  evhttp_connection_get_peer(evhttp_request_get_connection(http), &address,
+                             &port);
+  request.remote_address = address == nullptr ? "" : address;
+  return request;
+}
+
+}  // namespace
+
+std::unique_ptr<AdminServer> AdminServer::Make(EventLoop* loop,
+                                               const HostPort& address,
+                                               const AdminApi* api,
+                                               Failure* reason) {
+  evhttp* const server = evhttp_new(loop->base());
+  evhttp_set_max_headers_size(server, kMaxHeaderBytes);
+  evhttp_set_max_body_size(server, AdminApi::kMaxBodyBytes);
+  evhttp_set_allowed_methods(server, kAllMethods);
+  evhttp_set_timeout(server, kIdleTimeoutSeconds);
+  std::unique_ptr<AdminServer> admin(new AdminServer(server, api));
+  evhttp_set_gencb(server, &AdminServer::OnRequest, admin.get());
+  if (evhttp_bind_socket(server, address.address.c_str(), address.port) != 0) {
+    *reason = {FailureCode::kAddressInUse, address.ToString(),
+               evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
+    return nullptr;
+  }
+  return admin;
+}
+
+AdminServer::AdminServer(evhttp* server, const AdminApi* api)
+    : server_(server), api_(api) {}
+
+AdminServer::~AdminServer() {
+  evhttp_free(server_);
+}
+
+void AdminServer::OnRequest(evhttp_request* request, void* self) {
+  const AdminResponse response =
+      static_cast<AdminServer*>(self)->api_->Handle(FromHttp(request));
+  evhttp_add_header(evhttp_request_get_output_headers(request), "content-type",
+                    response.content_type.c_str());
+  evbuffer* const body = evbuffer_new();
+  evbuffer_add(body, response.body.data(), response.body.size());
+  evhttp_send_reply(request, response.status, nullptr, body);
+  evbuffer_free(body);
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/net/peer_link.cc
@@ -0,0 +1,321 @@
+#include "net/peer_link.h"
+
+#include <cstring>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+
+#include "net/link_options.h"
+#include "net/loopback.h"
+#include "statechart/embedded_charts.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Bytes read ahead of the parser. It bounds what one link may hold, and keeps
+// one busy link from starving the others.
+constexpr size_t kReadAheadBytes = 65'536;
+// WebSocket header of a frame from a client.
+constexpr size_t kMaxFrameHeaderBytes = 14;
+
+bool FillAddress(const HostPort& peer, sockaddr_storage* address, int* size) {
+  *size = sizeof(*address);
+  return evutil_parse_sockaddr_port(peer.ToString().c_str(),
+                                    reinterpret_cast<sockaddr*>(address),
+                                    size) == 0;
+}
+
+}  // namespace
+
+std::span<const ChartAction<PeerLink>> PeerLink::Actions() {
+  static constexpr ChartAction<PeerLink> actions[] = {
+      {"StartHandshakeTimer", &PeerLink::StartHandshakeTimer},
+      {"StopHandshakeTimer", &PeerLink::StopHandshakeTimer},
+      {"StartWebSocket", &PeerLink::StartWebSocket},
+      {"SendHello", &PeerLink::SendHello},
+      {"SendProof", &PeerLink::SendProof},
+      {"ReportUp", &PeerLink::ReportUp},
+      {"ReportDown", &PeerLink::ReportDown},
+      {"SendCloseFrame", &PeerLink::SendCloseFrame},
+      {"StartLinger", &PeerLink::StartLinger},
+      {"EndOutput", &PeerLink::EndOutput},
+      {"Release", &PeerLink::Release},
+  };
+  return actions;
+}
+
+bool PeerLink::CheckChart(Failure* reason) {
+  return ChartMachine<PeerLink>::CheckBinding(*FindEmbeddedChart("peer_link"),
+                                              Actions(), reason);
+}
+
+PeerLink::PeerLink(LinkId id,
+                   bool outgoing,
+                   const HostPort& remote,
+                   bufferevent* socket,
+                   const LinkOptions& options,
+                   TimerService* timers,
+                   Owner* owner)
+    : id_(id),
+      outgoing_(outgoing),
+      remote_(remote),
+      socket_(socket),
+      options_(options),
+      timers_(timers),
+      owner_(owner),
+      machine_(FindEmbeddedChart("peer_link"), this, Actions()) {
+  bufferevent_setcb(socket_, &PeerLink::OnReadable, &PeerLink::OnWritten,
+                    &PeerLink::OnEvent, this);
+  bufferevent_setwatermark(socket_, EV_READ, 0, kReadAheadBytes);
+}
+
+PeerLink::~PeerLink() {
+  timers_->Cancel(timer_);
+  session_.reset();
+  bufferevent_free(socket_);
+}
+
+void PeerLink::Start() {
+  if (machine_.is_final()) {
+    return;  // Closed before it was started.
+  }
+  machine_.Start();
+  if (options_.shared_key.empty() && !IsLoopback(remote_.address)) {
+    Fail(FailureCode::kPeerRejected,
+         "without a shared key only loopback peers are accepted");
+    return;
+  }
+  if (!outgoing_) {
+    machine_.Handle("connected");
+    return;
+  }
+  sockaddr_storage address;
+  int size = 0;
+  if (!FillAddress(remote_, &address, &size) ||
+      bufferevent_socket_connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                                 size) != 0) {
+    Fail(FailureCode::kPeerUnreachable, "no socket can be connected");
+  }
+}
+
+void PeerLink::Send(const std::string& frame) {
+  if (!is_up() || failing_) {
+    return;
+  }
+  if (frame.size() > options_.max_frame_bytes) {
+    FailLater(FailureCode::kTooLarge,
+              fmt::format("frame to send has {} bytes", frame.size()));
+    return;
+  }
+  if (queued_bytes() + frame.size() + kMaxFrameHeaderBytes >
+      options_.max_queue_bytes) {
+    FailLater(FailureCode::kOverloaded,
+              fmt::format("{} bytes wait to be sent", queued_bytes()));
+    return;
+  }
+  session_->Send(frame);
+}
+
+void PeerLink::Close() {
+  down_reported_ = true;
+  reason_ = {FailureCode::kCancelled, remote_.ToString(), "closed"};
+  machine_.Handle("closed");
+}
+
+bool PeerLink::is_up() const {
+  return machine_.state() == "up";
+}
+
+size_t PeerLink::queued_bytes() const {
+  return evbuffer_get_length(bufferevent_get_output(socket_));
+}
+
+void PeerLink::OnReadable(bufferevent* socket, void* self) {
+  auto* const link = static_cast<PeerLink*>(self);
+  evbuffer* const input = bufferevent_get_input(socket);
+  const bool closing =
+      link->session_ == nullptr || link->state() == "closing" ||
+      link->state() == "lingering" || link->machine_.is_final();
+  if (closing) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  while (const size_t size = evbuffer_get_contiguous_space(input)) {
+    const auto* const data =
+        reinterpret_cast<const char*>(evbuffer_pullup(input, size));
+    link->received_bytes_ += size;
+    link->session_->Read(data, size);
+    evbuffer_drain(input, size);
+  }
+}
+
+void PeerLink::OnWritten(bufferevent* /*socket*/, void* self) {
+  auto* const link = static_cast<PeerLink*>(self);
+  if (link->queued_bytes() == 0) {
+    link->machine_.Handle("flushed");
+  }
+}
+
+void PeerLink::OnEvent(bufferevent* socket, short what, void* self) {
+  auto* const link = static_cast<PeerLink*>(self);
+  const int error = EVUTIL_SOCKET_ERROR();
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    link->machine_.Handle("connected");
+    return;
+  }
+  // Bytes that arrived before the end may hold the peer's reason.
+  OnReadable(socket, self);
+  if ((what & BEV_EVENT_EOF) != 0) {
+    link->Fail(FailureCode::kPeerUnreachable, "the peer ended the connection");
+  } else {
+    link->Fail(FailureCode::kPeerUnreachable,
+               evutil_socket_error_to_string(error));
+  }
+}
+
+void PeerLink::StartHandshakeTimer() {
+  timer_ = timers_->SubscribeOnce(options_.handshake_timeout, [this] {
+    Fail(FailureCode::kPeerUnreachable,
+         "no handshake within the time, in state " + state());
+  });
+}
+
+void PeerLink::StopHandshakeTimer() {
+  timers_->Cancel(timer_);
+}
+
+void PeerLink::StartWebSocket() {
+  const int enabled = 1;
+  setsockopt(bufferevent_getfd(socket_), IPPROTO_TCP, TCP_NODELAY, &enabled,
+             sizeof(enabled));
+  bufferevent_enable(socket_, EV_READ | EV_WRITE);
+  handshake_ = std::make_unique<LinkHandshake>(outgoing_, options_.shared_key);
+  // A peer that has not proved itself may not send more than a handshake needs.
+  session_ =
+      outgoing_ ? WebsocketppSession::MakeClient(
+                      this, LinkHandshake::kMaxMessageBytes, remote_.ToString())
+                : WebsocketppSession::MakeServer(
+                      this, LinkHandshake::kMaxMessageBytes);
+  if (session_ == nullptr) {
+    Fail(FailureCode::kInternal, "no WebSocket session can be made");
+    return;
+  }
+  session_->Start();
+}
+
+void PeerLink::SendHello() {
+  session_->Send(handshake_->MakeHello(owner_->SelfRecord()));
+}
+
+void PeerLink::SendProof() {
+  session_->Send(handshake_->MakeProof());
+}
+
+void PeerLink::ReportUp() {
+  session_->set_max_message(options_.max_frame_bytes);
+  up_reported_ = true;
+  owner_->OnUp(this);
+}
+
+void PeerLink::ReportDown() {
+  if (!std::exchange(down_reported_, true)) {
+    owner_->OnDown(this, reason_, up_reported_);
+  }
+}
+
+void PeerLink::SendCloseFrame() {
+  if (session_ != nullptr) {
+    session_->Close(reason_.ToString());
+  }
+}
+
+void PeerLink::StartLinger() {
+  timers_->Cancel(timer_);
+  timer_ = timers_->SubscribeOnce(options_.linger_timeout,
+                                  [this] { machine_.Handle("lingered"); });
+  if (queued_bytes() == 0) {
+    machine_.Handle("flushed");
+  }
+}
+
+void PeerLink::EndOutput() {
+  shutdown(bufferevent_getfd(socket_), SHUT_WR);
+}
+
+void PeerLink::Release() {
+  timers_->Cancel(timer_);
+  bufferevent_disable(socket_, EV_READ | EV_WRITE);
+  owner_->OnReleased(this);
+}
+
+void PeerLink::OnWebSocketOpen() {
+  machine_.Handle("opened");
+}
+
+void PeerLink::OnWebSocketMessage(const std::string& payload) {
+  Failure reason;
+  if (is_up()) {
+    if (!failing_) {
+      owner_->OnFrame(this, payload);
+    }
+  } else if (state() == "greeting") {
+    if (handshake_->TakeHello(payload, &reason)) {
+      machine_.Handle("hello");
+    } else {
+      Fail(std::move(reason));
+    }
+  } else if (state() == "proving") {
+    if (handshake_->TakeProof(payload, &reason)) {
+      machine_.Handle("proof");
+    } else {
+      Fail(std::move(reason));
+    }
+  }
+}
+
+void PeerLink::OnWebSocketWrite(const char* data, size_t size) {
+  sent_bytes_ += size;
+  bufferevent_write(socket_, data, size);
+}
+
+void PeerLink::OnWebSocketEnd(End end, const std::string& detail) {
+  switch (end) {
+    case End::kPeerClosed:
+      Fail(is_up() ? FailureCode::kCancelled : FailureCode::kPeerRejected,
+           "the peer closed the link: " + detail);
+      return;
+    case End::kTooLarge:
+      Fail(FailureCode::kTooLarge, detail);
+      return;
+    case End::kProtocolError:
+      Fail(FailureCode::kInvalidMessage, detail);
+      return;
+  }
+}
+
+void PeerLink::Fail(FailureCode code, const std::string& detail) {
+  Fail(Failure{code, remote_.ToString(), detail});
+}
+
+void PeerLink::Fail(Failure reason) {
+  if (reason_.code == FailureCode::kNone) {
+    reason_ = std::move(reason);
+  }
+  machine_.Handle("failed");
+}
+
+void PeerLink::FailLater(FailureCode code, const std::string& detail) {
+  failing_ = true;
+  timers_->Cancel(timer_);
+  timer_ = timers_->SubscribeOnce(Milliseconds(0),
+                                  [this, code, detail] { Fail(code, detail); });
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/net/peer_link.h
@@ -0,0 +1,132 @@
+#ifndef DRAGONFLYTACK_NET_PEER_LINK_H_
+#define DRAGONFLYTACK_NET_PEER_LINK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/base/host_port.h"
+#include "dragonflytack/base/timer_service.h"
+#include "dragonflytack/distribution/link_id.h"
+#include "dragonflytack/registry/node_record.h"
+#include "dragonflytack/statechart/chart_machine.h"
+#include "net/link_handshake.h"
+#include "net/websocketpp_session.h"
+
+struct bufferevent;
+
+namespace dragonflytack {
+
+struct LinkOptions;
+
+// One connection to a peer. The chart charts/peer_link.scxml drives its life;
+// the members without arguments are that chart's actions.
+class PeerLink final : public WebsocketppSession::Delegate {
+ public:
+  // Where a link reports. OnReleased() must not destroy the link at once, as
+  // the link is still running.
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual const NodeRecord& SelfRecord() = 0;
+    virtual void OnUp(PeerLink* link) = 0;
+    virtual void OnFrame(PeerLink* link, const std::string& frame) = 0;
+    // The link ended without Close(). `was_up` tells whether OnUp() was called.
+    virtual void OnDown(PeerLink* link, const Failure& reason, bool was_up) = 0;
+    virtual void OnReleased(PeerLink* link) = 0;
+  };
+
+  // Takes over `socket`. `remote` is the address of the other end. All pointers
+  // must outlive the link.
+  PeerLink(LinkId id,
+           bool outgoing,
+           const HostPort& remote,
+           bufferevent* socket,
+           const LinkOptions& options,
+           TimerService* timers,
+           Owner* owner);
+  ~PeerLink() override;
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  // Connects an outgoing link, or begins the handshake of an accepted one.
+  void Start();
+
+  // Queues a frame. A frame over the limits closes the link, with a report on
+  // a later turn of the loop.
+  void Send(const std::string& frame);
+
+  // Ends the link without a report.
+  void Close();
+
+  LinkId id() const { return id_; }
+  bool outgoing() const { return outgoing_; }
+  const HostPort& remote() const { return remote_; }
+  // The record that the peer presented; valid from OnUp() on.
+  const NodeRecord& peer() const { return handshake_->peer(); }
+  const std::string& state() const { return machine_.state(); }
+  bool is_up() const;
+  bool was_up() const { return up_reported_; }
+  size_t queued_bytes() const;
+  uint64_t sent_bytes() const { return sent_bytes_; }
+  uint64_t received_bytes() const { return received_bytes_; }
+
+  // Checks the chart against the table of actions, for tests.
+  static bool CheckChart(Failure* reason);
+
+ private:
+  static std::span<const ChartAction<PeerLink>> Actions();
+  static void OnReadable(bufferevent* socket, void* self);
+  static void OnWritten(bufferevent* socket, void* self);
+  static void OnEvent(bufferevent* socket, short what, void* self);
+
+  // Actions of the chart.
+  void StartHandshakeTimer();
+  void StopHandshakeTimer();
+  void StartWebSocket();
+  void SendHello();
+  void SendProof();
+  void ReportUp();
+  void ReportDown();
+  void SendCloseFrame();
+  void StartLinger();
+  void EndOutput();
+  void Release();
+
+  void OnWebSocketOpen() override;
+  void OnWebSocketMessage(const std::string& payload) override;
+  void OnWebSocketWrite(const char* data, size_t size) override;
+  void OnWebSocketEnd(End end, const std::string& detail) override;
+
+  void Fail(FailureCode code, const std::string& detail);
+  void Fail(Failure reason);
+  // Fails on the next turn of the loop, because the caller of Send() must not
+  // be reported to from within its call.
+  void FailLater(FailureCode code, const std::string& detail);
+
+  const LinkId id_;
+  const bool outgoing_;
+  const HostPort remote_;
+  bufferevent* const socket_;
+  const LinkOptions& options_;
+  TimerService* const timers_;
+  Owner* const owner_;
+  ChartMachine<PeerLink> machine_;
+  std::unique_ptr<WebsocketppSession> session_;
+  std::unique_ptr<LinkHandshake> handshake_;
+  TimerId timer_ = 0;
+  Failure reason_;
+  bool up_reported_ = false;
+  bool down_reported_ = false;
+  bool failing_ = false;
+  uint64_t sent_bytes_ = 0;
+  uint64_t received_bytes_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_NET_PEER_LINK_H_
--- /dev/null
+++ b/src/net/record_json.cc
@@ -0,0 +1,128 @@
+#include "net/record_json.h"
+
+#include <array>
+#include <cstdint>
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 5> kStateNames = {
+    "starting", "warming", "ready", "draining", "left"};
+
+constexpr size_t kMaxNameLength = 63;
+
+// Reads the fields of one object and remembers the first bad one.
+class FieldReader {
+ public:
+  explicit FieldReader(const json& object) : object_(object) {}
+
+  void Read(const char* name, std::string* value) {
+    const json* field = Find(name);
+    if (field == nullptr || !field->is_string() ||
+        field->get_ref<const std::string&>().size() > kMaxNameLength) {
+      Reject(name);
+      return;
+    }
+    *value = field->get<std::string>();
+  }
+
+  template <typename Integer>
+  void Read(const char* name, Integer* value, uint64_t maximum) {
+    const json* field = Find(name);
+    if (field == nullptr || !field->is_number_integer() ||
+        (!field->is_number_unsigned() && field->get<int64_t>() < 0) ||
+        field->get<uint64_t>() > maximum) {
+      Reject(name);
+      return;
+    }
+    *value = field->get<Integer>();
+  }
+
+  void Reject(const char* name) {
+    if (bad_.empty()) {
+      bad_ = name;
+    }
+  }
+
+  const std::string& bad() const { return bad_; }
+
+ private:
+  const json* Find(const char* name) const {
+    const auto found = object_.find(name);
+    return found == object_.end() ? nullptr : &*found;
+  }
+
+  const json& object_;
+  std::string bad_;
+};
+
+}  // namespace
+
+std::string_view TargetStateName(TargetState state) {
+  return kStateNames[static_cast<size_t>(state)];
+}
+
+std::optional<TargetState> ParseTargetState(std::string_view name) {
+  for (size_t i = 0; i < kStateNames.size(); ++i) {
+    if (kStateNames[i] == name) {
+      return static_cast<TargetState>(i);
+    }
+  }
+  return std::nullopt;
+}
+
+json RecordToJson(const NodeRecord& record) {
+  return {{"id", record.id},
+          {"incarnation", record.incarnation},
+          {"sequence", record.sequence},
+          {"region", record.region},
+          {"data_centre", record.data_centre},
+          {"address", record.address},
+          {"peer_port", record.peer_port},
+          {"mesh_port", record.mesh_port},
+          {"admin_port", record.admin_port},
+          {"service", record.service},
+          {"state", TargetStateName(record.state)},
+          {"warming_since_ms", record.warming_since_ms},
+          {"slots", record.slots},
+          {"successor", record.successor}};
+}
+
+std::optional<NodeRecord> RecordFromJson(const json& object, Failure* reason) {
+  NodeRecord record;
+  FieldReader reader(object);
+  std::string state;
+  reader.Read("id", &record.id);
+  reader.Read("incarnation", &record.incarnation, UINT64_MAX);
+  reader.Read("sequence", &record.sequence, UINT64_MAX);
+  reader.Read("region", &record.region);
+  reader.Read("data_centre", &record.data_centre);
+  reader.Read("address", &record.address);
+  reader.Read("peer_port", &record.peer_port, UINT16_MAX);
+  reader.Read("mesh_port", &record.mesh_port, UINT16_MAX);
+  reader.Read("admin_port", &record.admin_port, UINT16_MAX);
+  reader.Read("service", &record.service);
+  reader.Read("state", &state);
+  reader.Read("warming_since_ms", &record.warming_since_ms, INT64_MAX);
+  reader.Read("slots", &record.slots, INT32_MAX);
+  reader.Read("successor", &record.successor);
+  const std::optional<TargetState> parsed_state = ParseTargetState(state);
+  if (!parsed_state) {
+    reader.Reject("state");
+  }
+  if (record.id.empty()) {
+    reader.Reject("id");
+  }
+  if (!reader.bad().empty()) {
+    *reason = {FailureCode::kInvalidMessage, "node record",
+               "field " + reader.bad() + " is missing or invalid"};
+    return std::nullopt;
+  }
+  record.state = *parsed_state;
+  return record;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/net/record_json.h
@@ -0,0 +1,32 @@
+#ifndef DRAGONFLYTACK_NET_RECORD_JSON_H_
+#define DRAGONFLYTACK_NET_RECORD_JSON_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/registry/node_record.h"
+
+namespace dragonflytack {
+
+// Returns the name of a state as it appears in JSON, for example "ready".
+std::string_view TargetStateName(TargetState state);
+
+// Returns nothing for an unknown name.
+std::optional<TargetState> ParseTargetState(std::string_view name);
+
+// The record as a JSON object with the names of its fields, for handshakes and
+// for the admin port.
+nlohmann::json RecordToJson(const NodeRecord& record);
+
+// Returns nothing, with kInvalidMessage and the name of the field, when a field
+// is missing, has another type, or is out of range.
+std::optional<NodeRecord> RecordFromJson(const nlohmann::json& object,
+                                         Failure* reason);
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_NET_RECORD_JSON_H_
--- /dev/null
+++ b/src/net/websocket_link_layer.h
@@ -0,0 +1,108 @@
+#ifndef DRAGONFLYTACK_NET_WEBSOCKET_LINK_LAYER_H_
+#define DRAGONFLYTACK_NET_WEBSOCKET_LINK_LAYER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "dragonflytack/base/mailbox.h"
+#include "dragonflytack/distribution/link_layer.h"
+#include "net/link_options.h"
+#include "net/peer_link.h"
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace dragonflytack {
+
+class Logger;
+
+// Links to peers over WebSocket. It owns the listening socket of the peer port
+// and runs on the loop's thread.
+class WebSocketLinkLayer final : public LinkLayer, public PeerLink::Owner {
+ public:
+  // The receiver of reports, set before the loop runs.
+  struct Events {
+    std::function<const NodeRecord&()> self;
+    std::function<void(LinkId, const NodeRecord& peer, bool outgoing)> on_up;
+    std::function<void(LinkId, std::string_view frame)> on_frame;
+    std::function<void(LinkId, const Failure& reason)> on_down;
+  };
+
+  // Bytes on the wire, WebSocket headers included, since the start.
+  struct Traffic {
+    uint64_t sent = 0;
+    uint64_t received = 0;
+  };
+
+  // Listens on `address`. Returns nothing, with kAddressInUse, when that is not
+  // possible. Warns in the log when there is no shared key.
+  static std::unique_ptr<WebSocketLinkLayer> Make(EventLoop* loop,
+                                                  const HostPort& address,
+                                                  LinkOptions options,
+                                                  Logger* logger,
+                                                  Failure* reason);
+  ~WebSocketLinkLayer() override;
+
+  void set_events(Events events) { events_ = std::move(events); }
+
+  LinkId Connect(const HostPort& peer) override;
+  void Close(LinkId link) override;
+  void Send(LinkId link, std::string frame) override;
+  size_t QueuedBytes(LinkId link) const override;
+
+  // Closes all links after their queues are sent, and accepts no more. Calls
+  // `on_closed` when that is done or the linger timeout has passed.
+  void Shutdown(std::function<void()> on_closed);
+
+  // Calls `visit` for each link that is up.
+  void ForEachUp(const std::function<void(const PeerLink&)>& visit) const;
+
+  size_t link_count() const { return links_.size(); }
+  // Bytes of links that have ended.
+  const std::map<std::string, Traffic>& ended_traffic() const {
+    return ended_traffic_;
+  }
+  // Names the class of a link by where its peer is: "same_data_centre",
+  // "same_region", "other_region", or "none" before the handshake has passed.
+  std::string LinkClass(const PeerLink& link) const;
+
+ private:
+  using Task = std::function<void()>;
+
+  WebSocketLinkLayer(EventLoop* loop, LinkOptions options, Logger* logger);
+  static void OnAccept(evconnlistener* listener,
+                       int fd,
+                       sockaddr* address,
+                       int size,
+                       void* self);
+  PeerLink* Add(int fd, bool outgoing, const HostPort& remote);
+  void StartLater(LinkId id);
+
+  const NodeRecord& SelfRecord() override;
+  void OnUp(PeerLink* link) override;
+  void OnFrame(PeerLink* link, const std::string& frame) override;
+  void OnDown(PeerLink* link, const Failure& reason, bool was_up) override;
+  void OnReleased(PeerLink* link) override;
+
+  EventLoop* const loop_;
+  const LinkOptions options_;
+  Logger* const logger_;
+  Events events_;
+  evconnlistener* listener_ = nullptr;
+  LinkId next_id_ = 1;
+  size_t inbound_ = 0;
+  std::unordered_map<LinkId, std::unique_ptr<PeerLink>> links_;
+  std::map<std::string, Traffic> ended_traffic_;
+  std::function<void()> on_closed_;
+  // Steps that must not run within the call that causes them.
+  Mailbox<Task> later_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_NET_WEBSOCKET_LINK_LAYER_H_
