--- /dev/null
+++ b/src/daemon/control_task.cc
@@ -0,0 +1,208 @@
+#include "daemon/control_task.h"
+
+#include <csignal>
+#include <string>
+#include <utility>
+
+#include <event2/event.h>
+
+#include "dragonflytack/base/hash.h"
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/routing/route_snapshot.h"
+#include "net/record_json.h"
+#include "store/http_store_client.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Returns a seed that differs between nodes and between starts of a node.
+uint64_t MakeSeed(const Settings& settings, const Clock& clock) {
+  return Hash64(settings.node_id, static_cast<uint64_t>(clock.WallMillis()));
+}
+
+}  // namespace
+
+std::unique_ptr<ControlTask> ControlTask::Make(const Settings& settings,
+                                               const Clock* clock,
+                                               Logger* logger,
+                                               Failure* reason) {
+  std::unique_ptr<EventLoop> loop = EventLoop::Make(clock);
+  if (loop == nullptr) {
+    *reason = {FailureCode::kInternal, "event loop", "libevent made no loop"};
+    return nullptr;
+  }
+  std::unique_ptr<ControlTask> task(
+      new ControlTask(settings, clock, logger, std::move(loop)));
+  if (!task->MakeParts(reason) || !task->MakeCallTask(reason)) {
+    return nullptr;
+  }
+  task->CatchSignals();
+  return task;
+}
+
+ControlTask::ControlTask(const Settings& settings,
+                         const Clock* clock,
+                         Logger* logger,
+                         std::unique_ptr<EventLoop> loop)
+    : settings_(settings),
+      clock_(clock),
+      logger_(logger),
+      loop_(std::move(loop)),
+      tracer_(settings.trace_sample, MakeSeed(settings, *clock)),
+      mailbox_(loop_.get(), [](const Message& message) { message(); }) {}
+
+ControlTask::~ControlTask() {
+  for (event* const signal_event : signal_events_) {
+    event_free(signal_event);
+  }
+}
+
+bool ControlTask::MakeParts(Failure* reason) {
+  LinkOptions link_options;
+  link_options.shared_key = settings_.shared_key;
+  links_ = WebSocketLinkLayer::Make(loop_.get(),
+                                    {settings_.address, settings_.peer_port},
+                                    link_options, logger_, reason);
+  if (links_ == nullptr) {
+    return false;
+  }
+  std::unique_ptr<StoreClient> store =
+      HttpStoreClient::Make(loop_.get(), settings_.store,
+                            Milliseconds(settings_.store_timeout_ms), logger_);
+  if (store == nullptr) {
+    *reason = {FailureCode::kInvalidSetting, settings_.store.ToString(),
+               "the store client cannot use the address"};
+    return false;
+  }
+  store_ = std::make_unique<ObservedStore>(std::move(store), clock_, logger_,
+                                           &metrics_);
+  core_ = std::make_unique<DistributionCore>(
+      settings_, &loop_->timers(), store_.get(), links_.get(), logger_,
+      MakeSeed(settings_, *clock_));
+  core_->set_on_routes([this](std::shared_ptr<const RouteSnapshot> routes) {
+    OnRoutes(std::move(routes));
+  });
+  DistributionCore* const core = core_.get();
+  links_->set_events(
+      {[core]() -> const NodeRecord& { return core->self(); },
+       [core](LinkId link, const NodeRecord& peer, bool outgoing) {
+         core->OnLinkUp(link, peer, outgoing);
+       },
+       [core](LinkId link, std::string_view frame) {
+         core->OnFrame(link, frame);
+       },
+       [core](LinkId link, const Failure& failure) {
+         core->OnLinkDown(link, failure);
+       }});
+  target_ = std::make_unique<TargetLifeCycle>(
+      &loop_->timers(),
+      [this](const LocalTarget& target) { OnTarget(target); });
+  report_ = std::make_unique<FleetReport>(
+      FleetReport::Parts{clock_, core, links_.get(), store_.get(), &metrics_,
+                         &tracer_},
+      [this](const LocalTarget& target) { return TakeAnnouncement(target); });
+  admin_api_ = std::make_unique<AdminApi>(settings_.shared_key,
+                                          settings_.address, report_.get());
+  admin_server_ =
+      AdminServer::Make(loop_.get(), {settings_.address, settings_.admin_port},
+                        admin_api_.get(), reason);
+  return admin_server_ != nullptr;
+}
+
+bool ControlTask::MakeCallTask(Failure* reason) {
+  CallTask::Events events;
+  events.on_stopped = [this](const NodeId& successor) {
+    mailbox_.Post([this, successor] { OnCallsStopped(successor); });
+  };
+  events.on_inherited = [this](const NodeId& home, uint64_t incarnation) {
+    mailbox_.Post([this, home, incarnation] {
+      core_->AnnounceInheritance(home, incarnation);
+    });
+  };
+  calls_ = CallTask::Make(settings_, core_->self().incarnation, clock_, logger_,
+                          &metrics_, &tracer_, std::move(events), reason);
+  return calls_ != nullptr;
+}
+
+void ControlTask::CatchSignals() {
+  for (const int signal : {SIGTERM, SIGINT}) {
+    event* const signal_event =
+        evsignal_new(loop_->base(), signal, &ControlTask::OnSignal, this);
+    evsignal_add(signal_event, nullptr);
+    signal_events_.push_back(signal_event);
+  }
+  // A peer that closes while it is written to must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+int ControlTask::Run() {
+  logger_->Info("started", {{"incarnation", core_->self().incarnation},
+                            {"address", settings_.address},
+                            {"data_centre", settings_.data_centre},
+                            {"region", settings_.region}});
+  core_->Start();
+  loop_->Run();
+  logger_->Info("ended", {{"exit_code", int64_t{exit_code_}}});
+  return exit_code_;
+}
+
+void ControlTask::OnSignal(int signal, short /*what*/, void* self) {
+  static_cast<ControlTask*>(self)->BeginStop(signal);
+}
+
+void ControlTask::OnRoutes(std::shared_ptr<const RouteSnapshot> routes) {
+  report_->NoteRoutes(routes);
+  if (calls_ != nullptr) {
+    calls_->PostRoutes(std::move(routes));
+  }
+}
+
+void ControlTask::OnTarget(const LocalTarget& target) {
+  logger_->Info("target",
+                {{"service", target.service},
+                 {"state", std::string(TargetStateName(target.state))},
+                 {"port", int64_t{target.port}}});
+  if (stopping_) {
+    // The record stays `draining` until the end.
+    return;
+  }
+  calls_->PostTarget(target);
+  core_->SetTarget(target.service, target.state, target.slots);
+}
+
+Failure ControlTask::TakeAnnouncement(const LocalTarget& target) {
+  if (stopping_) {
+    return {FailureCode::kDraining, settings_.node_id, "the node is stopping"};
+  }
+  target_->Announce(target);
+  return {};
+}
+
+void ControlTask::BeginStop(int signal) {
+  logger_->Info("stop_requested", {{"signal", int64_t{signal}}});
+  if (std::exchange(stopping_, true)) {
+    End(1);
+    return;
+  }
+  core_->BeginDrain();
+  calls_->PostStop();
+  loop_->timers().SubscribeOnce(
+      Milliseconds(settings_.drain_timeout_ms), [this] {
+        logger_->Error("drain_timeout",
+                       {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
+        End(1);
+      });
+}
+
+void ControlTask::OnCallsStopped(const NodeId& successor) {
+  core_->AnnounceSuccessor(successor);
+  links_->Shutdown([this] { End(0); });
+}
+
+void ControlTask::End(int exit_code) {
+  exit_code_ = exit_code;
+  loop_->Stop();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/daemon/control_task.h
@@ -0,0 +1,89 @@
+#ifndef DRAGONFLYTACK_DAEMON_CONTROL_TASK_H_
+#define DRAGONFLYTACK_DAEMON_CONTROL_TASK_H_
+
+#include <functional>
+#include <memory>
+
+#include "daemon/admin_api.h"
+#include "daemon/admin_server.h"
+#include "daemon/fleet_report.h"
+#include "daemon/observed_store.h"
+#include "daemon/target_life_cycle.h"
+#include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/mailbox.h"
+#include "dragonflytack/base/settings.h"
+#include "dragonflytack/calls/call_task.h"
+#include "dragonflytack/distribution/distribution_core.h"
+#include "dragonflytack/observe/metrics_registry.h"
+#include "dragonflytack/observe/tracer.h"
+#include "net/websocket_link_layer.h"
+
+struct event;
+
+namespace dragonflytack {
+
+class Logger;
+
+// The task that owns all parts of a daemon but the calls: links, distribution,
+// the store session, the admin server and the life of the local target. It runs
+// on the thread that calls Run() and takes the signals of the process.
+class ControlTask final {
+ public:
+  // Binds the ports and starts the call task. Returns nothing when a part
+  // cannot be made. `clock` and `logger` must outlive the task.
+  static std::unique_ptr<ControlTask> Make(const Settings& settings,
+                                           const Clock* clock,
+                                           Logger* logger,
+                                           Failure* reason);
+  ~ControlTask();
+  ControlTask(const ControlTask&) = delete;
+  ControlTask& operator=(const ControlTask&) = delete;
+
+  // Runs until the process is asked to stop. Returns its exit code: 0 after a
+  // graceful stop; 1 when a second signal or the drain timeout cut it short.
+  int Run();
+
+ private:
+  using Message = std::function<void()>;
+
+  ControlTask(const Settings& settings,
+              const Clock* clock,
+              Logger* logger,
+              std::unique_ptr<EventLoop> loop);
+  bool MakeParts(Failure* reason);
+  bool MakeCallTask(Failure* reason);
+  void CatchSignals();
+  static void OnSignal(int signal, short what, void* self);
+
+  void OnRoutes(std::shared_ptr<const RouteSnapshot> routes);
+  void OnTarget(const LocalTarget& target);
+  Failure TakeAnnouncement(const LocalTarget& target);
+  void BeginStop(int signal);
+  void OnCallsStopped(const NodeId& successor);
+  void End(int exit_code);
+
+  const Settings settings_;
+  const Clock* const clock_;
+  Logger* const logger_;
+  const std::unique_ptr<EventLoop> loop_;
+  MetricsRegistry metrics_;
+  Tracer tracer_;
+  // Reports of the call task.
+  Mailbox<Message> mailbox_;
+  std::unique_ptr<WebSocketLinkLayer> links_;
+  std::unique_ptr<ObservedStore> store_;
+  std::unique_ptr<DistributionCore> core_;
+  std::unique_ptr<TargetLifeCycle> target_;
+  std::unique_ptr<FleetReport> report_;
+  std::unique_ptr<AdminApi> admin_api_;
+  std::unique_ptr<AdminServer> admin_server_;
+  std::vector<event*> signal_events_;
+  bool stopping_ = false;
+  int exit_code_ = 0;
+  // Destroyed first: its thread posts to the mailbox.
+  std::unique_ptr<CallTask> calls_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_DAEMON_CONTROL_TASK_H_
--- /dev/null
+++ b/src/daemon/observed_store.h
@@ -0,0 +1,81 @@
+#ifndef DRAGONFLYTACK_DAEMON_OBSERVED_STORE_H_
+#define DRAGONFLYTACK_DAEMON_OBSERVED_STORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "dragonflytack/statechart/chart_machine.h"
+#include "dragonflytack/store/store_client.h"
+
+namespace dragonflytack {
+
+class Counter;
+class Logger;
+class MetricsRegistry;
+
+// A store client that counts the calls of another one and keeps the node's
+// contact with the store, by the chart charts/store_session.scxml.
+class ObservedStore final : public StoreClient {
+ public:
+  // `logger`, `clock` and `metrics` must outlive the object.
+  ObservedStore(std::unique_ptr<StoreClient> store,
+                const Clock* clock,
+                Logger* logger,
+                MetricsRegistry* metrics);
+
+  void Get(const std::string& key, ObjectCallback callback) override;
+  void Put(const std::string& key,
+           const std::string& value,
+           StoreVersion if_version,
+           VersionCallback callback) override;
+  void Delete(const std::string& key,
+              StoreVersion if_version,
+              VersionCallback callback) override;
+  void Watch(const std::string& key,
+             StoreVersion after,
+             Milliseconds timeout,
+             VersionCallback callback) override;
+  void List(const std::string& prefix,
+            const std::string& start_after,
+            int limit,
+            ListCallback callback) override;
+
+  // "unused", "in_contact" or "out_of_contact".
+  const std::string& contact() const { return machine_.state(); }
+  // Wall time of the last answer, 0 before the first one.
+  int64_t last_answer_ms() const { return last_answer_ms_; }
+  // Why the last call without an answer failed; kNone when none has.
+  const Failure& last_failure() const { return last_failure_; }
+
+  // Checks the chart against the table of actions, for tests.
+  static bool CheckChart(Failure* reason);
+
+ private:
+  static std::span<const ChartAction<ObservedStore>> Actions();
+
+  // Wraps a callback so that its outcome is noted first.
+  template <typename Result>
+  std::function<void(Result, const Failure&)> Observe(
+      const char* operation,
+      std::function<void(Result, const Failure&)> callback);
+  void Note(const Failure& reason);
+
+  // Actions of the chart.
+  void RecordContact();
+  void RecordLoss();
+
+  const Clock* const clock_;
+  Logger* const logger_;
+  MetricsRegistry* const metrics_;
+  ChartMachine<ObservedStore> machine_;
+  int64_t last_answer_ms_ = 0;
+  Failure last_failure_;
+  // Declared last, so that its callbacks end before the members they use.
+  const std::unique_ptr<StoreClient> store_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_DAEMON_OBSERVED_STORE_H_
--- /dev/null
+++ b/src/daemon/process_usage.h
@@ -0,0 +1,19 @@
+#ifndef DRAGONFLYTACK_DAEMON_PROCESS_USAGE_H_
+#define DRAGONFLYTACK_DAEMON_PROCESS_USAGE_H_
+
+#include <cstdint>
+
+namespace dragonflytack {
+
+// What this process uses of the machine, as the kernel counts it.
+struct ProcessUsage final {
+  int64_t resident_bytes = 0;
+  // User and system time of all threads.
+  int64_t processor_millis = 0;
+
+  static ProcessUsage Read();
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_DAEMON_PROCESS_USAGE_H_
