--- a/include/dragonflytack/distribution/distribution_core.h
+++ b/include/dragonflytack/distribution/distribution_core.h
@@ -6,9 +6,12 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "dragonflytack/base/failure.h"
+#include "dragonflytack/distribution/distribution_status.h"
 #include "dragonflytack/distribution/link_id.h"
+#include "dragonflytack/distribution/traffic_counters.h"
 #include "dragonflytack/registry/node_record.h"
 
 namespace dragonflytack {
@@ -18,6 +21,7 @@
 class StoreClient;
 class Table;
 class TimerService;
+struct Endpoint;
 struct RouteSnapshot;
 struct Settings;
 
@@ -75,6 +79,16 @@
   // The table in force; null before the first one.
   std::shared_ptr<const Table> table() const;
 
+  // What operators see of this node.
+  DistributionStatus Status() const;
+
+  // Frames and bytes on the links since the start.
+  const TrafficCounters& traffic() const;
+
+  // All records in the registry, sorted by id, with what is believed of each
+  // node.
+  std::vector<Endpoint> KnownNodes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/distribution/distribution_core.cc
@@ -0,0 +1,86 @@
+#include "dragonflytack/distribution/distribution_core.h"
+
+#include <utility>
+
+#include "distribution/distribution_core_impl.h"
+#include "dragonflytack/routing/endpoint.h"
+
+namespace dragonflytack {
+
+DistributionCore::DistributionCore(const Settings& settings,
+                                   TimerService* timers,
+                                   StoreClient* store,
+                                   LinkLayer* links,
+                                   Logger* logger,
+                                   uint64_t seed)
+    : impl_(std::make_unique<Impl>(settings,
+                                   timers,
+                                   store,
+                                   links,
+                                   logger,
+                                   seed)) {}
+
+DistributionCore::~DistributionCore() = default;
+
+void DistributionCore::set_on_routes(RoutesCallback on_routes) {
+  impl_->set_on_routes(std::move(on_routes));
+}
+
+void DistributionCore::Start() {
+  impl_->Start();
+}
+
+void DistributionCore::OnLinkUp(LinkId link,
+                                const NodeRecord& peer,
+                                bool outgoing) {
+  impl_->OnLinkUp(link, peer, outgoing);
+}
+
+void DistributionCore::OnFrame(LinkId link, std::string_view frame) {
+  impl_->OnFrame(link, frame);
+}
+
+void DistributionCore::OnLinkDown(LinkId link, const Failure& reason) {
+  impl_->OnLinkDown(link, reason);
+}
+
+void DistributionCore::SetTarget(const std::string& service,
+                                 TargetState state,
+                                 int slots) {
+  impl_->SetTarget(service, state, slots);
+}
+
+void DistributionCore::BeginDrain() {
+  impl_->BeginDrain();
+}
+
+void DistributionCore::AnnounceSuccessor(const NodeId& successor) {
+  impl_->AnnounceSuccessor(successor);
+}
+
+void DistributionCore::AnnounceInheritance(const NodeId& home,
+                                           uint64_t incarnation) {
+  impl_->AnnounceInheritance(home, incarnation);
+}
+
+const NodeRecord& DistributionCore::self() const {
+  return impl_->self();
+}
+
+std::shared_ptr<const Table> DistributionCore::table() const {
+  return impl_->table();
+}
+
+DistributionStatus DistributionCore::Status() const {
+  return impl_->Status();
+}
+
+const TrafficCounters& DistributionCore::traffic() const {
+  return impl_->traffic();
+}
+
+std::vector<Endpoint> DistributionCore::KnownNodes() const {
+  return impl_->KnownNodes();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/distribution_core_impl.cc
@@ -0,0 +1,280 @@
+#include "distribution/distribution_core_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "distribution/message_codec.h"
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/routing/route_snapshot.h"
+#include "dragonflytack/table/table.h"
+
+namespace dragonflytack {
+
+namespace {
+
+NodeRecord OwnRecord(const Settings& settings, const Clock& clock) {
+  NodeRecord record;
+  record.id = settings.node_id;
+  record.incarnation = static_cast<uint64_t>(clock.WallMillis());
+  record.sequence = 1;
+  record.region = settings.region;
+  record.data_centre = settings.data_centre;
+  record.address = settings.address;
+  record.peer_port = settings.peer_port;
+  record.mesh_port = settings.mesh_port;
+  record.admin_port = settings.admin_port;
+  return record;
+}
+
+}  // namespace
+
+DistributionCore::Impl::Impl(const Settings& settings,
+                             TimerService* timers,
+                             StoreClient* store,
+                             LinkLayer* layer,
+                             Logger* logger,
+                             uint64_t seed)
+    : settings_(settings),
+      timers_(timers),
+      logger_(logger),
+      random_(seed),
+      registry_(&timers->clock()),
+      links_(layer, &timers->clock(), settings.region, settings.data_centre),
+      records_(OwnRecord(settings, timers->clock()),
+               &registry_,
+               &links_,
+               &timers->clock(),
+               logger,
+               [this] { OnRegistryChange(); }),
+      table_(&links_, &timers->clock(), logger, settings.watch_on_every_node),
+      keeper_(settings.node_id,
+              &registry_,
+              &links_,
+              &timers->clock(),
+              &random_,
+              logger,
+              [this](const NodeId& id) { records_.Suspect(id); }),
+      snapshots_(&registry_,
+                 &records_,
+                 &table_,
+                 &links_,
+                 &timers->clock(),
+                 &random_),
+      joiner_(settings, &links_, &timers->clock(), &random_),
+      store_(store, &timers->clock()),
+      watcher_(
+          &store_,
+          timers,
+          &random_,
+          [this] { return std::max(table_.held(), table_.refused()); },
+          [this](StoreVersion version) { OnStoreVersion(version); },
+          [this](const StoreObject& object) {
+            table_.OnStoreObject(object);
+            EvaluateTable();
+          }),
+      seeds_(
+          settings.data_centre,
+          &store_,
+          &timers->clock(),
+          &random_,
+          logger,
+          [this](const SeedList::DataCentre& listed) {
+            return ListOwnDataCentre(listed);
+          },
+          [this](const SeedList& seeds) { joiner_.OnSeeds(seeds); }),
+      routes_(&registry_) {
+  table_.set_on_in_force([this] { OnTableInForce(); });
+}
+
+DistributionCore::Impl::~Impl() {
+  for (const TimerId timer : {tick_timer_, heartbeat_timer_, batch_timer_,
+                              routes_timer_, probe_timer_}) {
+    timers_->Cancel(timer);
+  }
+}
+
+void DistributionCore::Impl::Start() {
+  started_ = true;
+  const TimePoint now = timers_->clock().Now();
+  last_tick_ = now;
+  last_expiry_ = now;
+  keeper_.Refresh();
+  tick_timer_ = timers_->SubscribeEvery(kTickPeriod, [this] { Tick(); });
+  heartbeat_timer_ =
+      timers_->SubscribeEvery(kHeartbeatPeriod, [this] { Heartbeat(); });
+  // Nodes of a herd do not ask the store at one instant.
+  probe_timer_ = timers_->SubscribeOnce(Milliseconds(random_.Below(500)),
+                                        [this] { watcher_.Probe(); });
+  joiner_.Tick();
+}
+
+void DistributionCore::Impl::Tick() {
+  const TimePoint now = timers_->clock().Now();
+  if (now - last_tick_ > kMaxPause + kTickPeriod) {
+    logger_->Warning(
+        "loop_paused",
+        {{"ms",
+          int64_t{std::chrono::duration_cast<Milliseconds>(now - last_tick_)
+                      .count()}}});
+    records_.DropSuspicions();
+    keeper_.ForgiveSilence();
+  }
+  last_tick_ = now;
+  records_.Expire();
+  if (now - last_expiry_ > kExpiryPeriod) {
+    last_expiry_ = now;
+    registry_.Expire();
+    memory_.Expire(timers_->clock().WallMillis());
+    OnRegistryChange();
+  }
+  keeper_.Refresh();
+  keeper_.Tick(joined());
+  joiner_.Tick();
+  snapshots_.Tick();
+  UpdateSpeaker();
+  seeds_.Tick(links_.up_count() == 0, joined() && IsSpeaker());
+  FetchWhenAlone();
+  EvaluateTable();
+}
+
+void DistributionCore::Impl::Heartbeat() {
+  const HeartbeatMessage heartbeat{joined() ? table_.in_force()->version() : 0,
+                                   registry_.digests().whole()};
+  const Message message = heartbeat;
+  const std::string frame = MessageCodec::Encode(message);
+  for (PeerLink* link : links_.Up()) {
+    links_.SendFrame(link, message.index(), frame);
+  }
+}
+
+bool DistributionCore::Impl::IsSpeaker() const {
+  return settings_.watch_on_every_node ||
+         keeper_.overlay().data_centre_rank < Overlay::kGateways;
+}
+
+void DistributionCore::Impl::UpdateSpeaker() {
+  Milliseconds delay{0};
+  if (!settings_.watch_on_every_node) {
+    const bool second = keeper_.overlay().data_centre_rank != 0;
+    delay = settings_.region == settings_.store_region
+                ? Milliseconds(second ? 150 : 0)
+                : Milliseconds(second ? 800 : 400);
+  }
+  // Before a table is in force, the version floor decides what is fetched.
+  watcher_.SetActive(joined() && IsSpeaker(), delay);
+}
+
+void DistributionCore::Impl::EvaluateTable() {
+  size_t known_peers = 0;
+  if (!joined() && !table_.floor().store_answered()) {
+    known_peers = static_cast<size_t>(std::count_if(
+                      registry_.entries().begin(), registry_.entries().end(),
+                      [](const auto& item) { return item.second->IsLive(); })) -
+                  1;
+  }
+  table_.Evaluate(table_.floor().IsKnown(
+      known_peers, joiner_.synced() && keeper_.NeighboursSettled()));
+}
+
+// A joining node reads the table from the store itself when no peer can give
+// it: at once when it finds no peer, else after the speakers had their time.
+void DistributionCore::Impl::FetchWhenAlone() {
+  if (joined() || !table_.floor().store_answered() ||
+      table_.held() >= std::max(TableVersion{1}, table_.floor().value()) ||
+      table_.floor().value() <= table_.refused()) {
+    return;
+  }
+  const auto passed = timers_->clock().Now() - joiner_.started();
+  const bool alone = links_.links().empty() && seeds_.answered();
+  const Milliseconds patience =
+      IsSpeaker() ? Milliseconds(1'500) : Milliseconds(6'000);
+  if (alone || settings_.watch_on_every_node ||
+      (passed > patience && !joiner_.asking())) {
+    watcher_.Fetch([this] { return !joined(); });
+  }
+}
+
+void DistributionCore::Impl::OnStoreVersion(StoreVersion version) {
+  if (joined()) {
+    return;
+  }
+  if (version == 0) {
+    table_.OnNoTable();
+  } else {
+    table_.floor().NameByStore(version);
+  }
+  EvaluateTable();
+}
+
+void DistributionCore::Impl::OnTableInForce() {
+  UpdateSpeaker();
+  PublishRoutes();
+}
+
+void DistributionCore::Impl::OnRegistryChange() {
+  if (batch_timer_ == 0) {
+    batch_timer_ = timers_->SubscribeOnce(RegistrySync::kBatchTime,
+                                          [this] { FlushBatch(); });
+  }
+}
+
+void DistributionCore::Impl::FlushBatch() {
+  timers_->Cancel(batch_timer_);
+  batch_timer_ = 0;
+  records_.Flush();
+  if (!joined()) {
+    return;
+  }
+  const TimePoint now = timers_->clock().Now();
+  if (now - last_routes_ >= kRoutesInterval) {
+    PublishRoutes();
+  } else if (routes_timer_ == 0) {
+    routes_timer_ = timers_->SubscribeOnce(
+        std::chrono::ceil<Milliseconds>(last_routes_ + kRoutesInterval - now),
+        [this] { PublishRoutes(); });
+  }
+}
+
+void DistributionCore::Impl::PublishRoutes() {
+  timers_->Cancel(routes_timer_);
+  routes_timer_ = 0;
+  std::shared_ptr<const RouteSnapshot> built = routes_.Build(table_.in_force());
+  if (built == published_) {
+    return;
+  }
+  last_routes_ = timers_->clock().Now();
+  published_ = std::move(built);
+  if (on_routes_) {
+    on_routes_(published_);
+  }
+}
+
+SeedList::DataCentre DistributionCore::Impl::ListOwnDataCentre(
+    const SeedList::DataCentre& listed) const {
+  SeedList::DataCentre wanted{settings_.region, {}};
+  const auto& ranks = keeper_.overlay().data_centre_ranks;
+  const auto own = ranks.find(settings_.data_centre);
+  if (own != ranks.end()) {
+    for (const NodeId& id : own->second) {
+      const RegistryEntry* entry = registry_.Find(id);
+      wanted.peers.push_back(HostPort{entry->address, entry->peer_port});
+    }
+  }
+  // A listed peer that is not known yet may belong to a part of the fleet that
+  // this node has not met; it stays listed until it was dialled.
+  for (const HostPort& peer : listed.peers) {
+    const bool known =
+        std::any_of(registry_.entries().begin(), registry_.entries().end(),
+                    [&](const auto& item) {
+                      return item.second->address == peer.address &&
+                             item.second->peer_port == peer.port;
+                    });
+    if (!known && wanted.peers.size() < SeedList::kMaxPeers &&
+        joiner_.IsUntried(peer)) {
+      wanted.peers.push_back(peer);
+    }
+  }
+  return wanted;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/distribution_core_impl.h
@@ -0,0 +1,133 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_DISTRIBUTION_CORE_IMPL_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_DISTRIBUTION_CORE_IMPL_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "distribution/joiner.h"
+#include "distribution/link_keeper.h"
+#include "distribution/link_table.h"
+#include "distribution/registry_sync.h"
+#include "distribution/route_builder.h"
+#include "distribution/seed_keeper.h"
+#include "distribution/snapshot_server.h"
+#include "distribution/store_caller.h"
+#include "distribution/table_sync.h"
+#include "distribution/table_watcher.h"
+#include "distribution/version_memory.h"
+#include "dragonflytack/base/random.h"
+#include "dragonflytack/base/settings.h"
+#include "dragonflytack/base/timer_service.h"
+#include "dragonflytack/distribution/distribution_core.h"
+#include "dragonflytack/distribution/distribution_status.h"
+#include "registry/registry.h"
+
+namespace dragonflytack {
+
+// Connects the parts of the core with each other, the timers and the callers.
+class DistributionCore::Impl final {
+ public:
+  static constexpr Milliseconds kTickPeriod{200};
+  static constexpr Milliseconds kHeartbeatPeriod{1'000};
+  // A gap between ticks above this counts as a pause of the process.
+  static constexpr Milliseconds kMaxPause{1'000};
+  static constexpr Milliseconds kExpiryPeriod{60'000};
+  // Under a storm of records, routes are rebuilt no more often than this.
+  static constexpr Milliseconds kRoutesInterval{200};
+
+  Impl(const Settings& settings,
+       TimerService* timers,
+       StoreClient* store,
+       LinkLayer* layer,
+       Logger* logger,
+       uint64_t seed);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void set_on_routes(RoutesCallback on_routes) {
+    on_routes_ = std::move(on_routes);
+  }
+  void Start();
+  void OnLinkUp(LinkId id, const NodeRecord& peer, bool outgoing);
+  void OnFrame(LinkId id, std::string_view frame);
+  void OnLinkDown(LinkId id, const Failure& reason);
+  void SetTarget(const std::string& service, TargetState state, int slots);
+  void BeginDrain();
+  void AnnounceSuccessor(const NodeId& successor);
+  void AnnounceInheritance(const NodeId& home, uint64_t incarnation);
+  const NodeRecord& self() const { return records_.self(); }
+  std::shared_ptr<const Table> table() const { return table_.in_force(); }
+  DistributionStatus Status() const;
+  const TrafficCounters& traffic() const { return links_.traffic(); }
+  std::vector<Endpoint> KnownNodes() const;
+
+ private:
+  // Handles one kind of message; chosen by the alternative of Message.
+  void Handle(PeerLink* link, const HelloMessage& message);
+  void Handle(PeerLink* link, const HeartbeatMessage& message);
+  void Handle(PeerLink* link, const RecordsMessage& message);
+  void Handle(PeerLink* link, const SuspicionsMessage& message);
+  void Handle(PeerLink* link, const DeltaMessage& message);
+  void Handle(PeerLink* link, const HoldMessage& message);
+  void Handle(PeerLink* link, const TableRequestMessage& message);
+  void Handle(PeerLink* link, const TableMessage& message);
+  void Handle(PeerLink* link, const SnapshotRequestMessage& message);
+  void Handle(PeerLink* link, const SnapshotEndMessage& message);
+  void Handle(PeerLink* link, const SnapshotTakenMessage& message);
+  void Handle(PeerLink* link, const BusyMessage& message);
+  void Handle(PeerLink* link, const BucketsMessage& message);
+  void Handle(PeerLink* link, const BucketHashesMessage& message);
+  void Handle(PeerLink* link, const WantMessage& message);
+
+  void SayHello(PeerLink* link);
+  void Tick();
+  void Heartbeat();
+  void UpdateSpeaker();
+  void EvaluateTable();
+  void FetchWhenAlone();
+  void OnStoreVersion(StoreVersion version);
+  void OnTableInForce();
+  void OnRegistryChange();
+  void FlushBatch();
+  void PublishRoutes();
+  SeedList::DataCentre ListOwnDataCentre(
+      const SeedList::DataCentre& listed) const;
+  bool joined() const { return table_.in_force() != nullptr; }
+  bool IsSpeaker() const;
+
+  const Settings settings_;
+  TimerService* const timers_;
+  Logger* const logger_;
+  Random random_;
+  RoutesCallback on_routes_;
+  Registry registry_;
+  LinkTable links_;
+  RegistrySync records_;
+  TableSync table_;
+  LinkKeeper keeper_;
+  SnapshotServer snapshots_;
+  Joiner joiner_;
+  StoreCaller store_;
+  TableWatcher watcher_;
+  SeedKeeper seeds_;
+  RouteBuilder routes_;
+  VersionMemory memory_;
+  std::shared_ptr<const RouteSnapshot> published_;
+  bool draining_ = false;
+  bool started_ = false;
+  TimePoint last_tick_;
+  TimePoint last_expiry_;
+  TimePoint last_routes_;
+  TimerId tick_timer_ = 0;
+  TimerId heartbeat_timer_ = 0;
+  TimerId batch_timer_ = 0;
+  TimerId routes_timer_ = 0;
+  TimerId probe_timer_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_DISTRIBUTION_CORE_IMPL_H_
--- /dev/null
+++ b/src/distribution/distribution_core_messages.cc
@@ -0,0 +1,273 @@
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "distribution/distribution_core_impl.h"
+#include "distribution/message_codec.h"
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/routing/endpoint.h"
+#include "dragonflytack/table/table.h"
+
+namespace dragonflytack {
+
+void DistributionCore::Impl::OnLinkUp(LinkId id,
+                                      const NodeRecord& peer,
+                                      bool outgoing) {
+  PeerLink* link = keeper_.OnUp(id, peer, outgoing);
+  if (link == nullptr) {
+    return;
+  }
+  logger_->Info("link_up", {{"peer", peer.id}, {"outgoing", outgoing}});
+  SayHello(link);
+  records_.OnRecord(link, RecordUpdate{peer});
+  records_.TellOwnSuspicion(link);
+}
+
+void DistributionCore::Impl::OnFrame(LinkId id, std::string_view frame) {
+  PeerLink* link = links_.Find(id);
+  if (link == nullptr || !link->up) {
+    return;
+  }
+  Failure reason;
+  const std::optional<Message> message = MessageCodec::Decode(frame, &reason);
+  if (!message.has_value()) {
+    logger_->Error("frame_refused",
+                   {{"peer", link->peer},
+                    {"code", std::string(FailureCodeName(reason.code))},
+                    {"reason", reason.ToString()}});
+    links_.Close(id);
+    joiner_.OnLinkDown(id);
+    snapshots_.Release(id);
+    return;
+  }
+  link->last_heard = timers_->clock().Now();
+  links_.CountReceived(*link, message->index(), frame.size());
+  std::visit([this, link](const auto& value) { Handle(link, value); },
+             *message);
+}
+
+void DistributionCore::Impl::OnLinkDown(LinkId id, const Failure& reason) {
+  if (const PeerLink* link = links_.Find(id)) {
+    logger_->Info("link_down",
+                  {{"peer", link->peer}, {"reason", reason.ToString()}});
+  }
+  keeper_.OnDown(id);
+  joiner_.OnLinkDown(id);
+  snapshots_.Release(id);
+  EvaluateTable();
+}
+
+void DistributionCore::Impl::SayHello(PeerLink* link) {
+  HelloMessage hello;
+  hello.in_force = joined();
+  hello.version = joined() ? table_.in_force()->version() : 0;
+  hello.held = table_.held();
+  hello.remembered = memory_.Find(link->peer);
+  hello.refused = table_.refused();
+  if (const RegistryEntry* entry = registry_.Find(link->peer)) {
+    hello.known_incarnation = entry->incarnation;
+    hello.known_sequence = entry->sequence;
+  }
+  links_.Send(link, hello);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const HelloMessage& message) {
+  link->hello_received = true;
+  link->in_force = message.in_force;
+  records_.OnKnownAge(message.known_incarnation, message.known_sequence);
+  if (message.in_force) {
+    memory_.Remember(link->peer, message.version,
+                     timers_->clock().WallMillis());
+  }
+  if (!joined()) {
+    table_.floor().NameByPeer(link->peer,
+                              std::max(message.version, message.remembered));
+    if (message.refused != 0) {
+      table_.floor().Refuse(message.refused);
+    }
+  }
+  table_.OnPeerVersion(link, std::max(message.version, message.held));
+  joiner_.Tick();
+  EvaluateTable();
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const HeartbeatMessage& message) {
+  if (message.version != 0 || link->in_force) {
+    link->in_force = true;
+    memory_.Remember(link->peer, message.version,
+                     timers_->clock().WallMillis());
+    if (!joined()) {
+      table_.floor().NameByPeer(link->peer, message.version);
+    }
+  }
+  table_.OnPeerVersion(link, message.version);
+  // Links between regions are billed, so only gateways repair over them.
+  const bool may_repair =
+      link->link_class != LinkClass::kOtherRegion || keeper_.IsRegionGateway();
+  records_.OnDigest(link, message.digest, may_repair);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const RecordsMessage& message) {
+  records_.OnRecords(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const SuspicionsMessage& message) {
+  records_.OnSuspicions(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const DeltaMessage& message) {
+  table_.OnDelta(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const HoldMessage& message) {
+  if (link->in_force) {
+    // The peer puts it in force next, and may be restarted before its
+    // heartbeat says so.
+    memory_.Remember(link->peer, message.version,
+                     timers_->clock().WallMillis());
+  }
+  table_.OnPeerVersion(link, message.version);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const TableRequestMessage& message) {
+  table_.OnRequest(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const TableMessage& message) {
+  table_.OnTable(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const SnapshotRequestMessage&) {
+  snapshots_.OnRequest(link);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link, const SnapshotEndMessage&) {
+  if (joiner_.OnSnapshotEnd(link)) {
+    keeper_.Refresh();
+    keeper_.Tick(joined());
+    EvaluateTable();
+  }
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const SnapshotTakenMessage&) {
+  snapshots_.Release(link->id);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const BusyMessage& message) {
+  joiner_.OnBusy(link, message);
+  joiner_.Tick();
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const BucketsMessage& message) {
+  records_.OnBuckets(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const BucketHashesMessage& message) {
+  records_.OnBucketHashes(link, message);
+}
+
+void DistributionCore::Impl::Handle(PeerLink* link,
+                                    const WantMessage& message) {
+  records_.OnWant(link, message);
+}
+
+void DistributionCore::Impl::SetTarget(const std::string& service,
+                                       TargetState state,
+                                       int slots) {
+  NodeRecord changed = records_.self();
+  changed.service = service;
+  changed.slots = slots;
+  // A planned stop is not undone by a later announcement of the target.
+  if (!draining_) {
+    if (state == TargetState::kWarming &&
+        changed.state != TargetState::kWarming) {
+      changed.warming_since_ms = timers_->clock().WallMillis();
+    }
+    changed.state = state;
+  }
+  if (changed != records_.self()) {
+    records_.UpdateSelf(std::move(changed));
+    // The own target is routed to at once; peers get the next batch.
+    if (started_ && joined()) {
+      PublishRoutes();
+    }
+  }
+}
+
+void DistributionCore::Impl::BeginDrain() {
+  draining_ = true;
+  NodeRecord changed = records_.self();
+  changed.state = TargetState::kDraining;
+  records_.UpdateSelf(std::move(changed));
+  FlushBatch();
+}
+
+void DistributionCore::Impl::AnnounceSuccessor(const NodeId& successor) {
+  draining_ = true;
+  NodeRecord changed = records_.self();
+  changed.state = TargetState::kLeft;
+  changed.successor = successor;
+  records_.UpdateSelf(std::move(changed));
+  FlushBatch();
+}
+
+void DistributionCore::Impl::AnnounceInheritance(const NodeId& home,
+                                                 uint64_t incarnation) {
+  records_.Inherit(home, incarnation);
+  FlushBatch();
+}
+
+DistributionStatus DistributionCore::Impl::Status() const {
+  DistributionStatus status;
+  status.in_force = joined();
+  if (joined()) {
+    status.version = table_.in_force()->version();
+    status.table_digest = table_.in_force()->digest();
+  }
+  status.held = table_.newest() != table_.in_force() ? table_.held() : 0;
+  status.refused = table_.refused();
+  status.refusal = table_.refusal();
+  const TimePoint now = timers_->clock().Now();
+  for (const auto& [id, link] : links_.links()) {
+    if (link.up) {
+      status.links.push_back(DistributionStatus::Link{
+          id, link.peer, link.link_class, link.outgoing,
+          std::chrono::duration_cast<Milliseconds>(now - link.last_heard),
+          link.version});
+    }
+  }
+  status.nodes = registry_.entries().size();
+  status.suspects = records_.suspects();
+  status.speaker = joined() && IsSpeaker();
+  status.last_store_contact_ms = store_.last_contact_ms();
+  status.store_calls = store_.calls();
+  status.snapshots_served = snapshots_.served();
+  status.in_force_since = {table_.in_force_since().begin(),
+                           table_.in_force_since().end()};
+  return status;
+}
+
+std::vector<Endpoint> DistributionCore::Impl::KnownNodes() const {
+  std::vector<Endpoint> nodes;
+  nodes.reserve(registry_.entries().size());
+  for (const auto& [id, entry] : registry_.entries()) {
+    nodes.push_back(Endpoint{entry->ToRecord(), entry->liveness});
+  }
+  return nodes;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/joiner.cc
@@ -0,0 +1,140 @@
+#include "distribution/joiner.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "distribution/link_table.h"
+#include "dragonflytack/base/random.h"
+#include "dragonflytack/base/settings.h"
+
+namespace dragonflytack {
+
+Joiner::Joiner(const Settings& settings,
+               LinkTable* links,
+               const Clock* clock,
+               Random* random)
+    : own_address_{settings.address, settings.peer_port},
+      region_(settings.region),
+      data_centre_(settings.data_centre),
+      links_(links),
+      clock_(clock),
+      random_(random),
+      started_(clock->Now()) {
+  for (const HostPort& seed : settings.seeds) {
+    candidates_.try_emplace(seed);
+  }
+  candidates_.erase(own_address_);
+}
+
+void Joiner::OnSeeds(const SeedList& seeds) {
+  for (const auto& [name, data_centre] : seeds.data_centres) {
+    const int distance = name == data_centre_            ? 0
+                         : data_centre.region == region_ ? 1
+                                                         : 2;
+    for (const HostPort& peer : data_centre.peers) {
+      if (peer != own_address_) {
+        candidates_.try_emplace(peer).first->second.distance = distance;
+      }
+    }
+  }
+}
+
+void Joiner::OnBusy(PeerLink* link, const BusyMessage& message) {
+  link->busy_until = clock_->Now() + Milliseconds(message.retry_ms);
+  if (asked_ != link->id) {
+    return;
+  }
+  asked_ = 0;
+  for (const HostPort& peer : message.alternatives) {
+    if (peer != own_address_) {
+      // The busy peer named the nearest ones; they are tried at once.
+      candidates_.try_emplace(peer).first->second.next = TimePoint();
+    }
+  }
+}
+
+bool Joiner::OnSnapshotEnd(PeerLink* link) {
+  if (asked_ != link->id || synced_) {
+    return false;
+  }
+  asked_ = 0;
+  synced_ = true;
+  links_->Send(link, SnapshotTakenMessage{});
+  return true;
+}
+
+void Joiner::OnLinkDown(LinkId link) {
+  if (asked_ == link) {
+    asked_ = 0;
+  }
+}
+
+bool Joiner::IsUntried(const HostPort& peer) const {
+  const auto found = candidates_.find(peer);
+  return found != candidates_.end() && found->second.next == TimePoint();
+}
+
+void Joiner::Tick() {
+  const bool has_links = links_->up_count() > 0;
+  if (!synced_ || !has_links) {
+    DialCandidates();
+  }
+  if (!synced_) {
+    AskForSnapshot();
+  }
+}
+
+void Joiner::DialCandidates() {
+  const TimePoint now = clock_->Now();
+  size_t missing = kMaxLinks;
+  for (const PeerLink* link : links_->Up()) {
+    // Peers that are busy or have nothing are no help to join.
+    if (link->in_force && link->busy_until <= now && missing > 0) {
+      --missing;
+    }
+  }
+  missing -= std::min(missing, links_->dialing());
+  std::vector<std::pair<std::tuple<int, uint64_t>, const HostPort*>> order;
+  for (const auto& [address, candidate] : candidates_) {
+    const bool linked = std::any_of(
+        links_->links().begin(), links_->links().end(),
+        [&](const auto& item) { return item.second.address == address; });
+    if (candidate.next <= now && !linked) {
+      order.emplace_back(
+          std::tuple(candidate.distance, random_->Below(1'000'000)), &address);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  order.resize(std::min(order.size(), missing));
+  for (const auto& [key, address] : order) {
+    Candidate& candidate = candidates_[*address];
+    candidate.next = now + candidate.backoff.Next(random_);
+    links_->Dial(*address, {});
+  }
+}
+
+void Joiner::AskForSnapshot() {
+  const TimePoint now = clock_->Now();
+  if (asked_ != 0 && now - asked_at_ < kSnapshotTimeout) {
+    return;
+  }
+  PeerLink* best = nullptr;
+  for (PeerLink* link : links_->Up()) {
+    const auto distance = static_cast<int>(link->link_class);
+    if (!link->in_force || link->busy_until > now || link->id == asked_ ||
+        now - started_ < kPatiencePerClass * distance) {
+      continue;
+    }
+    if (best == nullptr || link->link_class < best->link_class) {
+      best = link;
+    }
+  }
+  asked_ = 0;
+  if (best != nullptr) {
+    asked_ = best->id;
+    asked_at_ = now;
+    links_->Send(best, SnapshotRequestMessage{});
+  }
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/link_keeper.cc
@@ -0,0 +1,258 @@
+#include "distribution/link_keeper.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "distribution/link_table.h"
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/base/random.h"
+#include "registry/registry.h"
+
+namespace dragonflytack {
+
+namespace {
+// A data centre of the region without a link for this long is passed over when
+// region gateways are chosen.
+constexpr Milliseconds kLostDataCentre{8'000};
+// After so many failures in a row the next ranks of a region are tried.
+constexpr int kFailuresPerRank = 3;
+}  // namespace
+
+LinkKeeper::LinkKeeper(NodeId self,
+                       Registry* registry,
+                       LinkTable* links,
+                       const Clock* clock,
+                       Random* random,
+                       Logger* logger,
+                       std::function<void(const NodeId&)> on_unreachable)
+    : self_(std::move(self)),
+      registry_(registry),
+      links_(links),
+      clock_(clock),
+      random_(random),
+      logger_(logger),
+      on_unreachable_(std::move(on_unreachable)) {}
+
+void LinkKeeper::Refresh() {
+  if (!registry_->TakeMembershipChanged()) {
+    return;
+  }
+  overlay_ = Overlay::Of(*registry_, self_);
+  const TimePoint now = clock_->Now();
+  for (const auto& [name, ranks] : overlay_.data_centre_ranks) {
+    reached_.try_emplace(name, now);
+  }
+  std::erase_if(dials_, [this](const auto& item) {
+    const RegistryEntry* entry = registry_->Find(item.first);
+    return entry == nullptr || !entry->IsLive();
+  });
+}
+
+bool LinkKeeper::IsRingNeighbour(const NodeId& id) const {
+  return overlay_.successors.contains(id) || overlay_.predecessors.contains(id);
+}
+
+bool LinkKeeper::HasLinkTo(const std::string& data_centre) const {
+  const auto found = reached_.find(data_centre);
+  return found != reached_.end() &&
+         clock_->Now() - found->second < kLostDataCentre;
+}
+
+bool LinkKeeper::IsRegionGateway() const {
+  return !RegionPeers().empty();
+}
+
+std::set<NodeId> LinkKeeper::RegionPeers() const {
+  std::set<NodeId> peers;
+  const RegistryEntry* own = registry_->Find(self_);
+  if (own == nullptr) {
+    return peers;
+  }
+  size_t rank = overlay_.region_rank;
+  if (rank >= Overlay::kGateways) {
+    // Nobody is declared dead for a data centre that is cut off whole, so its
+    // nodes may hold both gateway ranks. The first node of each reachable data
+    // centre then stands in.
+    if (overlay_.data_centre_rank != 0) {
+      return peers;
+    }
+    for (size_t i = 0; i < Overlay::kGateways; ++i) {
+      const std::vector<NodeId>& ranks = overlay_.region_ranks.at(*own->region);
+      const RegistryEntry* gateway =
+          i < ranks.size() ? registry_->Find(ranks[i]) : nullptr;
+      if (gateway != nullptr && (gateway->data_centre == own->data_centre ||
+                                 HasLinkTo(*gateway->data_centre))) {
+        return peers;
+      }
+    }
+    rank = 0;
+  }
+  for (const auto& [region, ranks] : overlay_.region_ranks) {
+    if (region == *own->region || ranks.empty()) {
+      continue;
+    }
+    size_t index = std::min(rank, ranks.size() - 1);
+    peers.insert(ranks[index]);
+    // The other region's gateway may be lost with its data centre.
+    while (true) {
+      const auto dial = dials_.find(ranks[index]);
+      if (dial == dials_.end() || dial->second.failures < kFailuresPerRank ||
+          index + 1 >= ranks.size()) {
+        break;
+      }
+      peers.insert(ranks[++index]);
+    }
+  }
+  return peers;
+}
+
+void LinkKeeper::Tick(bool joined) {
+  const TimePoint now = clock_->Now();
+  std::set<NodeId> wanted = overlay_.successors;
+  wanted.insert(overlay_.region_gateways.begin(),
+                overlay_.region_gateways.end());
+  wanted.merge(RegionPeers());
+  if (!joined) {
+    wanted.insert(overlay_.predecessors.begin(), overlay_.predecessors.end());
+  }
+
+  std::vector<LinkId> closing;
+  std::vector<NodeId> failed;
+  for (const auto& [id, link] : links_->links()) {
+    if (!link.up) {
+      if (now - link.opened > kDialTimeout) {
+        closing.push_back(id);
+        failed.push_back(link.peer);
+      }
+      continue;
+    }
+    if (now - link.last_heard > kSilence) {
+      logger_->Warning("link_silent", {{"peer", link.peer}});
+      closing.push_back(id);
+      if (IsRingNeighbour(link.peer)) {
+        probes_.insert(link.peer);
+      }
+      continue;
+    }
+    reached_[link.data_centre] = now;
+    // The end that dialled a link closes it, unless the other end would dial
+    // it again.
+    if (joined && link.outgoing && !wanted.contains(link.peer) &&
+        !overlay_.predecessors.contains(link.peer) &&
+        now - link.opened > kUnwantedTime && links_->up_count() > 1) {
+      closing.push_back(id);
+    }
+  }
+  for (const LinkId id : closing) {
+    links_->Close(id);
+  }
+  for (const NodeId& id : failed) {
+    NoteFailure(id);
+  }
+  wanted.insert(probes_.begin(), probes_.end());
+  for (const NodeId& id : wanted) {
+    DialPeer(id);
+  }
+}
+
+void LinkKeeper::DialPeer(const NodeId& id) {
+  const RegistryEntry* entry = registry_->Find(id);
+  if (entry == nullptr || !entry->IsLive() || id == self_) {
+    probes_.erase(id);
+    return;
+  }
+  const HostPort address{entry->address, entry->peer_port};
+  if (links_->FindUp(id) != nullptr) {
+    probes_.erase(id);
+    return;
+  }
+  if (links_->IsDialing(address) || dials_[id].next > clock_->Now()) {
+    return;
+  }
+  links_->Dial(address, id);
+}
+
+void LinkKeeper::NoteFailure(const NodeId& id) {
+  if (id.empty()) {
+    return;
+  }
+  probes_.erase(id);
+  DialState& dial = dials_[id];
+  const Milliseconds delay =
+      std::min(kMaxRedial, kMinRedial * (1 << std::min(dial.failures, 4)));
+  ++dial.failures;
+  dial.next = clock_->Now() + delay / 2 +
+              Milliseconds(static_cast<int64_t>(
+                  random_->Unit() * static_cast<double>(delay.count()) / 2));
+  if (IsRingNeighbour(id)) {
+    on_unreachable_(id);
+  }
+}
+
+PeerLink* LinkKeeper::OnUp(LinkId id, const NodeRecord& peer, bool outgoing) {
+  if (const PeerLink* dialled = links_->Find(id)) {
+    const NodeId expected = dialled->peer;
+    if (expected != peer.id) {
+      NoteFailure(expected);
+    }
+  }
+  if (peer.id == self_) {
+    links_->Close(id);
+    return nullptr;
+  }
+  const PeerLink* existing = links_->FindUp(peer.id);
+  if (existing != nullptr && existing->id != id) {
+    // Both ends keep the link that the smaller id dialled. A newer link from
+    // the same end replaces one that this end lost, and so does any link when
+    // the existing one has missed a heartbeat.
+    const bool stale = clock_->Now() - existing->last_heard > kSilence / 2;
+    const bool smaller_dials = self_ < peer.id;
+    if (!stale && existing->outgoing != outgoing &&
+        existing->outgoing == smaller_dials) {
+      // The layer may not know the link in this table yet.
+      links_->MarkUp(id, peer, outgoing);
+      links_->Close(id);
+      return nullptr;
+    }
+    links_->Close(existing->id);
+  }
+  dials_[peer.id] = DialState{};
+  probes_.erase(peer.id);
+  return links_->MarkUp(id, peer, outgoing);
+}
+
+void LinkKeeper::OnDown(LinkId id) {
+  const PeerLink* link = links_->Find(id);
+  if (link == nullptr) {
+    return;
+  }
+  const NodeId peer = link->peer;
+  const bool was_up = link->up;
+  links_->Remove(id);
+  if (!was_up) {
+    NoteFailure(peer);
+  } else if (IsRingNeighbour(peer)) {
+    probes_.insert(peer);
+    DialPeer(peer);
+  }
+}
+
+void LinkKeeper::ForgiveSilence() {
+  for (PeerLink* link : links_->Up()) {
+    link->last_heard = clock_->Now();
+  }
+}
+
+bool LinkKeeper::NeighboursSettled() const {
+  std::set<NodeId> asked = overlay_.successors;
+  asked.insert(overlay_.predecessors.begin(), overlay_.predecessors.end());
+  return std::all_of(asked.begin(), asked.end(), [this](const NodeId& id) {
+    const PeerLink* link = links_->FindUp(id);
+    const auto dial = dials_.find(id);
+    return (link != nullptr && link->hello_received) ||
+           (dial != dials_.end() && dial->second.failures > 0);
+  });
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/link_keeper.h
@@ -0,0 +1,93 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_KEEPER_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_KEEPER_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "distribution/overlay.h"
+#include "distribution/peer_link.h"
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/registry/node_record.h"
+
+namespace dragonflytack {
+
+class LinkTable;
+class Logger;
+class Random;
+class Registry;
+
+// Keeps the links that the overlay asks for: dials, retires silent links,
+// settles duplicates and closes what is no longer wanted.
+class LinkKeeper final {
+ public:
+  static constexpr Milliseconds kSilence{3'000};
+  static constexpr Milliseconds kDialTimeout{3'000};
+  static constexpr Milliseconds kMinRedial{250};
+  // Bounds the time in which regions find each other again after a partition.
+  static constexpr Milliseconds kMaxRedial{2'000};
+  // A link that the overlay does not ask for serves joining and is then closed.
+  static constexpr Milliseconds kUnwantedTime{10'000};
+
+  // The pointers must outlive it. `on_unreachable` is called for a ring
+  // neighbour to which no connection can be made.
+  LinkKeeper(NodeId self,
+             Registry* registry,
+             LinkTable* links,
+             const Clock* clock,
+             Random* random,
+             Logger* logger,
+             std::function<void(const NodeId&)> on_unreachable);
+  LinkKeeper(const LinkKeeper&) = delete;
+  LinkKeeper& operator=(const LinkKeeper&) = delete;
+
+  // Recomputes the overlay when membership changed.
+  void Refresh();
+  // Closes silent and unwanted links, then dials. `joined` is false while
+  // predecessors are asked for the version floor too.
+  void Tick(bool joined);
+  // Takes a link that came up. Returns null when it is closed as a duplicate.
+  PeerLink* OnUp(LinkId id, const NodeRecord& peer, bool outgoing);
+  void OnDown(LinkId id);
+  // Counts all links as heard now, after a pause of this node.
+  void ForgiveSilence();
+
+  const Overlay& overlay() const { return overlay_; }
+  // Whether every neighbour has said hello or failed to answer.
+  bool NeighboursSettled() const;
+  // Whether this node may repair across regions.
+  bool IsRegionGateway() const;
+
+ private:
+  struct DialState {
+    int failures = 0;
+    TimePoint next;
+  };
+
+  bool IsRingNeighbour(const NodeId& id) const;
+  void DialPeer(const NodeId& id);
+  void NoteFailure(const NodeId& id);
+  std::set<NodeId> RegionPeers() const;
+  bool HasLinkTo(const std::string& data_centre) const;
+
+  const NodeId self_;
+  Registry* const registry_;
+  LinkTable* const links_;
+  const Clock* const clock_;
+  Random* const random_;
+  Logger* const logger_;
+  const std::function<void(const NodeId&)> on_unreachable_;
+  Overlay overlay_;
+  std::map<NodeId, DialState> dials_;
+  // Ring neighbours whose link was lost and that are dialled once to see
+  // whether they live.
+  std::set<NodeId> probes_;
+  // When a link to each data centre was last up.
+  std::map<std::string, TimePoint> reached_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_KEEPER_H_
--- /dev/null
+++ b/src/distribution/link_table.cc
@@ -0,0 +1,122 @@
+#include "distribution/link_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "distribution/message_codec.h"
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/distribution/link_layer.h"
+
+namespace dragonflytack {
+
+static_assert(TrafficCounters::kKindNames.size() ==
+              std::variant_size_v<Message>);
+
+LinkTable::LinkTable(LinkLayer* layer,
+                     const Clock* clock,
+                     std::string region,
+                     std::string data_centre)
+    : layer_(layer),
+      clock_(clock),
+      region_(std::move(region)),
+      data_centre_(std::move(data_centre)) {}
+
+void LinkTable::Dial(const HostPort& address, const NodeId& peer) {
+  const LinkId id = layer_->Connect(address);
+  PeerLink& link = links_[id];
+  link.id = id;
+  link.address = address;
+  link.outgoing = true;
+  link.peer = peer;
+  link.opened = clock_->Now();
+}
+
+PeerLink* LinkTable::MarkUp(LinkId id, const NodeRecord& peer, bool outgoing) {
+  PeerLink& link = links_[id];
+  link.id = id;
+  link.address = HostPort{peer.address, peer.peer_port};
+  link.outgoing = outgoing;
+  link.up = true;
+  link.peer = peer.id;
+  link.data_centre = peer.data_centre;
+  link.link_class = peer.data_centre == data_centre_
+                        ? LinkClass::kSameDataCentre
+                    : peer.region == region_ ? LinkClass::kSameRegion
+                                             : LinkClass::kOtherRegion;
+  link.opened = clock_->Now();
+  link.last_heard = clock_->Now();
+  return &link;
+}
+
+void LinkTable::Close(LinkId id) {
+  if (links_.erase(id) != 0) {
+    layer_->Close(id);
+  }
+}
+
+void LinkTable::Send(PeerLink* link, const Message& message) {
+  SendFrame(link, message.index(), MessageCodec::Encode(message));
+}
+
+void LinkTable::SendFrame(PeerLink* link,
+                          size_t kind,
+                          const std::string& frame) {
+  TrafficCounters::Count& count =
+      traffic_.sent[kind][static_cast<size_t>(link->link_class)];
+  ++count.frames;
+  count.bytes += frame.size();
+  layer_->Send(link->id, frame);
+}
+
+void LinkTable::CountReceived(const PeerLink& link, size_t kind, size_t bytes) {
+  TrafficCounters::Count& count =
+      traffic_.received[kind][static_cast<size_t>(link.link_class)];
+  ++count.frames;
+  count.bytes += bytes;
+}
+
+size_t LinkTable::QueuedBytes(const PeerLink& link) const {
+  return layer_->QueuedBytes(link.id);
+}
+
+PeerLink* LinkTable::Find(LinkId id) {
+  const auto found = links_.find(id);
+  return found == links_.end() ? nullptr : &found->second;
+}
+
+PeerLink* LinkTable::FindUp(const NodeId& peer) {
+  for (auto& [id, link] : links_) {
+    if (link.up && link.peer == peer) {
+      return &link;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<PeerLink*> LinkTable::Up() {
+  std::vector<PeerLink*> up;
+  for (auto& [id, link] : links_) {
+    if (link.up) {
+      up.push_back(&link);
+    }
+  }
+  return up;
+}
+
+bool LinkTable::IsDialing(const HostPort& address) const {
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& item) {
+    return !item.second.up && item.second.address == address;
+  });
+}
+
+size_t LinkTable::dialing() const {
+  return links_.size() - up_count();
+}
+
+size_t LinkTable::up_count() const {
+  return static_cast<size_t>(
+      std::count_if(links_.begin(), links_.end(),
+                    [](const auto& item) { return item.second.up; }));
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/link_table.h
@@ -0,0 +1,66 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "distribution/messages.h"
+#include "distribution/peer_link.h"
+#include "dragonflytack/distribution/traffic_counters.h"
+
+namespace dragonflytack {
+
+class Clock;
+class LinkLayer;
+
+// The links of this node, being made or up, and the bytes on them.
+class LinkTable final {
+ public:
+  LinkTable(LinkLayer* layer,
+            const Clock* clock,
+            std::string region,
+            std::string data_centre);
+  LinkTable(const LinkTable&) = delete;
+  LinkTable& operator=(const LinkTable&) = delete;
+
+  // Starts a connection. `peer` is empty when only the address is known.
+  void Dial(const HostPort& address, const NodeId& peer);
+  // Takes note that a link is up and returns it.
+  PeerLink* MarkUp(LinkId id, const NodeRecord& peer, bool outgoing);
+  // Closes a link; nothing more is reported for it.
+  void Close(LinkId id);
+  // Forgets a link that the layer reported down.
+  void Remove(LinkId id) { links_.erase(id); }
+
+  void Send(PeerLink* link, const Message& message);
+  // Sends one encoded frame, which may go to several links.
+  void SendFrame(PeerLink* link, size_t kind, const std::string& frame);
+  void CountReceived(const PeerLink& link, size_t kind, size_t bytes);
+  size_t QueuedBytes(const PeerLink& link) const;
+
+  PeerLink* Find(LinkId id);
+  // Returns the link to a peer that is up, null when there is none.
+  PeerLink* FindUp(const NodeId& peer);
+  // Returns all links that are up. They stay valid until one is closed.
+  std::vector<PeerLink*> Up();
+  bool IsDialing(const HostPort& address) const;
+  // Number of connections that are being made.
+  size_t dialing() const;
+  size_t up_count() const;
+  const std::map<LinkId, PeerLink>& links() const { return links_; }
+  const TrafficCounters& traffic() const { return traffic_; }
+
+ private:
+  LinkLayer* const layer_;
+  const Clock* const clock_;
+  const std::string region_;
+  const std::string data_centre_;
+  std::map<LinkId, PeerLink> links_;
+  TrafficCounters traffic_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
--- /dev/null
+++ b/src/distribution/message_codec.cc
@@ -0,0 +1,366 @@
+#include "distribution/message_codec.h"
+
+#include <array>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "distribution/cbor_reader.h"
+#include "distribution/record_codec.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMaxCell = 1'000'000'000;
+constexpr size_t kMaxListed = 64;
+
+json Bytes(const uint64_t* numbers, size_t count) {
+  std::vector<uint8_t> bytes;
+  bytes.reserve(count * 8);
+  for (size_t i = 0; i < count; ++i) {
+    for (int shift = 0; shift < 64; shift += 8) {
+      bytes.push_back(static_cast<uint8_t>(numbers[i] >> shift));
+    }
+  }
+  return json::binary(std::move(bytes));
+}
+
+json WriteRow(const ServiceRow& row) {
+  json weights = json::array();
+  for (const auto& [region, weight] : row.weights) {
+    weights.push_back(region);
+    weights.push_back(weight);
+  }
+  return {row.service,     static_cast<unsigned>(row.kind),
+          weights,         row.max_concurrency,
+          row.max_queue,   row.max_connections,
+          row.slots,       row.rate_limit,
+          row.deadline_ms, row.retry_limit};
+}
+
+// Checks types only: Table::Make() judges the values.
+ServiceRow ReadRow(const json& value, CborReader* outer) {
+  CborReader reader(value);
+  const auto cell = [&] {
+    return static_cast<int>(reader.Signed(-kMaxCell, kMaxCell));
+  };
+  ServiceRow row;
+  row.service = reader.Text(RecordCodec::kMaxTextBytes);
+  row.kind = static_cast<ServiceKind>(
+      reader.Unsigned(static_cast<uint64_t>(ServiceKind::kOneTime)));
+  CborReader weights(reader.Array());
+  while (weights.ok() && !weights.AtEnd()) {
+    std::string region = weights.Text(RecordCodec::kMaxTextBytes);
+    row.weights[std::move(region)] =
+        static_cast<int>(weights.Signed(-kMaxCell, kMaxCell));
+  }
+  row.max_concurrency = cell();
+  row.max_queue = cell();
+  row.max_connections = cell();
+  row.slots = cell();
+  row.rate_limit = cell();
+  row.deadline_ms = cell();
+  row.retry_limit = cell();
+  if (!reader.Finished() || !weights.ok()) {
+    outer->Fail();
+  }
+  return row;
+}
+
+void Append(const HelloMessage& message, json* array) {
+  array->insert(
+      array->end(),
+      {message.in_force, message.version, message.held, message.remembered,
+       message.refused, message.known_incarnation, message.known_sequence});
+}
+void Append(const HeartbeatMessage& message, json* array) {
+  const uint64_t digest[] = {message.digest.sum, message.digest.exclusive_or};
+  array->push_back(message.version);
+  array->push_back(Bytes(digest, 2));
+}
+void Append(const RecordsMessage& message, json* array) {
+  RecordCodec::Append(message, array);
+}
+void Append(const SuspicionsMessage& message, json* array) {
+  for (const Suspicion& suspicion : message.suspicions) {
+    array->push_back({suspicion.id, suspicion.incarnation, suspicion.sequence});
+  }
+}
+void Append(const DeltaMessage& message, json* array) {
+  const TableDelta& delta = message.delta;
+  json changed = json::array();
+  for (const ServiceRow& row : delta.changed) {
+    changed.push_back(WriteRow(row));
+  }
+  array->insert(array->end(), {delta.from, delta.to, delta.digest,
+                               std::move(changed), json(delta.removed)});
+}
+void Append(const HoldMessage& message, json* array) {
+  array->push_back(message.version);
+}
+void Append(const TableRequestMessage& message, json* array) {
+  array->push_back(message.has_table);
+  array->push_back(message.have);
+}
+void Append(const TableMessage& message, json* array) {
+  json rows = json::array();
+  for (const auto& [service, row] : message.rows) {
+    rows.push_back(WriteRow(row));
+  }
+  array->insert(array->end(),
+                {message.version, message.digest, std::move(rows)});
+}
+void Append(const SnapshotRequestMessage&, json*) {}
+void Append(const SnapshotEndMessage&, json*) {}
+void Append(const SnapshotTakenMessage&, json*) {}
+void Append(const BusyMessage& message, json* array) {
+  json alternatives = json::array();
+  for (const HostPort& peer : message.alternatives) {
+    alternatives.push_back({peer.address, peer.port});
+  }
+  array->push_back(message.retry_ms);
+  array->push_back(std::move(alternatives));
+}
+void Append(const BucketsMessage& message, json* array) {
+  array->push_back(Bytes(message.buckets.data(), message.buckets.size()));
+}
+void Append(const BucketHashesMessage& message, json* array) {
+  for (const auto& [bucket, hashes] : message.buckets) {
+    array->push_back({bucket, Bytes(hashes.data(), hashes.size())});
+  }
+}
+void Append(const WantMessage& message, json* array) {
+  array->push_back(Bytes(message.hashes.data(), message.hashes.size()));
+}
+
+Message ReadHello(CborReader* reader) {
+  HelloMessage message;
+  message.in_force = reader->Boolean();
+  message.version = reader->Unsigned();
+  message.held = reader->Unsigned();
+  message.remembered = reader->Unsigned();
+  message.refused = reader->Unsigned();
+  message.known_incarnation = reader->Unsigned(uint64_t{1} << 52);
+  message.known_sequence = reader->Unsigned(uint64_t{1} << 52);
+  return message;
+}
+Message ReadHeartbeat(CborReader* reader) {
+  HeartbeatMessage message;
+  message.version = reader->Unsigned();
+  const std::vector<uint64_t> digest = reader->Numbers(2);
+  if (digest.size() == 2) {
+    message.digest = {digest[0], digest[1]};
+  } else {
+    reader->Fail();
+  }
+  return message;
+}
+Message ReadRecords(CborReader* reader) {
+  return RecordCodec::Read(reader);
+}
+Message ReadSuspicions(CborReader* reader) {
+  SuspicionsMessage message;
+  while (reader->ok() && !reader->AtEnd()) {
+    CborReader fields(reader->Array());
+    Suspicion suspicion;
+    suspicion.id = fields.Text(RecordCodec::kMaxTextBytes);
+    suspicion.incarnation = fields.Unsigned();
+    suspicion.sequence = fields.Unsigned();
+    if (!fields.Finished()) {
+      reader->Fail();
+    }
+    message.suspicions.push_back(std::move(suspicion));
+  }
+  return message;
+}
+Message ReadDelta(CborReader* reader) {
+  DeltaMessage message;
+  TableDelta& delta = message.delta;
+  delta.from = reader->Unsigned();
+  delta.to = reader->Unsigned();
+  delta.digest = reader->Unsigned();
+  for (const json& row : reader->Array()) {
+    delta.changed.push_back(ReadRow(row, reader));
+  }
+  CborReader removed(reader->Array());
+  while (removed.ok() && !removed.AtEnd()) {
+    delta.removed.insert(removed.Text(RecordCodec::kMaxTextBytes));
+  }
+  if (!removed.ok() || delta.to <= delta.from) {
+    reader->Fail();
+  }
+  return message;
+}
+Message ReadHold(CborReader* reader) {
+  return HoldMessage{reader->Unsigned()};
+}
+Message ReadTableRequest(CborReader* reader) {
+  TableRequestMessage message;
+  message.has_table = reader->Boolean();
+  message.have = reader->Unsigned();
+  return message;
+}
+Message ReadTable(CborReader* reader) {
+  TableMessage message;
+  message.version = reader->Unsigned();
+  message.digest = reader->Unsigned();
+  for (const json& value : reader->Array()) {
+    ServiceRow row = ReadRow(value, reader);
+    std::string service = row.service;
+    if (!message.rows.emplace(std::move(service), std::move(row)).second) {
+      reader->Fail();
+    }
+  }
+  return message;
+}
+Message ReadBusy(CborReader* reader) {
+  BusyMessage message;
+  message.retry_ms = static_cast<uint32_t>(reader->Unsigned(60'000));
+  const json& alternatives = reader->Array();
+  if (alternatives.size() > kMaxListed) {
+    reader->Fail();
+    return message;
+  }
+  for (const json& value : alternatives) {
+    CborReader fields(value);
+    HostPort peer;
+    peer.address = fields.Text(RecordCodec::kMaxTextBytes);
+    peer.port = static_cast<uint16_t>(fields.Unsigned(UINT16_MAX));
+    if (!fields.Finished()) {
+      reader->Fail();
+    }
+    message.alternatives.push_back(std::move(peer));
+  }
+  return message;
+}
+Message ReadBuckets(CborReader* reader) {
+  BucketsMessage message;
+  const std::vector<uint64_t> digests =
+      reader->Numbers(BucketDigests::kBuckets);
+  if (digests.size() != BucketDigests::kBuckets) {
+    reader->Fail();
+    return message;
+  }
+  std::copy(digests.begin(), digests.end(), message.buckets.begin());
+  return message;
+}
+Message ReadBucketHashes(CborReader* reader) {
+  BucketHashesMessage message;
+  while (reader->ok() && !reader->AtEnd()) {
+    CborReader fields(reader->Array());
+    const auto bucket =
+        static_cast<uint8_t>(fields.Unsigned(BucketDigests::kBuckets - 1));
+    std::vector<uint64_t> hashes =
+        fields.Numbers(MessageCodec::kMaxFrameBytes / 8);
+    if (!fields.Finished()) {
+      reader->Fail();
+    }
+    message.buckets.emplace_back(bucket, std::move(hashes));
+  }
+  return message;
+}
+Message ReadWant(CborReader* reader) {
+  return WantMessage{reader->Numbers(MessageCodec::kMaxFrameBytes / 8)};
+}
+template <typename Empty>
+Message ReadEmpty(CborReader*) {
+  return Empty{};
+}
+
+// Indexed by the kind, as the alternatives of Message are.
+using ReadFunction = Message (*)(CborReader*);
+constexpr std::array<ReadFunction, std::variant_size_v<Message>> kReaders = {
+    ReadHello,
+    ReadHeartbeat,
+    ReadRecords,
+    ReadSuspicions,
+    ReadDelta,
+    ReadHold,
+    ReadTableRequest,
+    ReadTable,
+    ReadEmpty<SnapshotRequestMessage>,
+    ReadEmpty<SnapshotEndMessage>,
+    ReadEmpty<SnapshotTakenMessage>,
+    ReadBusy,
+    ReadBuckets,
+    ReadBucketHashes,
+    ReadWant,
+};
+
+// Walks a document without building it and stops at a nesting that no message
+// has. The parser recurses for each nested array, so a frame of a million
+// opening bytes would overflow the stack.
+class DepthCheck final : public nlohmann::json_sax<json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return false; }
+  bool key(string_t&) override { return false; }
+  bool end_object() override { return false; }
+  bool start_array(std::size_t) override {
+    return ++depth_ <= MessageCodec::kMaxDepth;
+  }
+  bool end_array() override {
+    --depth_;
+    return true;
+  }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  int depth_ = 0;
+};
+
+}  // namespace
+
+std::string MessageCodec::Encode(const Message& message) {
+  json array = json::array({message.index()});
+  std::visit([&array](const auto& value) { Append(value, &array); }, message);
+  std::string frame;
+  json::to_cbor(array, frame);
+  return frame;
+}
+
+std::optional<Message> MessageCodec::Decode(std::string_view frame,
+                                            Failure* reason) {
+  if (frame.size() > kMaxFrameBytes) {
+    *reason = {FailureCode::kTooLarge, "frame",
+               "longer than the limit for frames"};
+    return std::nullopt;
+  }
+  DepthCheck depth;
+  if (!json::sax_parse(frame, &depth, json::input_format_t::cbor)) {
+    *reason = {FailureCode::kInvalidMessage, "frame",
+               "not one CBOR array of a known shape"};
+    return std::nullopt;
+  }
+  const json array = json::from_cbor(frame, true, false);
+  CborReader reader(array);
+  const uint64_t kind = reader.Unsigned(kReaders.size() - 1);
+  if (!reader.ok()) {
+    *reason = {FailureCode::kInvalidMessage, "frame", "unknown kind"};
+    return std::nullopt;
+  }
+  Message message = kReaders[kind](&reader);
+  if (!reader.Finished()) {
+    *reason = {FailureCode::kInvalidMessage, "kind " + std::to_string(kind),
+               "a field is missing, too many or out of range"};
+    return std::nullopt;
+  }
+  return message;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/messages.h
@@ -0,0 +1,183 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_MESSAGES_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_MESSAGES_H_
+
+#include <array>
+#include <cstdint>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "dragonflytack/base/host_port.h"
+#include "dragonflytack/registry/node_record.h"
+#include "dragonflytack/table/table.h"
+#include "dragonflytack/table/table_delta.h"
+#include "registry/bucket_digests.h"
+#include "registry/registry_digest.h"
+#include "registry/succession.h"
+#include "registry/suspicion.h"
+
+// The messages between nodes. They are plain values; MessageCodec writes and
+// reads them.
+namespace dragonflytack {
+
+// First message on each link, from both sides.
+struct HelloMessage final {
+  // Version in force; `in_force` is false before the first one.
+  bool in_force = false;
+  TableVersion version = 0;
+  // Highest version that the sender holds, in force or not.
+  TableVersion held = 0;
+  // Highest version that the receiver is remembered to have had in force.
+  TableVersion remembered = 0;
+  // Last version that the sender refused as invalid, 0 for none.
+  TableVersion refused = 0;
+  // Age of the receiver's record as the sender knows it, 0 when unknown.
+  uint64_t known_incarnation = 0;
+  uint64_t known_sequence = 0;
+
+  friend bool operator==(const HelloMessage&, const HelloMessage&) = default;
+};
+
+struct HeartbeatMessage final {
+  TableVersion version = 0;
+  RegistryDigest digest;
+
+  friend bool operator==(const HeartbeatMessage&,
+                         const HeartbeatMessage&) = default;
+};
+
+// A record with what the sender believes of the node.
+struct RecordUpdate final {
+  NodeRecord record;
+  Liveness liveness = Liveness::kAlive;
+  // Seconds since the node left or died, rounded up.
+  uint64_t ended_ago_s = 0;
+
+  friend bool operator==(const RecordUpdate&, const RecordUpdate&) = default;
+};
+
+// A succession with its age in seconds, rounded up.
+struct SuccessionUpdate final {
+  Succession succession;
+  uint64_t ago_s = 0;
+
+  friend bool operator==(const SuccessionUpdate&,
+                         const SuccessionUpdate&) = default;
+};
+
+// New or repaired entries of the registry.
+struct RecordsMessage final {
+  std::vector<RecordUpdate> records;
+  std::vector<SuccessionUpdate> successions;
+
+  friend bool operator==(const RecordsMessage&,
+                         const RecordsMessage&) = default;
+};
+
+struct SuspicionsMessage final {
+  std::vector<Suspicion> suspicions;
+
+  friend bool operator==(const SuspicionsMessage&,
+                         const SuspicionsMessage&) = default;
+};
+
+struct DeltaMessage final {
+  TableDelta delta;
+
+  friend bool operator==(const DeltaMessage&, const DeltaMessage&) = default;
+};
+
+// Says that the sender holds a version.
+struct HoldMessage final {
+  TableVersion version = 0;
+
+  friend bool operator==(const HoldMessage&, const HoldMessage&) = default;
+};
+
+// Asks for everything after `have`; the answer is a delta or a whole table.
+struct TableRequestMessage final {
+  bool has_table = false;
+  TableVersion have = 0;
+
+  friend bool operator==(const TableRequestMessage&,
+                         const TableRequestMessage&) = default;
+};
+
+struct TableMessage final {
+  TableVersion version = 0;
+  uint64_t digest = 0;
+  Table::Rows rows;
+
+  friend bool operator==(const TableMessage&, const TableMessage&) = default;
+};
+
+// Asks for the table and the registry. The answer is a table, records in parts
+// and the end, or busy.
+struct SnapshotRequestMessage final {
+  friend bool operator==(const SnapshotRequestMessage&,
+                         const SnapshotRequestMessage&) = default;
+};
+
+struct SnapshotEndMessage final {
+  friend bool operator==(const SnapshotEndMessage&,
+                         const SnapshotEndMessage&) = default;
+};
+
+// The newcomer has taken the snapshot; the sender may serve another one.
+struct SnapshotTakenMessage final {
+  friend bool operator==(const SnapshotTakenMessage&,
+                         const SnapshotTakenMessage&) = default;
+};
+
+struct BusyMessage final {
+  uint32_t retry_ms = 0;
+  // Nearest to the asker first.
+  std::vector<HostPort> alternatives;
+
+  friend bool operator==(const BusyMessage&, const BusyMessage&) = default;
+};
+
+// First step of a repair: the digests of all buckets.
+struct BucketsMessage final {
+  BucketDigests::Buckets buckets{};
+
+  friend bool operator==(const BucketsMessage&,
+                         const BucketsMessage&) = default;
+};
+
+// Second step: the hashes of all entries in the buckets that differ. The answer
+// is what these lack, and a request for what the asker lacks.
+struct BucketHashesMessage final {
+  std::vector<std::pair<uint8_t, std::vector<uint64_t>>> buckets;
+
+  friend bool operator==(const BucketHashesMessage&,
+                         const BucketHashesMessage&) = default;
+};
+
+// Third step: asks for the entries with these hashes.
+struct WantMessage final {
+  std::vector<uint64_t> hashes;
+
+  friend bool operator==(const WantMessage&, const WantMessage&) = default;
+};
+
+// The index of an alternative is the kind on the wire.
+using Message = std::variant<HelloMessage,
+                             HeartbeatMessage,
+                             RecordsMessage,
+                             SuspicionsMessage,
+                             DeltaMessage,
+                             HoldMessage,
+                             TableRequestMessage,
+                             TableMessage,
+                             SnapshotRequestMessage,
+                             SnapshotEndMessage,
+                             SnapshotTakenMessage,
+                             BusyMessage,
+                             BucketsMessage,
+                             BucketHashesMessage,
+                             WantMessage>;
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_MESSAGES_H_
--- /dev/null
+++ b/src/distribution/overlay.cc
@@ -0,0 +1,129 @@
+#include "distribution/overlay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <utility>
+
+#include "dragonflytack/base/hash.h"
+#include "registry/registry.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Hash and entry; the id decides between equal hashes.
+using Ranked = std::pair<uint64_t, const RegistryEntry*>;
+
+bool RanksBefore(const Ranked& a, const Ranked& b) {
+  return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
+}
+
+struct Ranking {
+  std::vector<NodeId> first;
+  size_t own_rank = 0;
+};
+
+Ranking Rank(const std::vector<const RegistryEntry*>& nodes,
+             const std::string& place,
+             const NodeId& self) {
+  const uint64_t seed = Hash64(place);
+  std::vector<Ranked> ranked;
+  ranked.reserve(nodes.size());
+  const RegistryEntry* own = nullptr;
+  for (const RegistryEntry* node : nodes) {
+    ranked.emplace_back(Hash64(node->id, seed), node);
+    own = node->id == self ? node : own;
+  }
+  Ranking ranking;
+  if (own != nullptr) {
+    const Ranked own_key(Hash64(self, seed), own);
+    ranking.own_rank = static_cast<size_t>(std::count_if(
+        ranked.begin(), ranked.end(),
+        [&](const Ranked& other) { return RanksBefore(other, own_key); }));
+  }
+  const size_t count = std::min(Overlay::kRanked, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<ptrdiff_t>(count),
+                    ranked.end(), RanksBefore);
+  for (size_t i = 0; i < count; ++i) {
+    ranking.first.push_back(ranked[i].second->id);
+  }
+  return ranking;
+}
+
+}  // namespace
+
+std::set<size_t> Overlay::Offsets(size_t n) {
+  std::set<size_t> offsets;
+  for (const size_t offset :
+       {size_t{1}, size_t{2},
+        static_cast<size_t>(std::lround(std::sqrt(static_cast<double>(n)))),
+        n / 2}) {
+    if (offset > 0 && offset < n) {
+      offsets.insert(offset);
+    }
+  }
+  return offsets;
+}
+
+Overlay Overlay::Of(const Registry& registry, const NodeId& self) {
+  Overlay overlay;
+  const RegistryEntry* own = registry.Find(self);
+  if (own == nullptr) {
+    return overlay;
+  }
+  std::map<std::string, std::vector<const RegistryEntry*>> data_centres;
+  std::map<std::string, std::vector<const RegistryEntry*>> regions;
+  std::set<std::string> neighbours;
+  for (const auto& [id, entry] : registry.entries()) {
+    if (entry->IsLive() || entry.get() == own) {
+      data_centres[*entry->data_centre].push_back(entry.get());
+      regions[*entry->region].push_back(entry.get());
+      if (entry->region == own->region &&
+          entry->data_centre != own->data_centre) {
+        neighbours.insert(*entry->data_centre);
+      }
+    }
+  }
+  for (const auto& [name, nodes] : data_centres) {
+    Ranking ranking = Rank(nodes, name, self);
+    overlay.data_centre_ranks[name] = std::move(ranking.first);
+    if (name == *own->data_centre) {
+      overlay.data_centre_rank = ranking.own_rank;
+    }
+  }
+  for (const auto& [name, nodes] : regions) {
+    Ranking ranking = Rank(nodes, name, self);
+    overlay.region_ranks[name] = std::move(ranking.first);
+    if (name == *own->region) {
+      overlay.region_rank = ranking.own_rank;
+    }
+  }
+
+  std::vector<std::pair<uint64_t, NodeId>> ring;
+  for (const RegistryEntry* node : data_centres[*own->data_centre]) {
+    ring.emplace_back(Hash64(node->id), node->id);
+  }
+  std::sort(ring.begin(), ring.end());
+  const size_t n = ring.size();
+  const auto place =
+      std::find(ring.begin(), ring.end(), std::pair(Hash64(self), self)) -
+      ring.begin();
+  for (const size_t offset : Offsets(n)) {
+    const auto own_index = static_cast<size_t>(place);
+    overlay.successors.insert(ring[(own_index + offset) % n].second);
+    overlay.predecessors.insert(ring[(own_index + n - offset) % n].second);
+  }
+  if (overlay.data_centre_rank < kGateways) {
+    for (const std::string& name : neighbours) {
+      const std::vector<NodeId>& ranks = overlay.data_centre_ranks[name];
+      overlay.region_gateways.insert(
+          ranks.begin(), ranks.begin() + static_cast<ptrdiff_t>(std::min(
+                                             kGateways, ranks.size())));
+    }
+  }
+  return overlay;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/peer_link.h
@@ -0,0 +1,53 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_PEER_LINK_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_PEER_LINK_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/base/host_port.h"
+#include "dragonflytack/distribution/link_class.h"
+#include "dragonflytack/distribution/link_id.h"
+#include "dragonflytack/registry/node_id.h"
+#include "dragonflytack/table/table_version.h"
+#include "registry/suspicion.h"
+
+namespace dragonflytack {
+
+// One connection to a peer with what is known about the peer's state.
+struct PeerLink final {
+  LinkId id = 0;
+  HostPort address;
+  bool outgoing = false;
+  bool up = false;
+  // Empty until the link is up, unless the dialler knows whom it calls.
+  NodeId peer;
+  std::string data_centre;
+  LinkClass link_class = LinkClass::kSameDataCentre;
+  TimePoint opened;
+  TimePoint last_heard;
+  bool hello_received = false;
+  bool in_force = false;
+  // Highest version that the peer is known to hold.
+  TableVersion version = 0;
+  // Highest version sent to the peer, and when.
+  TableVersion offered = 0;
+  TimePoint offered_at;
+  TimePoint requested_at;
+  // Heartbeats in a row whose registry digest differed.
+  int mismatches = 0;
+  TimePoint repaired_at;
+  // The peer answered `busy` and should not be asked before.
+  TimePoint busy_until;
+  // What the next batch carries.
+  std::set<NodeId> pending_records;
+  std::set<std::pair<NodeId, uint64_t>> pending_successions;
+  std::vector<Suspicion> pending_suspicions;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_PEER_LINK_H_
--- /dev/null
+++ b/src/distribution/registry_sync.cc
@@ -0,0 +1,398 @@
+#include "distribution/registry_sync.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_set>
+#include <utility>
+
+#include "distribution/link_table.h"
+#include "distribution/message_codec.h"
+#include "dragonflytack/base/logger.h"
+
+namespace dragonflytack {
+
+namespace {
+
+uint64_t SecondsSince(int64_t since_ms, int64_t now_ms) {
+  // Rounded up, so that an age never shrinks as it is passed on.
+  return since_ms == 0
+             ? 0
+             : static_cast<uint64_t>(
+                   (std::max<int64_t>(now_ms - since_ms, 0) + 999) / 1000);
+}
+
+}  // namespace
+
+RegistrySync::RegistrySync(NodeRecord self,
+                           Registry* registry,
+                           LinkTable* links,
+                           const Clock* clock,
+                           Logger* logger,
+                           std::function<void()> on_change)
+    : self_(std::move(self)),
+      registry_(registry),
+      links_(links),
+      clock_(clock),
+      logger_(logger),
+      on_change_(std::move(on_change)),
+      detector_(registry, clock) {
+  registry_->Merge(self_, Liveness::kAlive, 0);
+}
+
+void RegistrySync::UpdateSelf(NodeRecord changed) {
+  changed.incarnation = self_.incarnation;
+  changed.sequence = self_.sequence + 1;
+  self_ = std::move(changed);
+  CommitSelf();
+}
+
+void RegistrySync::Inherit(const NodeId& home, uint64_t incarnation) {
+  const Succession* known = registry_->FindSuccession(home, incarnation);
+  const bool is_own = known != nullptr && known->successor == self_.id;
+  const Succession succession{
+      home, incarnation, self_.id,
+      known == nullptr ? 1 : known->generation + (is_own ? 0 : 1),
+      clock_->WallMillis()};
+  inherited_.emplace(home, incarnation);
+  if (registry_->MergeSuccession(succession)) {
+    FloodSuccession(succession, nullptr);
+    on_change_();
+  }
+}
+
+void RegistrySync::Suspect(const NodeId& id) {
+  const RegistryEntry* entry = registry_->Find(id);
+  if (entry == nullptr || id == self_.id) {
+    return;
+  }
+  const Suspicion suspicion{id, entry->incarnation, entry->sequence};
+  if (detector_.Suspect(suspicion)) {
+    logger_->Warning("node_suspected", {{"peer", id}});
+    FloodSuspicion(suspicion, nullptr);
+    on_change_();
+  }
+}
+
+void RegistrySync::Expire() {
+  for (const Suspicion& dead : detector_.Expire(links_->up_count() == 0)) {
+    logger_->Warning("node_dead", {{"peer", dead.id}});
+    on_change_();
+  }
+}
+
+void RegistrySync::DropSuspicions() {
+  if (detector_.size() > 0) {
+    detector_.DropAll();
+    on_change_();
+  }
+}
+
+void RegistrySync::OnRecord(PeerLink* from, const RecordUpdate& update) {
+  const NodeRecord& record = update.record;
+  if (record.id == self_.id) {
+    OnKnownAge(record.incarnation, record.sequence);
+    if (update.liveness != Liveness::kAlive &&
+        record.CompareAge(self_) == std::strong_ordering::equal) {
+      UpdateSelf(self_);
+    }
+    if (record.CompareAge(self_) == std::strong_ordering::less) {
+      from->pending_records.insert(self_.id);
+      on_change_();
+    }
+    return;
+  }
+  const Succession* before =
+      registry_->FindSuccession(record.id, record.incarnation);
+  const MergeOutcome outcome = registry_->Merge(
+      record, update.liveness, static_cast<int64_t>(update.ended_ago_s) * 1000);
+  if (outcome == MergeOutcome::kOlder) {
+    if (registry_->Find(record.id) != nullptr) {
+      from->pending_records.insert(record.id);
+      on_change_();
+    }
+    return;
+  }
+  from->pending_records.erase(record.id);
+  if (outcome == MergeOutcome::kNewer) {
+    FloodRecord(record.id, from);
+    on_change_();
+    const Succession* after =
+        registry_->FindSuccession(record.id, record.incarnation);
+    if (after != before && after != nullptr) {
+      FloodSuccession(*after, from);
+    }
+  }
+  if (update.liveness != Liveness::kAlive) {
+    // A death that this node did not see itself counts as a suspicion: the
+    // sender may have been cut off, and the owner can still refute it.
+    OnSuspicions(from, SuspicionsMessage{{Suspicion{
+                           record.id, record.incarnation, record.sequence}}});
+  }
+}
+
+void RegistrySync::OnRecords(PeerLink* from, const RecordsMessage& message) {
+  for (const RecordUpdate& update : message.records) {
+    OnRecord(from, update);
+  }
+  const int64_t now = clock_->WallMillis();
+  for (const SuccessionUpdate& update : message.successions) {
+    Succession succession = update.succession;
+    succession.since_ms = now - static_cast<int64_t>(update.ago_s) * 1000;
+    const std::pair key(succession.home, succession.incarnation);
+    if (!registry_->MergeSuccession(succession)) {
+      from->pending_successions.erase(key);
+      continue;
+    }
+    FloodSuccession(succession, from);
+    on_change_();
+    if (succession.successor != self_.id && inherited_.contains(key) &&
+        self_.state != TargetState::kLeft) {
+      // The later handover to this node was announced without knowing of this
+      // one.
+      Inherit(succession.home, succession.incarnation);
+    }
+  }
+}
+
+void RegistrySync::OnSuspicions(PeerLink* from,
+                                const SuspicionsMessage& message) {
+  for (const Suspicion& suspicion : message.suspicions) {
+    if (suspicion.id == self_.id) {
+      if (suspicion.incarnation == self_.incarnation &&
+          suspicion.sequence == self_.sequence) {
+        logger_->Info("suspicion_refuted", {{"peer", from->peer}});
+        UpdateSelf(self_);
+      }
+      continue;
+    }
+    const RegistryEntry* entry = registry_->Find(suspicion.id);
+    if (entry == nullptr) {
+      continue;
+    }
+    if (detector_.Suspect(suspicion)) {
+      FloodSuspicion(suspicion, from);
+      on_change_();
+    } else if (std::tie(suspicion.incarnation, suspicion.sequence) <
+               std::tie(entry->incarnation, entry->sequence)) {
+      from->pending_records.insert(suspicion.id);
+      on_change_();
+    }
+  }
+}
+
+void RegistrySync::OnKnownAge(uint64_t incarnation, uint64_t sequence) {
+  if (incarnation > self_.incarnation ||
+      (incarnation == self_.incarnation && sequence > self_.sequence)) {
+    RaiseIncarnation(incarnation);
+  }
+}
+
+void RegistrySync::TellOwnSuspicion(PeerLink* link) {
+  const RegistryEntry* entry = registry_->Find(link->peer);
+  if (entry != nullptr && entry->liveness != Liveness::kAlive) {
+    links_->Send(link, SuspicionsMessage{{Suspicion{
+                           entry->id, entry->incarnation, entry->sequence}}});
+  }
+}
+
+void RegistrySync::OnDigest(PeerLink* link,
+                            const RegistryDigest& digest,
+                            bool may_repair) {
+  if (digest == registry_->digests().whole()) {
+    link->mismatches = 0;
+    return;
+  }
+  ++link->mismatches;
+  const TimePoint now = clock_->Now();
+  // One end begins, so that the repair is not made twice. A batch that is
+  // under way explains one differing heartbeat but not two.
+  if (link->mismatches < 2 || !may_repair || self_.id > link->peer ||
+      now - link->repaired_at < kRepairInterval) {
+    return;
+  }
+  link->repaired_at = now;
+  links_->Send(link, BucketsMessage{registry_->digests().buckets()});
+}
+
+void RegistrySync::OnBuckets(PeerLink* link, const BucketsMessage& message) {
+  std::map<uint8_t, std::vector<uint64_t>> differing;
+  for (size_t i = 0; i < message.buckets.size(); ++i) {
+    if (message.buckets[i] != registry_->digests().buckets()[i]) {
+      differing[static_cast<uint8_t>(i)];
+    }
+  }
+  if (differing.empty()) {
+    return;
+  }
+  for (const auto& [id, entry] : registry_->entries()) {
+    const auto found = differing.find(entry->bucket);
+    if (found != differing.end()) {
+      found->second.push_back(entry->hash);
+    }
+  }
+  for (const auto& [key, succession] : registry_->successions()) {
+    const auto found = differing.find(Registry::BucketOf(succession.home));
+    if (found != differing.end()) {
+      found->second.push_back(Registry::HashOf(succession));
+    }
+  }
+  links_->Send(link, BucketHashesMessage{{differing.begin(), differing.end()}});
+}
+
+void RegistrySync::OnBucketHashes(PeerLink* link,
+                                  const BucketHashesMessage& message) {
+  std::map<uint8_t, std::unordered_set<uint64_t>> theirs;
+  for (const auto& [bucket, hashes] : message.buckets) {
+    theirs[bucket].insert(hashes.begin(), hashes.end());
+  }
+  // What both have is struck out of `theirs`; the rest is wanted.
+  SendMatching(link, [&theirs](uint8_t bucket, uint64_t hash) {
+    const auto found = theirs.find(bucket);
+    return found != theirs.end() && found->second.erase(hash) == 0;
+  });
+  WantMessage want;
+  for (const auto& [bucket, hashes] : theirs) {
+    want.hashes.insert(want.hashes.end(), hashes.begin(), hashes.end());
+  }
+  if (!want.hashes.empty()) {
+    links_->Send(link, want);
+  }
+}
+
+void RegistrySync::OnWant(PeerLink* link, const WantMessage& message) {
+  const std::unordered_set<uint64_t> wanted(message.hashes.begin(),
+                                            message.hashes.end());
+  SendMatching(link, [&wanted](uint8_t, uint64_t hash) {
+    return wanted.contains(hash);
+  });
+}
+
+void RegistrySync::Flush() {
+  // Most links carry the same batch, so its frame is made once.
+  std::set<NodeId> framed;
+  std::string frame;
+  for (PeerLink* link : links_->Up()) {
+    if (links_->QueuedBytes(*link) > kMaxQueuedBytes) {
+      continue;
+    }
+    if (!link->pending_suspicions.empty()) {
+      links_->Send(
+          link, SuspicionsMessage{std::exchange(link->pending_suspicions, {})});
+    }
+    if (!link->pending_successions.empty()) {
+      RecordsMessage message;
+      for (const auto& [home, incarnation] : link->pending_successions) {
+        if (const Succession* known =
+                registry_->FindSuccession(home, incarnation)) {
+          message.successions.push_back(ToUpdate(*known));
+        }
+      }
+      link->pending_successions.clear();
+      links_->Send(link, message);
+    }
+    while (!link->pending_records.empty()) {
+      std::set<NodeId> batch;
+      while (!link->pending_records.empty() && batch.size() < kMaxBatch) {
+        batch.insert(
+            link->pending_records.extract(link->pending_records.begin()));
+      }
+      if (batch != framed) {
+        RecordsMessage message;
+        for (const NodeId& id : batch) {
+          if (const RegistryEntry* entry = registry_->Find(id)) {
+            message.records.push_back(ToUpdate(*entry));
+          }
+        }
+        frame = MessageCodec::Encode(message);
+        framed = std::move(batch);
+      }
+      links_->SendFrame(link, Message(RecordsMessage{}).index(), frame);
+    }
+  }
+}
+
+void RegistrySync::SendAll(PeerLink* link) {
+  link->pending_records.clear();
+  link->pending_successions.clear();
+  SendMatching(link, [](uint8_t, uint64_t) { return true; });
+}
+
+void RegistrySync::FloodRecord(const NodeId& id, const PeerLink* except) {
+  for (PeerLink* link : links_->Up()) {
+    // The owner is the last to need its own record.
+    if (link != except && link->peer != id) {
+      link->pending_records.insert(id);
+    }
+  }
+}
+
+void RegistrySync::FloodSuspicion(const Suspicion& suspicion,
+                                  const PeerLink* except) {
+  for (PeerLink* link : links_->Up()) {
+    if (link != except) {
+      link->pending_suspicions.push_back(suspicion);
+    }
+  }
+}
+
+void RegistrySync::FloodSuccession(const Succession& succession,
+                                   const PeerLink* except) {
+  for (PeerLink* link : links_->Up()) {
+    if (link != except) {
+      link->pending_successions.emplace(succession.home,
+                                        succession.incarnation);
+    }
+  }
+}
+
+void RegistrySync::RaiseIncarnation(uint64_t above) {
+  logger_->Warning("incarnation_raised", {{"above", above}});
+  self_.incarnation = above + 1;
+  CommitSelf();
+}
+
+void RegistrySync::CommitSelf() {
+  registry_->Merge(self_, Liveness::kAlive, 0);
+  FloodRecord(self_.id, nullptr);
+  on_change_();
+}
+
+void RegistrySync::SendMatching(PeerLink* link, const HashFilter& filter) {
+  RecordsMessage part;
+  for (const auto& [id, entry] : registry_->entries()) {
+    if (filter(entry->bucket, entry->hash)) {
+      part.records.push_back(ToUpdate(*entry));
+      if (part.records.size() >= kMaxBatch) {
+        SendPart(link, &part);
+      }
+    }
+  }
+  for (const auto& [key, succession] : registry_->successions()) {
+    if (filter(Registry::BucketOf(succession.home),
+               Registry::HashOf(succession))) {
+      part.successions.push_back(ToUpdate(succession));
+      if (part.successions.size() >= kMaxBatch) {
+        SendPart(link, &part);
+      }
+    }
+  }
+  if (!part.records.empty() || !part.successions.empty()) {
+    SendPart(link, &part);
+  }
+}
+
+void RegistrySync::SendPart(PeerLink* link, RecordsMessage* part) {
+  links_->Send(link, std::exchange(*part, {}));
+}
+
+RecordUpdate RegistrySync::ToUpdate(const RegistryEntry& entry) const {
+  return RecordUpdate{entry.ToRecord(), entry.liveness,
+                      SecondsSince(entry.ended_ms, clock_->WallMillis())};
+}
+
+SuccessionUpdate RegistrySync::ToUpdate(const Succession& succession) const {
+  return SuccessionUpdate{
+      succession, SecondsSince(succession.since_ms, clock_->WallMillis())};
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/registry_sync.h
@@ -0,0 +1,104 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_REGISTRY_SYNC_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_REGISTRY_SYNC_H_
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "distribution/messages.h"
+#include "distribution/peer_link.h"
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/registry/node_record.h"
+#include "registry/failure_detector.h"
+#include "registry/registry.h"
+
+namespace dragonflytack {
+
+class LinkTable;
+class Logger;
+
+// Keeps the registry equal on all nodes: floods records, suspicions and
+// successions once per link in batches, repairs by digests, and is the only
+// one to change this node's own record.
+class RegistrySync final {
+ public:
+  // Flush() is due this long after a change.
+  static constexpr Milliseconds kBatchTime{20};
+  static constexpr Milliseconds kRepairInterval{2'000};
+  static constexpr size_t kMaxBatch = 512;
+  // A link with more bytes waiting gets no further batches until it drains.
+  static constexpr size_t kMaxQueuedBytes = 1'000'000;
+
+  // The pointers must outlive it. `on_change` is called when a batch waits or
+  // routes may have changed.
+  RegistrySync(NodeRecord self,
+               Registry* registry,
+               LinkTable* links,
+               const Clock* clock,
+               Logger* logger,
+               std::function<void()> on_change);
+  RegistrySync(const RegistrySync&) = delete;
+  RegistrySync& operator=(const RegistrySync&) = delete;
+
+  const NodeRecord& self() const { return self_; }
+  // Replaces the own record's fields and raises its sequence.
+  void UpdateSelf(NodeRecord changed);
+  // Announces that this node answers for the records of (home, incarnation).
+  void Inherit(const NodeId& home, uint64_t incarnation);
+  // Begins a suspicion of a node in the state it is known in.
+  void Suspect(const NodeId& id);
+  // Declares nodes dead whose suspicions are old enough.
+  void Expire();
+  // Takes back all suspicions after a pause.
+  void DropSuspicions();
+  size_t suspects() const { return detector_.size(); }
+
+  // Takes the record that a peer presented or that a message carries.
+  void OnRecord(PeerLink* from, const RecordUpdate& update);
+  void OnRecords(PeerLink* from, const RecordsMessage& message);
+  void OnSuspicions(PeerLink* from, const SuspicionsMessage& message);
+  // Takes the age that a peer knows of this node.
+  void OnKnownAge(uint64_t incarnation, uint64_t sequence);
+  // Tells a peer of a suspicion about itself, so that it refutes it.
+  void TellOwnSuspicion(PeerLink* link);
+
+  // Takes a heartbeat's digest. `may_repair` is false on links that must not
+  // carry a repair.
+  void OnDigest(PeerLink* link, const RegistryDigest& digest, bool may_repair);
+  void OnBuckets(PeerLink* link, const BucketsMessage& message);
+  void OnBucketHashes(PeerLink* link, const BucketHashesMessage& message);
+  void OnWant(PeerLink* link, const WantMessage& message);
+
+  // Sends the batches that wait.
+  void Flush();
+  // Sends the whole registry in parts.
+  void SendAll(PeerLink* link);
+
+ private:
+  using HashFilter = std::function<bool(uint8_t bucket, uint64_t hash)>;
+
+  void FloodRecord(const NodeId& id, const PeerLink* except);
+  void FloodSuspicion(const Suspicion& suspicion, const PeerLink* except);
+  void FloodSuccession(const Succession& succession, const PeerLink* except);
+  void RaiseIncarnation(uint64_t above);
+  void CommitSelf();
+  void SendMatching(PeerLink* link, const HashFilter& filter);
+  void SendPart(PeerLink* link, RecordsMessage* part);
+  RecordUpdate ToUpdate(const RegistryEntry& entry) const;
+  SuccessionUpdate ToUpdate(const Succession& succession) const;
+
+  NodeRecord self_;
+  Registry* const registry_;
+  LinkTable* const links_;
+  const Clock* const clock_;
+  Logger* const logger_;
+  const std::function<void()> on_change_;
+  FailureDetector detector_;
+  // Homes whose records this node took over.
+  std::set<std::pair<NodeId, uint64_t>> inherited_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_REGISTRY_SYNC_H_
--- /dev/null
+++ b/src/distribution/route_builder.cc
@@ -0,0 +1,99 @@
+#include "distribution/route_builder.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dragonflytack/routing/route_snapshot.h"
+#include "dragonflytack/table/table.h"
+#include "registry/registry.h"
+
+namespace dragonflytack {
+
+namespace {
+
+void FillNodes(const Registry& registry, RouteSnapshot* snapshot) {
+  auto nodes = std::make_shared<std::unordered_map<NodeId, NodeLocation>>();
+  nodes->reserve(registry.entries().size());
+  for (const auto& [id, entry] : registry.entries()) {
+    if (entry->state != TargetState::kLeft) {
+      nodes->emplace(entry->id,
+                     NodeLocation{entry->id, entry->incarnation, entry->address,
+                                  entry->mesh_port, entry->liveness});
+    }
+  }
+  auto successors =
+      std::make_shared<std::map<std::pair<NodeId, uint64_t>, NodeId>>();
+  for (const auto& [home, succession] : registry.successions()) {
+    successors->emplace(home, succession.successor);
+  }
+  snapshot->nodes = std::move(nodes);
+  snapshot->successors = std::move(successors);
+}
+
+}  // namespace
+
+std::shared_ptr<const RouteSnapshot> RouteBuilder::Build(
+    const std::shared_ptr<const Table>& table) {
+  const std::set<std::string> changed = registry_->TakeChangedServices();
+  const bool locations_changed =
+      registry_->TakeLocationsChanged() || previous_ == nullptr;
+  auto snapshot = std::make_shared<RouteSnapshot>();
+  snapshot->version = table->version();
+  bool differs = locations_changed || table != table_;
+
+  std::map<std::string_view, ServiceRoute*> rebuilt;
+  for (const auto& [service, row] : table->rows()) {
+    const ServiceRoute* old_route =
+        previous_ == nullptr ? nullptr : previous_->Find(service);
+    const bool same_endpoints =
+        old_route != nullptr && !changed.contains(service);
+    if (same_endpoints && old_route->row == row) {
+      snapshot->services[service] = previous_->services.at(service);
+      continue;
+    }
+    auto route = std::make_shared<ServiceRoute>();
+    route->row = row;
+    if (same_endpoints) {
+      route->endpoints = old_route->endpoints;
+    } else {
+      rebuilt.emplace(row.service, route.get());
+    }
+    snapshot->services[service] = std::move(route);
+    differs = true;
+  }
+  if (!rebuilt.empty()) {
+    // One pass over all records, in the order of ids, costs less memory than
+    // an index by service. Texts are interned, so equal services have one
+    // address.
+    std::map<const std::string*, ServiceRoute*> by_address;
+    for (const auto& [id, entry] : registry_->entries()) {
+      const auto [place, is_new] =
+          by_address.try_emplace(entry->service, nullptr);
+      if (is_new) {
+        const auto found = rebuilt.find(*entry->service);
+        place->second = found == rebuilt.end() ? nullptr : found->second;
+      }
+      if (place->second != nullptr) {
+        place->second->endpoints.push_back(
+            Endpoint{entry->ToRecord(), entry->liveness});
+      }
+    }
+  }
+  if (locations_changed) {
+    FillNodes(*registry_, snapshot.get());
+  } else {
+    snapshot->nodes = previous_->nodes;
+    snapshot->successors = previous_->successors;
+  }
+  if (!differs) {
+    return previous_;
+  }
+  table_ = table;
+  previous_ = std::move(snapshot);
+  return previous_;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/route_builder.h
@@ -0,0 +1,31 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_ROUTE_BUILDER_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_ROUTE_BUILDER_H_
+
+#include <memory>
+
+namespace dragonflytack {
+
+class Registry;
+class Table;
+struct RouteSnapshot;
+
+// Makes route snapshots from the table in force and the registry. Services, and
+// the map of nodes, that did not change are shared with the previous snapshot.
+class RouteBuilder final {
+ public:
+  explicit RouteBuilder(Registry* registry) : registry_(registry) {}
+
+  // Returns the previous snapshot when nothing changed. Clears the registry's
+  // reports of changes.
+  std::shared_ptr<const RouteSnapshot> Build(
+      const std::shared_ptr<const Table>& table);
+
+ private:
+  Registry* const registry_;
+  std::shared_ptr<const Table> table_;
+  std::shared_ptr<const RouteSnapshot> previous_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_ROUTE_BUILDER_H_
--- /dev/null
+++ b/src/distribution/seed_keeper.cc
@@ -0,0 +1,102 @@
+#include "distribution/seed_keeper.h"
+
+#include <optional>
+#include <utility>
+
+#include "distribution/store_caller.h"
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/base/random.h"
+
+namespace dragonflytack {
+
+namespace {
+constexpr char kSeedsKey[] = "seeds";
+}  // namespace
+
+SeedKeeper::SeedKeeper(std::string data_centre,
+                       StoreCaller* store,
+                       const Clock* clock,
+                       Random* random,
+                       Logger* logger,
+                       ListFunction list,
+                       ReadCallback on_read)
+    : data_centre_(std::move(data_centre)),
+      store_(store),
+      clock_(clock),
+      random_(random),
+      logger_(logger),
+      list_(std::move(list)),
+      on_read_(std::move(on_read)) {}
+
+void SeedKeeper::Tick(bool alone, bool speaker) {
+  const TimePoint now = clock_->Now();
+  if (speaker && !speaker_) {
+    // A new speaker lists itself soon, at a time of its own.
+    next_read_ =
+        std::min(next_read_, now) + Milliseconds(random_->Below(1'000));
+  }
+  if (!alone) {
+    alone_backoff_.Reset();
+  }
+  alone_ = alone;
+  speaker_ = speaker;
+  if ((alone || speaker) && now >= next_read_ && !reading_) {
+    Read();
+  }
+}
+
+void SeedKeeper::Read() {
+  const TimePoint now = clock_->Now();
+  next_read_ = now + (alone_ ? alone_backoff_.Next(random_)
+                             : kInterval * 9 / 10 +
+                                   Milliseconds(random_->Below(12'000)));
+  reading_ = store_->Get(
+      kSeedsKey, [this](std::optional<StoreObject> object, const Failure&) {
+        reading_ = false;
+        if (object.has_value()) {
+          answered_ = true;
+          OnRead(*object);
+        }
+      });
+}
+
+void SeedKeeper::OnRead(const StoreObject& object) {
+  SeedList seeds;
+  if (object.version != 0) {
+    Failure reason;
+    std::optional<SeedList> parsed = SeedList::Parse(object.value, &reason);
+    if (!parsed.has_value()) {
+      logger_->Warning("seeds_refused", {{"reason", reason.ToString()}});
+    } else {
+      seeds = std::move(*parsed);
+    }
+  }
+  on_read_(seeds);
+  const TimePoint now = clock_->Now();
+  if (!speaker_ || now < next_write_) {
+    return;
+  }
+  SeedList::DataCentre& listed = seeds.data_centres[data_centre_];
+  SeedList::DataCentre wanted = list_(listed);
+  if (listed == wanted) {
+    return;
+  }
+  listed = std::move(wanted);
+  const bool made = store_->Put(
+      kSeedsKey, seeds.ToJson(), object.version,
+      [this](std::optional<StoreVersion> version, const Failure& reason) {
+        if (!version.has_value() && reason.code == FailureCode::kConflict) {
+          // Nothing was written, so the interval between writes has not begun.
+          const TimePoint again =
+              clock_->Now() + kConflictDelay / 2 +
+              Milliseconds(random_->Below(kConflictDelay.count()));
+          next_read_ = again;
+          next_write_ = again;
+        }
+      });
+  if (made) {
+    next_write_ = now + kInterval;
+  }
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/snapshot_server.cc
@@ -0,0 +1,80 @@
+#include "distribution/snapshot_server.h"
+
+#include <array>
+#include <utility>
+
+#include "distribution/link_table.h"
+#include "distribution/registry_sync.h"
+#include "distribution/table_sync.h"
+#include "dragonflytack/base/random.h"
+
+namespace dragonflytack {
+
+SnapshotServer::SnapshotServer(Registry* registry,
+                               RegistrySync* records,
+                               TableSync* table,
+                               LinkTable* links,
+                               const Clock* clock,
+                               Random* random)
+    : registry_(registry),
+      records_(records),
+      table_(table),
+      links_(links),
+      clock_(clock),
+      random_(random) {}
+
+void SnapshotServer::OnRequest(PeerLink* link) {
+  const bool busy = served_.size() >= kMaxServed && !served_.contains(link->id);
+  if (busy || table_->in_force() == nullptr) {
+    BusyMessage message;
+    message.retry_ms =
+        kRetryMs + static_cast<uint32_t>(random_->Below(kRetryMs));
+    if (busy) {
+      message.alternatives = AlternativesFor(link->peer);
+    }
+    links_->Send(link, message);
+    return;
+  }
+  served_[link->id] = clock_->Now();
+  table_->SendWhole(link);
+  records_->SendAll(link);
+  links_->Send(link, SnapshotEndMessage{});
+}
+
+void SnapshotServer::Tick() {
+  std::erase_if(served_, [now = clock_->Now()](const auto& item) {
+    return now - item.second > kServeTimeout;
+  });
+}
+
+std::vector<HostPort> SnapshotServer::AlternativesFor(const NodeId& newcomer) {
+  const RegistryEntry* asker = registry_->Find(newcomer);
+  const NodeId& self = records_->self().id;
+  std::array<std::vector<const RegistryEntry*>, 3> by_distance;
+  for (const auto& [id, entry] : registry_->entries()) {
+    if (!entry->IsLive() || entry->id == newcomer || entry->id == self) {
+      continue;
+    }
+    const size_t distance = asker == nullptr                           ? 2
+                            : entry->data_centre == asker->data_centre ? 0
+                            : entry->region == asker->region           ? 1
+                                                                       : 2;
+    by_distance[distance].push_back(entry.get());
+  }
+  std::vector<HostPort> alternatives;
+  for (std::vector<const RegistryEntry*>& nodes : by_distance) {
+    while (!nodes.empty() && alternatives.size() < kMaxAlternatives) {
+      std::swap(nodes[random_->Below(nodes.size())], nodes.back());
+      alternatives.push_back(
+          HostPort{nodes.back()->address, nodes.back()->peer_port});
+      nodes.pop_back();
+    }
+    // Nodes of other regions are named only when there is none nearer.
+    if (&nodes == &by_distance[1] && !alternatives.empty()) {
+      break;
+    }
+  }
+  return alternatives;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/snapshot_server.h
@@ -0,0 +1,57 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_SNAPSHOT_SERVER_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_SNAPSHOT_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "distribution/peer_link.h"
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/base/host_port.h"
+
+namespace dragonflytack {
+
+class LinkTable;
+class Random;
+class Registry;
+class RegistrySync;
+class TableSync;
+
+// Sends the table and the registry to newcomers, to few at a time.
+class SnapshotServer final {
+ public:
+  static constexpr size_t kMaxServed = 2;
+  // A newcomer that does not confirm within this time frees its place.
+  static constexpr Milliseconds kServeTimeout{10'000};
+  static constexpr uint32_t kRetryMs = 500;
+  static constexpr size_t kMaxAlternatives = 4;
+
+  SnapshotServer(Registry* registry,
+                 RegistrySync* records,
+                 TableSync* table,
+                 LinkTable* links,
+                 const Clock* clock,
+                 Random* random);
+
+  void OnRequest(PeerLink* link);
+  // The newcomer has the snapshot, or its link is gone.
+  void Release(LinkId link) { served_.erase(link); }
+  void Tick();
+  size_t served() const { return served_.size(); }
+
+ private:
+  std::vector<HostPort> AlternativesFor(const NodeId& newcomer);
+
+  Registry* const registry_;
+  RegistrySync* const records_;
+  TableSync* const table_;
+  LinkTable* const links_;
+  const Clock* const clock_;
+  Random* const random_;
+  std::map<LinkId, TimePoint> served_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_SNAPSHOT_SERVER_H_
--- /dev/null
+++ b/src/distribution/store_caller.h
@@ -0,0 +1,53 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_STORE_CALLER_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_STORE_CALLER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "distribution/call_budget.h"
+#include "dragonflytack/store/store_client.h"
+
+namespace dragonflytack {
+
+class Clock;
+
+// Makes the calls of the distribution core to the store, within the budget.
+// Answers that come after its destruction are dropped.
+class StoreCaller final {
+ public:
+  StoreCaller(StoreClient* client, const Clock* clock);
+  StoreCaller(const StoreCaller&) = delete;
+  StoreCaller& operator=(const StoreCaller&) = delete;
+
+  // Each returns whether the call was made; the callback does not follow when
+  // the budget is spent.
+  bool Get(const std::string& key, StoreClient::ObjectCallback callback);
+  bool Put(const std::string& key,
+           const std::string& value,
+           StoreVersion if_version,
+           StoreClient::VersionCallback callback);
+  bool Watch(const std::string& key,
+             StoreVersion after,
+             Milliseconds timeout,
+             StoreClient::VersionCallback callback);
+
+  uint64_t calls() const { return calls_; }
+  // Wall time in milliseconds, 0 for never.
+  int64_t last_contact_ms() const { return last_contact_ms_; }
+
+ private:
+  bool TakeCall();
+  void NoteAnswer(const Failure& reason);
+
+  StoreClient* const client_;
+  const Clock* const clock_;
+  CallBudget budget_;
+  uint64_t calls_ = 0;
+  int64_t last_contact_ms_ = 0;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_STORE_CALLER_H_
--- /dev/null
+++ b/src/distribution/table_history.cc
@@ -0,0 +1,50 @@
+#include "distribution/table_history.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "dragonflytack/table/table.h"
+
+namespace dragonflytack {
+
+void TableHistory::Append(std::shared_ptr<const Table> table) {
+  if (newest_ != nullptr) {
+    steps_.push_back(TableDelta::Between(*newest_, *table));
+    if (steps_.size() > kMaxVersions) {
+      steps_.pop_front();
+    }
+  }
+  newest_ = std::move(table);
+}
+
+std::optional<TableDelta> TableHistory::DeltaFrom(TableVersion version) const {
+  const auto first = std::find_if(
+      steps_.begin(), steps_.end(),
+      [&](const TableDelta& step) { return step.from == version; });
+  if (first == steps_.end()) {
+    return std::nullopt;
+  }
+  TableDelta whole;
+  whole.from = version;
+  whole.to = newest_->version();
+  whole.digest = newest_->digest();
+  std::map<std::string, const ServiceRow*> changed;
+  for (auto step = first; step != steps_.end(); ++step) {
+    for (const ServiceRow& row : step->changed) {
+      changed[row.service] = &row;
+    }
+    for (const std::string& service : step->removed) {
+      changed.erase(service);
+      whole.removed.insert(service);
+    }
+  }
+  for (const auto& [service, row] : changed) {
+    whole.removed.erase(service);
+    whole.changed.push_back(*row);
+  }
+  return whole;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/distribution/table_sync.h
@@ -0,0 +1,114 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_TABLE_SYNC_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_TABLE_SYNC_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "distribution/messages.h"
+#include "distribution/table_history.h"
+#include "distribution/version_floor.h"
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/store/store_object.h"
+
+namespace dragonflytack {
+
+class LinkTable;
+class Logger;
+struct PeerLink;
+
+// Decides which version of the table this node holds, which is in force, and
+// sends versions to peers that lack them. Versions only rise.
+class TableSync final {
+ public:
+  using InForceCallback = std::function<void()>;
+
+  static constexpr size_t kConvergenceVersions = 64;
+  // An offer or request that was not answered is repeated after this time.
+  static constexpr Milliseconds kRepeat{1'000};
+  // Peers that must hold a version read from the store before it is in force.
+  static constexpr size_t kHolders = 2;
+
+  // The pointers must outlive it. `baseline` means that every node reads the
+  // store itself and peers exchange no tables.
+  TableSync(LinkTable* links,
+            const Clock* clock,
+            Logger* logger,
+            bool baseline);
+  TableSync(const TableSync&) = delete;
+  TableSync& operator=(const TableSync&) = delete;
+
+  void set_on_in_force(InForceCallback on_in_force) {
+    on_in_force_ = std::move(on_in_force);
+  }
+
+  // Takes the store's object "table", parsed and judged here.
+  void OnStoreObject(const StoreObject& object);
+  // Takes note that the store has no table object, for a node without a table.
+  void OnNoTable();
+
+  void OnDelta(PeerLink* link, const DeltaMessage& message);
+  void OnTable(PeerLink* link, const TableMessage& message);
+  void OnRequest(PeerLink* link, const TableRequestMessage& message);
+  // Takes note of a version that the peer holds; pushes to it or requests from
+  // it.
+  void OnPeerVersion(PeerLink* link, TableVersion version);
+
+  // Sends the whole table, for a snapshot.
+  void SendWhole(PeerLink* link);
+
+  // Puts the newest version in force when its conditions have come to hold.
+  // `floor_known` says whether the floor's value counts.
+  void Evaluate(bool floor_known);
+
+  VersionFloor& floor() { return floor_; }
+  const VersionFloor& floor() const { return floor_; }
+  const std::shared_ptr<const Table>& in_force() const { return in_force_; }
+  // The newest version, in force or not; null before the first.
+  const std::shared_ptr<const Table>& newest() const { return newest_; }
+  // Version of newest(), 0 without one.
+  TableVersion held() const;
+  TableVersion refused() const { return refused_; }
+  const Failure& refusal() const { return refusal_; }
+  const std::deque<std::pair<TableVersion, int64_t>>& in_force_since() const {
+    return in_force_since_;
+  }
+
+ private:
+  void Adopt(std::shared_ptr<const Table> table,
+             bool from_store,
+             PeerLink* source);
+  void Refuse(TableVersion version, const Failure& reason, const NodeId& from);
+  bool EnoughHolders() const;
+  void Push(PeerLink* link);
+  void Request(PeerLink* link, bool whole);
+  std::string DeltaFrame(TableVersion from, size_t* kind);
+
+  LinkTable* const links_;
+  const Clock* const clock_;
+  Logger* const logger_;
+  const bool baseline_;
+  InForceCallback on_in_force_;
+  VersionFloor floor_;
+  bool floor_known_ = false;
+  std::shared_ptr<const Table> in_force_;
+  std::shared_ptr<const Table> newest_;
+  // newest_ was read from the store and no peer has sent it yet.
+  bool needs_holders_ = false;
+  TableHistory history_;
+  TableVersion refused_ = 0;
+  Failure refusal_;
+  std::deque<std::pair<TableVersion, int64_t>> in_force_since_;
+  // The last encoded delta, which mostly goes to many links.
+  std::pair<TableVersion, TableVersion> frame_range_;
+  std::string frame_;
+  size_t frame_kind_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_TABLE_SYNC_H_
--- /dev/null
+++ b/src/registry/registry_entry.h
@@ -0,0 +1,48 @@
+#ifndef DRAGONFLYTACK_SRC_REGISTRY_REGISTRY_ENTRY_H_
+#define DRAGONFLYTACK_SRC_REGISTRY_REGISTRY_ENTRY_H_
+
+#include <cstdint>
+#include <string>
+
+#include "dragonflytack/registry/liveness.h"
+#include "dragonflytack/registry/node_record.h"
+
+namespace dragonflytack {
+
+// A NodeRecord as the registry keeps it: repeated texts point into its
+// StringPool.
+struct RegistryEntry final {
+  NodeId id;
+  std::string address;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  const std::string* region = nullptr;
+  const std::string* data_centre = nullptr;
+  const std::string* service = nullptr;
+  const std::string* successor = nullptr;
+  int64_t warming_since_ms = 0;
+  // Wall time in milliseconds at which the node left or was declared dead; 0
+  // while it lives.
+  int64_t ended_ms = 0;
+  // Hash over id, age and death, as the digests sum it up.
+  uint64_t hash = 0;
+  int slots = 0;
+  uint16_t peer_port = 0;
+  uint16_t mesh_port = 0;
+  uint16_t admin_port = 0;
+  uint8_t bucket = 0;
+  TargetState state = TargetState::kStarting;
+  Liveness liveness = Liveness::kAlive;
+
+  bool IsLive() const {
+    return liveness != Liveness::kDead && state != TargetState::kLeft;
+  }
+  bool HasAge(uint64_t other_incarnation, uint64_t other_sequence) const {
+    return incarnation == other_incarnation && sequence == other_sequence;
+  }
+  NodeRecord ToRecord() const;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_REGISTRY_REGISTRY_ENTRY_H_
--- /dev/null
+++ b/tests/distribution_join_test.cc
@@ -0,0 +1,42 @@
+#include <criterion/criterion.h>
+
+#include "core_fleet.h"
+
+namespace dragonflytack {
+
+// Guards against a first node that waits for peers that do not exist.
+Test(distribution_join, single_node_comes_into_force) {
+  for (const bool has_table : {false, true}) {
+    CoreFleet fleet;
+    const TableVersion version = has_table ? fleet.WriteTable({"roster"}) : 0;
+    CoreFleet::Node& node = fleet.Start("a", "north1");
+    node.core->SetTarget("roster", TargetState::kReady, 3);
+    cr_assert(fleet.RunUntil(Milliseconds(3'000),
+                             [&] { return node.routes != nullptr; }));
+    cr_assert_eq(node.routes->version, version);
+    cr_assert_eq(node.routes->services.size(), has_table ? 1 : 0);
+    if (has_table) {
+      const auto& endpoints = node.routes->Find("roster")->endpoints;
+      cr_assert_eq(endpoints.size(), 1);
+      cr_assert_eq(endpoints[0].record.slots, 3);
+    }
+  }
+}
+
+// Guards against first nodes that never meet: nobody is configured as a seed,
+// so the object "seeds" is the only way.
+Test(distribution_join, empty_fleet_meets_through_seeds) {
+  for (const uint64_t seed : {1, 2, 3, 4, 5}) {
+    CoreFleet fleet(seed);
+    fleet.StartMany({"north1", "north2", "south1"}, 3);
+    cr_assert(
+        fleet.RunUntil(Milliseconds(30'000), [&] { return fleet.AllKnow(9); }),
+        "seed %lu", seed);
+    const TableVersion version = fleet.WriteTable({"roster"});
+    cr_assert(fleet.RunUntil(Milliseconds(3'000),
+                             [&] { return fleet.AllAt(version); }),
+              "seed %lu", seed);
+  }
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/tests/fake_store.h
@@ -0,0 +1,161 @@
+#ifndef DRAGONFLYTACK_TESTS_FAKE_STORE_H_
+#define DRAGONFLYTACK_TESTS_FAKE_STORE_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dragonflytack/base/manual_clock.h"
+#include "dragonflytack/store/store_client.h"
+
+namespace dragonflytack {
+
+// An object store in memory for tests, with faults. Answers are given by
+// Deliver(), in the order in which they fall due.
+class FakeStore final {
+ public:
+  enum class Mode { kUp, kUnreachable, kAnswersLost };
+
+  explicit FakeStore(ManualClock* clock) : clock_(clock) {}
+
+  Mode mode = Mode::kUp;
+  Milliseconds delay{2};
+  // Calls that reached the store or failed to, by operation.
+  std::map<std::string, int> calls;
+
+  // Writes past all conditions and returns the version.
+  StoreVersion Write(const std::string& key, const std::string& value) {
+    objects_[key] = StoreObject{key, value, ++revision_};
+    return revision_;
+  }
+  StoreObject Read(const std::string& key) const {
+    const auto found = objects_.find(key);
+    return found == objects_.end() ? StoreObject{key, "", 0} : found->second;
+  }
+
+  // Returns a client that shares this store; `owner` must outlive its answers.
+  std::unique_ptr<StoreClient> MakeClient() {
+    return std::make_unique<Client>(this);
+  }
+
+  void Deliver() {
+    for (auto watch = watches_.begin(); watch != watches_.end();) {
+      const StoreVersion version = Read(watch->key).version;
+      const bool expired = clock_->Now() >= watch->deadline;
+      if (mode != Mode::kUp) {
+        Answer(
+            [callback = watch->callback] { callback(std::nullopt, Lost()); });
+      } else if (version > watch->after || expired) {
+        Answer([callback = watch->callback,
+                version = std::max(version, watch->after)] {
+          callback(version, Failure{});
+        });
+      } else {
+        ++watch;
+        continue;
+      }
+      watch = watches_.erase(watch);
+    }
+    while (!answers_.empty() && answers_.begin()->first <= clock_->Now()) {
+      const auto answer = std::move(answers_.begin()->second);
+      answers_.erase(answers_.begin());
+      answer();
+    }
+  }
+
+ private:
+  struct Watch {
+    std::string key;
+    StoreVersion after;
+    TimePoint deadline;
+    StoreClient::VersionCallback callback;
+  };
+
+  class Client final : public StoreClient {
+   public:
+    explicit Client(FakeStore* store) : store_(store) {}
+
+    void Get(const std::string& key, ObjectCallback callback) override {
+      ++store_->calls["get " + key];
+      if (store_->mode != Mode::kUp) {
+        store_->Answer(
+            [this, callback] { callback(std::nullopt, store_->Fault()); });
+        return;
+      }
+      store_->Answer([callback, object = store_->Read(key)] {
+        callback(object, Failure{});
+      });
+    }
+    void Put(const std::string& key,
+             const std::string& value,
+             StoreVersion if_version,
+             VersionCallback callback) override {
+      ++store_->calls["put " + key];
+      if (store_->mode == Mode::kUnreachable) {
+        store_->Answer([callback] { callback(std::nullopt, Unreachable()); });
+        return;
+      }
+      if (store_->Read(key).version != if_version) {
+        store_->Answer([callback] {
+          callback(std::nullopt, {FailureCode::kConflict, "key", "changed"});
+        });
+        return;
+      }
+      const StoreVersion version = store_->Write(key, value);
+      if (store_->mode == Mode::kAnswersLost) {
+        store_->Answer([callback] { callback(std::nullopt, Lost()); });
+      } else {
+        store_->Answer([callback, version] { callback(version, Failure{}); });
+      }
+    }
+    void Delete(const std::string&, StoreVersion, VersionCallback) override {}
+    void Watch(const std::string& key,
+               StoreVersion after,
+               Milliseconds timeout,
+               VersionCallback callback) override {
+      ++store_->calls["watch " + key];
+      if (store_->mode != Mode::kUp) {
+        store_->Answer(
+            [this, callback] { callback(std::nullopt, store_->Fault()); });
+        return;
+      }
+      store_->watches_.push_back(FakeStore::Watch{
+          key, after, store_->clock_->Now() + timeout, callback});
+    }
+    void List(const std::string&,
+              const std::string&,
+              int,
+              ListCallback) override {}
+
+   private:
+    FakeStore* const store_;
+  };
+
+  static Failure Unreachable() {
+    return {FailureCode::kStoreUnreachable, "store", "outage"};
+  }
+  static Failure Lost() {
+    return {FailureCode::kStoreTimeout, "store", "no answer"};
+  }
+  Failure Fault() const {
+    return mode == Mode::kUnreachable ? Unreachable() : Lost();
+  }
+  void Answer(std::function<void()> answer) {
+    answers_.emplace(clock_->Now() + delay, std::move(answer));
+  }
+
+  ManualClock* const clock_;
+  StoreVersion revision_ = 0;
+  std::map<std::string, StoreObject> objects_;
+  std::list<Watch> watches_;
+  std::multimap<TimePoint, std::function<void()>> answers_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_TESTS_FAKE_STORE_H_
