--- /dev/null
+++ b/src/calls/call_entry.cc
@@ -0,0 +1,174 @@
+#include "calls/call_entry.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <event2/http.h>
+
+#include "calls/call_metrics.h"
+#include "calls/call_span.h"
+#include "calls/deferred_deleter.h"
+#include "calls/http_headers.h"
+#include "calls/inbound_call.h"
+#include "calls/routed_call.h"
+#include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/observe/tracer.h"
+#include "routing/router.h"
+
+namespace dragonflytack {
+
+namespace {
+
+struct CallPath {
+  std::string service;
+  std::string uri;
+};
+
+// Reads "/<service>/<path>", or the whole path as the target's when the header
+// x-service names the service. Returns an empty service when there is none.
+CallPath ReadPath(std::string_view uri, std::string_view service_header) {
+  if (!uri.starts_with('/')) {
+    return {};
+  }
+  if (!service_header.empty()) {
+    return {std::string(service_header), std::string(uri)};
+  }
+  const size_t end = std::min(uri.find_first_of("/?", 1), uri.size());
+  std::string rest(uri.substr(end));
+  if (!rest.starts_with('/')) {
+    rest.insert(0, 1, '/');
+  }
+  return {std::string(uri.substr(1, end - 1)), std::move(rest)};
+}
+
+}  // namespace
+
+class CallEntry::Call final {
+ public:
+  Call(CallEntry* entry, evhttp_request* request)
+      : inbound(request, [this, entry] { entry->OnHangUp(this); }) {}
+
+  InboundCall inbound;
+  std::unique_ptr<CallSpan> span;
+  // Destroyed before the request that it reads.
+  std::unique_ptr<RoutedCall> routed;
+};
+
+CallEntry::CallEntry(const CallContext* context,
+                     std::function<void()> on_call_ended)
+    : context_(context), on_call_ended_(std::move(on_call_ended)) {}
+
+CallEntry::~CallEntry() {
+  for (auto& [pointer, call] : calls_) {
+    const bool dispatched =
+        call->routed != nullptr && call->routed->maybe_dispatched();
+    call->routed.reset();
+    if (dispatched) {
+      call->inbound.Reply(
+          CallResult::Unknown(CallReason::kStopping, "the node stops"));
+    }
+  }
+}
+
+void CallEntry::OnRequest(evhttp_request* request) {
+  auto owned = std::make_unique<Call>(this, request);
+  Call* call = owned.get();
+  calls_.emplace(call, std::move(owned));
+  CallResult refusal = Prepare(request, call);
+  if (refusal.reason != CallReason::kNone) {
+    context_->metrics->CountRefused("entry", refusal.reason);
+    call->inbound.Reply(refusal);
+    Remove(call);
+    return;
+  }
+  call->routed->Start();
+}
+
+CallResult CallEntry::Prepare(evhttp_request* request, Call* call) {
+  const evkeyvalq* headers = call->inbound.headers();
+  if (refusing_) {
+    return CallResult::Refused(CallReason::kStopping, "the node stops");
+  }
+  CallPath path = ReadPath(evhttp_request_get_uri(request),
+                           FindHeader(headers, kServiceHeader));
+  if (path.service.empty()) {
+    return CallResult::Refused(CallReason::kBadRequest,
+                               "the path does not name a service");
+  }
+  if (context_->router->routes() == nullptr) {
+    return CallResult::Refused(CallReason::kNoTarget,
+                               "no table is in force yet");
+  }
+  std::shared_ptr<ServicePool> pool = context_->router->Find(path.service);
+  if (pool == nullptr) {
+    return CallResult::Refused(CallReason::kNoService,
+                               "the table has no such service");
+  }
+  Milliseconds time(pool->route()->row.deadline_ms);
+  if (!FindHeader(headers, kDeadlineHeader).empty()) {
+    const std::optional<int64_t> given = FindNumber(headers, kDeadlineHeader);
+    if (!given) {
+      return CallResult::Refused(CallReason::kBadRequest,
+                                 "x-deadline-ms is not a whole number");
+    }
+    time = Milliseconds(std::min<int64_t>(*given, kMaxDeadline.count()));
+  }
+  CallRequest routed;
+  routed.route = pool->route();
+  routed.pool = std::move(pool);
+  routed.http = request;
+  routed.uri = std::move(path.uri);
+  routed.start = context_->loop->clock().Now();
+  routed.deadline = routed.start + time;
+  const TraceContext trace =
+      context_->tracer->Accept(FindHeader(headers, kTraceHeader));
+  call->span =
+      std::make_unique<CallSpan>(context_, trace, "entry", path.service);
+  routed.trace = call->span->context();
+  call->routed = std::make_unique<RoutedCall>(
+      context_, std::move(routed),
+      [this, call](CallResult result) { OnResult(call, std::move(result)); });
+  CallResult accepted;
+  accepted.reason = CallReason::kNone;
+  return accepted;
+}
+
+void CallEntry::OnResult(Call* call, CallResult result) {
+  const CallRequest& request = call->routed->request();
+  CallMetrics::Service& metrics =
+      context_->metrics->ForService(request.route->row.service);
+  const auto whole = context_->loop->clock().Now() - request.start;
+  metrics.by_outcome[static_cast<size_t>(result.outcome)]->Add();
+  metrics.whole->Record(whole);
+  if (result.outcome == CallOutcome::kDone) {
+    metrics.added->Record(std::max<std::chrono::nanoseconds>(
+        whole - call->routed->target_time(), std::chrono::nanoseconds(0)));
+    call->span->End(CallOutcomeName(result.outcome));
+  } else {
+    context_->metrics->CountRefused("entry", result.reason);
+    call->span->End(CallReasonName(result.reason));
+  }
+  call->inbound.Reply(result);
+  Remove(call);
+}
+
+void CallEntry::OnHangUp(Call* call) {
+  context_->metrics->CountRefused("entry", CallReason::kCallerGone);
+  if (call->span != nullptr) {
+    call->span->End(CallReasonName(CallReason::kCallerGone));
+  }
+  // Cancels downstream at once, although the rest is deleted later.
+  call->routed.reset();
+  Remove(call);
+}
+
+void CallEntry::Remove(Call* call) {
+  const auto found = calls_.find(call);
+  context_->deleter->Add(std::shared_ptr<void>(std::move(found->second)));
+  calls_.erase(found);
+  on_call_ended_();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/call_entry.h
@@ -0,0 +1,56 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_CALL_ENTRY_H_
+#define DRAGONFLYTACK_SRC_CALLS_CALL_ENTRY_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "calls/call_context.h"
+#include "calls/call_result.h"
+#include "dragonflytack/base/clock.h"
+
+struct evhttp_request;
+
+namespace dragonflytack {
+
+// Takes calls from callers and from the local target, routes them and answers.
+class CallEntry final {
+ public:
+  // A caller's longer deadline is cut to this.
+  static constexpr Milliseconds kMaxDeadline{60'000};
+
+  // `context` must outlive the entry. `on_call_ended` is called after each
+  // call.
+  CallEntry(const CallContext* context, std::function<void()> on_call_ended);
+  // Refuses or gives up the calls in progress.
+  ~CallEntry();
+  CallEntry(const CallEntry&) = delete;
+  CallEntry& operator=(const CallEntry&) = delete;
+
+  // Handles a request of the call port.
+  void OnRequest(evhttp_request* request);
+
+  // From now on new calls are refused.
+  void RefuseNewCalls() { refusing_ = true; }
+
+  size_t calls_in_progress() const { return calls_.size(); }
+
+ private:
+  class Call;
+
+  // Returns the refusal of a call that cannot be routed, kNone otherwise.
+  CallResult Prepare(evhttp_request* request, Call* call);
+  void OnResult(Call* call, CallResult result);
+  void OnHangUp(Call* call);
+  void Remove(Call* call);
+
+  const CallContext* const context_;
+  const std::function<void()> on_call_ended_;
+  bool refusing_ = false;
+  std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_CALL_ENTRY_H_
--- /dev/null
+++ b/src/calls/call_metrics.cc
@@ -0,0 +1,50 @@
+#include "calls/call_metrics.h"
+
+#include "dragonflytack/observe/metrics_registry.h"
+
+namespace dragonflytack {
+
+CallMetrics::CallMetrics(MetricsRegistry* registry)
+    : registry_(registry),
+      queue_length_(
+          registry->GetGauge("dragonflytack_queue_length",
+                             "Calls that wait for a slot of the local target")),
+      slots_in_use_(registry->GetGauge("dragonflytack_slots_in_use",
+                                       "Calls that the local target runs")) {}
+
+CallMetrics::Service& CallMetrics::ForService(const std::string& service) {
+  const auto [found, added] = services_.try_emplace(service);
+  Service& metrics = found->second;
+  if (added) {
+    for (const CallOutcome outcome :
+         {CallOutcome::kDone, CallOutcome::kNotRun, CallOutcome::kUnknown}) {
+      metrics.by_outcome[static_cast<size_t>(outcome)] = registry_->GetCounter(
+          "dragonflytack_calls_total", "Calls of this node's callers",
+          {{"service", service},
+           {"outcome", std::string(CallOutcomeName(outcome))}});
+    }
+    const MetricsRegistry::Labels labels = {{"service", service}};
+    metrics.whole = registry_->GetHistogram(
+        "dragonflytack_call_seconds", "Time from a call to its answer", labels);
+    metrics.added = registry_->GetHistogram(
+        "dragonflytack_call_added_seconds",
+        "Time of a done call less the time at the target", labels);
+    metrics.retries = registry_->GetCounter("dragonflytack_retries_total",
+                                            "Attempts after the first", labels);
+    metrics.ejections =
+        registry_->GetCounter("dragonflytack_ejections_total",
+                              "Endpoints left out after failures", labels);
+  }
+  return metrics;
+}
+
+void CallMetrics::CountRefused(const char* side, CallReason reason) {
+  registry_
+      ->GetCounter(
+          "dragonflytack_refused_total",
+          "Calls refused or of unknown end, by reason",
+          {{"side", side}, {"reason", std::string(CallReasonName(reason))}})
+      ->Add();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/call_metrics.h
@@ -0,0 +1,52 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_CALL_METRICS_H_
+#define DRAGONFLYTACK_SRC_CALLS_CALL_METRICS_H_
+
+#include <array>
+#include <string>
+#include <unordered_map>
+
+#include "calls/call_result.h"
+#include "dragonflytack/observe/counter.h"
+#include "dragonflytack/observe/gauge.h"
+#include "dragonflytack/observe/latency_histogram.h"
+
+namespace dragonflytack {
+
+class MetricsRegistry;
+
+// The metrics of calls, looked up once so that a call only adds to them. Names
+// of services that the table does not have are never used as labels, because
+// callers choose them.
+class CallMetrics final {
+ public:
+  // What the entry node counts for one service.
+  struct Service {
+    std::array<Counter*, 3> by_outcome;
+    LatencyHistogram* whole;
+    LatencyHistogram* added;
+    Counter* retries;
+    Counter* ejections;
+  };
+
+  // `registry` must outlive the object.
+  explicit CallMetrics(MetricsRegistry* registry);
+
+  Service& ForService(const std::string& service);
+
+  // Counts a refused or uncertain call by its reason; `side` is "entry" or
+  // "target".
+  void CountRefused(const char* side, CallReason reason);
+
+  Gauge* queue_length() { return queue_length_; }
+  Gauge* slots_in_use() { return slots_in_use_; }
+
+ private:
+  MetricsRegistry* const registry_;
+  std::unordered_map<std::string, Service> services_;
+  Gauge* const queue_length_;
+  Gauge* const slots_in_use_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_CALL_METRICS_H_
--- /dev/null
+++ b/src/calls/call_result.cc
@@ -0,0 +1,93 @@
+#include "calls/call_result.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <event2/http.h>
+
+#include "calls/deferred_deleter.h"
+
+namespace dragonflytack {
+
+namespace {
+
+struct ReasonEntry {
+  std::string_view name;
+  int status;
+};
+
+constexpr std::array<ReasonEntry, 14> kReasons = {{
+    {"none", 200},
+    {"bad_request", 400},
+    {"no_service", 404},
+    {"no_target", 503},
+    {"wrong_service", 503},
+    {"overloaded", 503},
+    {"rate_limited", 429},
+    {"deadline", 503},
+    {"draining", 503},
+    {"unreachable", 503},
+    {"upstream_failed", 503},
+    {"too_large", 413},
+    {"stopping", 503},
+    {"caller_gone", 503},
+}};
+static_assert(kReasons.size() ==
+              static_cast<size_t>(CallReason::kCallerGone) + 1);
+
+constexpr int kUnknownStatus = 504;
+
+}  // namespace
+
+std::string_view CallOutcomeName(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kDone:
+      return "done";
+    case CallOutcome::kNotRun:
+      return "not-run";
+    case CallOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view CallReasonName(CallReason reason) {
+  return kReasons[static_cast<size_t>(reason)].name;
+}
+
+CallReason ParseCallReason(std::string_view name) {
+  const auto found =
+      std::find_if(kReasons.begin(), kReasons.end(),
+                   [name](const auto& entry) { return entry.name == name; });
+  return found == kReasons.end()
+             ? CallReason::kUpstreamFailed
+             : static_cast<CallReason>(found - kReasons.begin());
+}
+
+void HttpRequestDeleter::operator()(evhttp_request* request) const {
+  deleter->Add(std::shared_ptr<void>(
+      request, [](evhttp_request* owned) { evhttp_request_free(owned); }));
+}
+
+CallResult CallResult::Refused(CallReason reason, std::string detail) {
+  return {CallOutcome::kNotRun, reason, std::move(detail), nullptr, false};
+}
+
+CallResult CallResult::Unknown(CallReason reason, std::string detail) {
+  return {CallOutcome::kUnknown, reason, std::move(detail), nullptr, false};
+}
+
+int CallResult::Status() const {
+  switch (outcome) {
+    case CallOutcome::kDone:
+      return evhttp_request_get_response_code(answer.get());
+    case CallOutcome::kNotRun:
+      return kReasons[static_cast<size_t>(reason)].status;
+    case CallOutcome::kUnknown:
+      return kUnknownStatus;
+  }
+  return kUnknownStatus;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/call_result.h
@@ -0,0 +1,75 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_CALL_RESULT_H_
+#define DRAGONFLYTACK_SRC_CALLS_CALL_RESULT_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct evhttp_request;
+
+namespace dragonflytack {
+
+// The three ways in which a call can end. kNotRun is used only when no byte of
+// the call reached a target, or the node beside it says that it did not start
+// it.
+enum class CallOutcome { kDone, kNotRun, kUnknown };
+
+// Value of the header x-outcome.
+std::string_view CallOutcomeName(CallOutcome outcome);
+
+// Why a call was refused or failed.
+enum class CallReason {
+  kNone,
+  kBadRequest,
+  kNoService,
+  kNoTarget,
+  kWrongService,
+  kOverloaded,
+  kRateLimited,
+  kDeadline,
+  kDraining,
+  kUnreachable,
+  kUpstreamFailed,
+  kTooLarge,
+  kStopping,
+  kCallerGone,
+};
+
+// Value of the header x-reason and of "error" in the body.
+std::string_view CallReasonName(CallReason reason);
+
+// Returns the reason with the given name, kUpstreamFailed for unknown names.
+CallReason ParseCallReason(std::string_view name);
+
+class DeferredDeleter;
+
+// Frees requests that evhttp handed over. evhttp still reads the flags of a
+// request after its callback, so it is freed in the next round of the loop.
+struct HttpRequestDeleter final {
+  void operator()(evhttp_request* request) const;
+
+  DeferredDeleter* deleter = nullptr;
+};
+using HttpRequestPtr = std::unique_ptr<evhttp_request, HttpRequestDeleter>;
+
+// How a call ended. An answer of a target is always whole.
+struct CallResult final {
+  CallOutcome outcome = CallOutcome::kUnknown;
+  CallReason reason = CallReason::kNone;
+  std::string detail;
+  // The answer when the outcome is kDone: status, headers and body as evhttp
+  // received them.
+  HttpRequestPtr answer;
+  // A node on the path has retried the call already.
+  bool retried = false;
+
+  static CallResult Refused(CallReason reason, std::string detail);
+  static CallResult Unknown(CallReason reason, std::string detail);
+
+  // Status of the HTTP answer to the caller.
+  int Status() const;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_CALL_RESULT_H_
--- /dev/null
+++ b/src/calls/call_task.cc
@@ -0,0 +1,209 @@
+#include "dragonflytack/calls/call_task.h"
+
+#include <csignal>
+#include <functional>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include <event2/http.h>
+
+#include "calls/call_context.h"
+#include "calls/call_entry.h"
+#include "calls/call_metrics.h"
+#include "calls/connection_pool.h"
+#include "calls/deferred_deleter.h"
+#include "calls/http_server.h"
+#include "calls/target_side.h"
+#include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/base/mailbox.h"
+#include "dragonflytack/base/settings.h"
+#include "dragonflytack/routing/route_snapshot.h"
+#include "routing/router.h"
+
+namespace dragonflytack {
+
+namespace {
+
+struct StopMessage {};
+using Message = std::
+    variant<std::shared_ptr<const RouteSnapshot>, LocalTarget, StopMessage>;
+
+}  // namespace
+
+class CallTask::Impl final {
+ public:
+  Impl(const Settings& settings,
+       uint64_t incarnation,
+       std::unique_ptr<EventLoop> loop,
+       Logger* logger,
+       MetricsRegistry* metrics,
+       Tracer* tracer,
+       Events events)
+      : settings_(settings),
+        logger_(logger),
+        events_(std::move(events)),
+        loop_(std::move(loop)),
+        deleter_(loop_->base()),
+        metrics_(metrics),
+        router_(&loop_->clock(),
+                settings.region,
+                settings.data_centre,
+                incarnation ^ std::hash<std::string>()(settings.node_id)),
+        connections_(loop_.get(), &deleter_),
+        context_{settings.node_id, loop_.get(), &deleter_, &router_,
+                 &connections_,    &metrics_,   tracer},
+        mailbox_(loop_.get(),
+                 [this](Message message) { OnMessage(std::move(message)); }) {}
+
+  ~Impl() {
+    loop_->Stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    // The calls are answered while the servers still have their connections.
+    entry_.reset();
+    target_side_.reset();
+    call_server_.reset();
+    mesh_server_.reset();
+  }
+
+  bool Start(Failure* reason) {
+    entry_ = std::make_unique<CallEntry>(&context_, [this] { CheckStopped(); });
+    target_side_ =
+        std::make_unique<TargetSide>(&context_, [this] { CheckStopped(); });
+    call_server_ = HttpServer::Make(
+        loop_->base(), {settings_.address, settings_.call_port},
+        [this](evhttp_request* request) { entry_->OnRequest(request); },
+        reason);
+    if (call_server_ == nullptr) {
+      return false;
+    }
+    mesh_server_ = HttpServer::Make(
+        loop_->base(), {settings_.address, settings_.mesh_port},
+        [this](evhttp_request* request) { target_side_->OnRequest(request); },
+        reason);
+    if (mesh_server_ == nullptr) {
+      return false;
+    }
+    thread_ = std::thread([this] { loop_->Run(); });
+    return true;
+  }
+
+  void Post(Message message) { mailbox_.Post(std::move(message)); }
+
+ private:
+  void OnMessage(Message message) {
+    std::visit([this](auto& typed) { Handle(std::move(typed)); }, message);
+  }
+
+  void Handle(std::shared_ptr<const RouteSnapshot> routes) {
+    router_.SetRoutes(std::move(routes));
+    target_side_->OnRoutes();
+  }
+
+  void Handle(LocalTarget target) { target_side_->SetTarget(target); }
+
+  void Handle(StopMessage) {
+    if (std::exchange(stopping_, true)) {
+      return;
+    }
+    target_side_->Drain();
+    logger_->Info(
+        "call_drain_started",
+        {{"entry_calls", static_cast<uint64_t>(entry_->calls_in_progress())},
+         {"target_calls",
+          static_cast<uint64_t>(target_side_->calls_in_progress())}});
+    loop_->timers().SubscribeOnce(Milliseconds(settings_.drain_timeout_ms),
+                                  [this] { ReportStopped(); });
+    CheckStopped();
+  }
+
+  void CheckStopped() {
+    if (!stopping_ || target_side_->calls_in_progress() > 0) {
+      return;
+    }
+    // Until now the target may have needed the call port for its last calls.
+    entry_->RefuseNewCalls();
+    if (entry_->calls_in_progress() == 0) {
+      // The last answers are written in the next rounds of the loop.
+      constexpr Milliseconds kTimeToWrite{50};
+      loop_->timers().SubscribeOnce(kTimeToWrite, [this] { ReportStopped(); });
+    }
+  }
+
+  void ReportStopped() {
+    if (std::exchange(stop_reported_, true)) {
+      return;
+    }
+    logger_->Info(
+        "call_drain_ended",
+        {{"entry_calls", static_cast<uint64_t>(entry_->calls_in_progress())},
+         {"target_calls",
+          static_cast<uint64_t>(target_side_->calls_in_progress())}});
+    if (events_.on_stopped) {
+      events_.on_stopped(NodeId());
+    }
+  }
+
+  const Settings settings_;
+  Logger* const logger_;
+  const Events events_;
+  const std::unique_ptr<EventLoop> loop_;
+  DeferredDeleter deleter_;
+  CallMetrics metrics_;
+  Router router_;
+  ConnectionPool connections_;
+  CallContext context_;
+  std::unique_ptr<CallEntry> entry_;
+  std::unique_ptr<TargetSide> target_side_;
+  std::unique_ptr<HttpServer> call_server_;
+  std::unique_ptr<HttpServer> mesh_server_;
+  bool stopping_ = false;
+  bool stop_reported_ = false;
+  Mailbox<Message> mailbox_;
+  std::thread thread_;
+};
+
+CallTask::CallTask(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+CallTask::~CallTask() = default;
+
+std::unique_ptr<CallTask> CallTask::Make(const Settings& settings,
+                                         uint64_t incarnation,
+                                         const Clock* clock,
+                                         Logger* logger,
+                                         MetricsRegistry* metrics,
+                                         Tracer* tracer,
+                                         Events events,
+                                         Failure* reason) {
+  // libevent writes to sockets that the other side may have closed.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::unique_ptr<EventLoop> loop = EventLoop::Make(clock);
+  if (loop == nullptr) {
+    *reason = {FailureCode::kInternal, "call task", "no event loop"};
+    return nullptr;
+  }
+  auto impl =
+      std::make_unique<Impl>(settings, incarnation, std::move(loop), logger,
+                             metrics, tracer, std::move(events));
+  if (!impl->Start(reason)) {
+    return nullptr;
+  }
+  return std::unique_ptr<CallTask>(new CallTask(std::move(impl)));
+}
+
+void CallTask::PostRoutes(std::shared_ptr<const RouteSnapshot> routes) {
+  impl_->Post(std::move(routes));
+}
+
+void CallTask::PostTarget(const LocalTarget& target) {
+  impl_->Post(target);
+}
+
+void CallTask::PostStop() {
+  impl_->Post(StopMessage{});
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/connection_pool.cc
@@ -0,0 +1,115 @@
+#include "calls/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "calls/deferred_deleter.h"
+#include "dragonflytack/base/event_loop.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr Milliseconds kSweepPeriod{5000};
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(EventLoop* loop, DeferredDeleter* deleter)
+    : loop_(loop), deleter_(deleter) {
+  sweep_ =
+      loop_->timers().SubscribeEvery(kSweepPeriod, [this] { CloseOldIdle(); });
+}
+
+ConnectionPool::~ConnectionPool() {
+  loop_->timers().Cancel(sweep_);
+}
+
+std::unique_ptr<Exchange> ConnectionPool::Start(const HostPort& to,
+                                                int max_connections,
+                                                Milliseconds limit,
+                                                evhttp_cmd_type method,
+                                                const char* uri,
+                                                const Writer& write,
+                                                Exchange::Callback callback) {
+  Host* host = FindHost(to);
+  UpstreamConnection* connection = TakeIdle(host);
+  Milliseconds connect_limit = limit;
+  if (connection == nullptr) {
+    if (host->open.size() >= static_cast<size_t>(max_connections)) {
+      return nullptr;
+    }
+    auto created = std::make_unique<UpstreamConnection>(loop_->base(), deleter_,
+                                                        to, &host->events);
+    connection = created.get();
+    host->open.emplace(connection, std::move(created));
+    connect_limit = kConnectLimit;
+  }
+  evhttp_request* request = connection->NewRequest();
+  write(request);
+  auto exchange =
+      std::make_unique<Exchange>(&loop_->timers(), std::move(callback));
+  if (connection->Send(request, method, uri, exchange.get())) {
+    exchange->Start(connection, limit, connect_limit);
+  } else {
+    // Reported later, because the caller does not have the exchange yet.
+    exchange->timer_ = loop_->timers().SubscribeOnce(
+        Milliseconds::zero(), [failed = exchange.get()] {
+          failed->Finish(ExchangeEnd::kNotSent, nullptr);
+        });
+  }
+  return exchange;
+}
+
+size_t ConnectionPool::CountOpen(const HostPort& to) const {
+  const auto found = hosts_.find(to);
+  return found == hosts_.end() ? 0 : found->second->open.size();
+}
+
+ConnectionPool::Host* ConnectionPool::FindHost(const HostPort& to) {
+  std::unique_ptr<Host>& host = hosts_[to];
+  if (host == nullptr) {
+    host = std::make_unique<Host>();
+    Host* const pointer = host.get();
+    host->events.on_idle = [this, pointer](UpstreamConnection* connection) {
+      connection->set_idle_since(loop_->clock().Now());
+      pointer->idle.push_back(connection);
+    };
+    host->events.on_retired = [this, pointer](UpstreamConnection* connection) {
+      OnRetired(pointer, connection);
+    };
+  }
+  return host.get();
+}
+
+UpstreamConnection* ConnectionPool::TakeIdle(Host* host) {
+  while (!host->idle.empty()) {
+    UpstreamConnection* connection = host->idle.back();
+    host->idle.pop_back();
+    if (!connection->IsStale()) {
+      return connection;
+    }
+    connection->Abandon();
+  }
+  return nullptr;
+}
+
+void ConnectionPool::OnRetired(Host* host, UpstreamConnection* connection) {
+  std::erase(host->idle, connection);
+  const auto found = host->open.find(connection);
+  if (found != host->open.end()) {
+    deleter_->Add(std::shared_ptr<void>(std::move(found->second)));
+    host->open.erase(found);
+  }
+}
+
+void ConnectionPool::CloseOldIdle() {
+  const TimePoint oldest = loop_->clock().Now() - kIdleLimit;
+  for (auto& [address, host] : hosts_) {
+    // Reuse takes from the back, so the front is the oldest.
+    while (!host->idle.empty() && host->idle.front()->idle_since() < oldest) {
+      host->idle.front()->Abandon();
+    }
+  }
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/exchange.cc
@@ -0,0 +1,48 @@
+#include "calls/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "calls/upstream_connection.h"
+
+namespace dragonflytack {
+
+Exchange::Exchange(TimerService* timers, Callback callback)
+    : timers_(timers), callback_(std::move(callback)) {}
+
+Exchange::~Exchange() {
+  timers_->Cancel(timer_);
+  if (connection_ != nullptr) {
+    connection_->Abandon();
+  }
+}
+
+void Exchange::Start(UpstreamConnection* connection,
+                     Milliseconds limit,
+                     Milliseconds connect_limit) {
+  connection_ = connection;
+  const Milliseconds first = std::min(limit, connect_limit);
+  timer_ = timers_->SubscribeOnce(
+      first, [this, rest = limit - first] { OnLimit(rest); });
+}
+
+void Exchange::OnLimit(Milliseconds rest) {
+  const bool sent = connection_->sent();
+  if (sent && rest > Milliseconds::zero()) {
+    timer_ =
+        timers_->SubscribeOnce(rest, [this] { OnLimit(Milliseconds::zero()); });
+    return;
+  }
+  std::exchange(connection_, nullptr)->Abandon();
+  Finish(sent ? ExchangeEnd::kTimeout : ExchangeEnd::kNotSent, nullptr);
+}
+
+void Exchange::Finish(ExchangeEnd end, HttpRequestPtr answer) {
+  connection_ = nullptr;
+  timers_->Cancel(timer_);
+  // Moved out because the callback may destroy this object.
+  const Callback callback = std::move(callback_);
+  callback(end, std::move(answer));
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/exchange.h
@@ -0,0 +1,61 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_EXCHANGE_H_
+#define DRAGONFLYTACK_SRC_CALLS_EXCHANGE_H_
+
+#include <functional>
+#include <string_view>
+
+#include "calls/call_result.h"
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/base/timer_service.h"
+
+namespace dragonflytack {
+
+class UpstreamConnection;
+
+// How one request over one connection ended.
+enum class ExchangeEnd {
+  kAnswered,
+  // No connection was made, so no byte was sent.
+  kNotSent,
+  // The time limit passed after bytes were sent.
+  kTimeout,
+  // The connection ended, or the answer was malformed or not whole.
+  kBroken,
+  // The answer is over the size limit.
+  kTooLarge,
+};
+
+// One request and its answer. Destroying it before the end cancels: its
+// connection is closed, so the other side notices, and a late answer reaches
+// nobody.
+class Exchange final {
+ public:
+  // `answer` is set for kAnswered only. The exchange may be destroyed within
+  // the callback.
+  using Callback = std::function<void(ExchangeEnd end, HttpRequestPtr answer)>;
+
+  Exchange(TimerService* timers, Callback callback);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+ private:
+  friend class ConnectionPool;
+  friend class UpstreamConnection;
+
+  void Start(UpstreamConnection* connection,
+             Milliseconds limit,
+             Milliseconds connect_limit);
+  void OnLimit(Milliseconds rest);
+  // Reports the end. The object may be gone afterwards.
+  void Finish(ExchangeEnd end, HttpRequestPtr answer);
+
+  TimerService* const timers_;
+  Callback callback_;
+  UpstreamConnection* connection_ = nullptr;
+  TimerId timer_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_EXCHANGE_H_
--- /dev/null
+++ b/src/calls/http_headers.cc
@@ -0,0 +1,103 @@
+#include "calls/http_headers.h"
+
+#include <strings.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <string>
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr std::array<const char*, 21> kNotForwarded = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "content-length",
+    kServiceHeader,
+    kDeadlineHeader,
+    kOutcomeHeader,
+    kReasonHeader,
+    kAttemptHeader,
+    kNotRunHeader,
+    kLoadHeader,
+    kTargetTimeHeader,
+    kTraceHeader,
+    kRetriedHeader,
+};
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool IsForwarded(std::string_view name) {
+  // The first letter rules out most names without a comparison.
+  return std::none_of(kNotForwarded.begin(), kNotForwarded.end(),
+                      [name](const char* other) {
+                        return (name.empty() || (name[0] | 0x20) == other[0]) &&
+                               EqualsIgnoringCase(name, other);
+                      });
+}
+
+// Returns whether the comma-separated `list` names `name`.
+bool Names(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const size_t comma = std::min(list.find(','), list.size());
+    std::string_view item = list.substr(0, comma);
+    list.remove_prefix(std::min(comma + 1, list.size()));
+    item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+    item = item.substr(0, item.find_last_not_of(" \t") + 1);
+    if (EqualsIgnoringCase(item, name)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string_view FindHeader(const evkeyvalq* headers, const char* name) {
+  const char* value = evhttp_find_header(headers, name);
+  return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+std::optional<int64_t> FindNumber(const evkeyvalq* headers, const char* name) {
+  const std::string_view text = FindHeader(headers, name);
+  int64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (text.empty() || error != std::errc() || rest != end || number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+void AddHeader(evkeyvalq* headers, const char* name, int64_t number) {
+  evhttp_add_header(headers, name, fmt::format_int(number).c_str());
+}
+
+void CopyEndToEndHeaders(const evkeyvalq* from, evkeyvalq* to) {
+  const std::string_view connection = FindHeader(from, "Connection");
+  for (const evkeyval* item = from->tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    if (IsForwarded(item->key) &&
+        (connection.empty() || !Names(connection, item->key))) {
+      evhttp_add_header(to, item->key, item->value);
+    }
+  }
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/http_headers.h
@@ -0,0 +1,48 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_HTTP_HEADERS_H_
+#define DRAGONFLYTACK_SRC_CALLS_HTTP_HEADERS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+struct evkeyvalq;
+
+namespace dragonflytack {
+
+// Headers of calls. The first group is for callers, the second is used between
+// nodes only and is neither taken from callers nor passed to them.
+inline constexpr char kServiceHeader[] = "x-service";
+inline constexpr char kDeadlineHeader[] = "x-deadline-ms";
+inline constexpr char kKeyHeader[] = "idempotency-key";
+inline constexpr char kTraceHeader[] = "traceparent";
+inline constexpr char kOutcomeHeader[] = "x-outcome";
+inline constexpr char kReasonHeader[] = "x-reason";
+inline constexpr char kRetriedHeader[] = "x-retried";
+
+inline constexpr char kAttemptHeader[] = "x-attempt";
+inline constexpr char kNotRunHeader[] = "x-not-run";
+inline constexpr char kLoadHeader[] = "x-load";
+// Microseconds that the target took, for the measure of the added time.
+inline constexpr char kTargetTimeHeader[] = "x-target-us";
+
+inline constexpr size_t kMaxBodyBytes = 4 * 1024 * 1024;
+inline constexpr size_t kMaxHeaderBytes = 64 * 1024;
+
+// Returns the value of a header, empty when it is missing.
+std::string_view FindHeader(const evkeyvalq* headers, const char* name);
+
+// Returns a header's whole value as a number from 0 up, nothing when it is
+// missing or malformed.
+std::optional<int64_t> FindNumber(const evkeyvalq* headers, const char* name);
+
+void AddHeader(evkeyvalq* headers, const char* name, int64_t number);
+
+// Copies the headers that go from one end of a call to the other. Left out are
+// hop-by-hop headers (RFC 9110 section 7.6.1, those named by Connection
+// included), Content-Length, and the headers that nodes write themselves.
+void CopyEndToEndHeaders(const evkeyvalq* from, evkeyvalq* to);
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_HTTP_HEADERS_H_
--- /dev/null
+++ b/src/calls/http_server.cc
@@ -0,0 +1,81 @@
+#include "calls/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include "calls/http_headers.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Callers connect in rushes; the default of 128 would make some wait for a
+// second attempt by TCP.
+constexpr int kBacklog = 1024;
+// Longer than any deadline. It ends idle and stuck connections.
+constexpr int kSilenceSeconds = 120;
+
+}  // namespace
+
+std::unique_ptr<HttpServer> HttpServer::Make(event_base* base,
+                                             const HostPort& address,
+                                             Handler handler,
+                                             Failure* reason) {
+  sockaddr_storage storage{};
+  int length = sizeof(storage);
+  if (evutil_parse_sockaddr_port(address.ToString().c_str(),
+                                 reinterpret_cast<sockaddr*>(&storage),
+                                 &length) != 0) {
+    *reason = {FailureCode::kInvalidArgument, address.ToString(),
+               "not an IP number with a port"};
+    return nullptr;
+  }
+  evconnlistener* listener = evconnlistener_new_bind(
+      base, nullptr, nullptr,
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog, reinterpret_cast<sockaddr*>(&storage), length);
+  if (listener == nullptr) {
+    *reason = {FailureCode::kAddressInUse, address.ToString(),
+               std::strerror(errno)};
+    return nullptr;
+  }
+  // Accepted connections inherit it.
+  const int on = 1;
+  setsockopt(evconnlistener_get_fd(listener), IPPROTO_TCP, TCP_NODELAY, &on,
+             sizeof(on));
+  evhttp* http = evhttp_new(base);
+  evhttp_bind_listener(http, listener);
+  return std::unique_ptr<HttpServer>(new HttpServer(http, std::move(handler)));
+}
+
+HttpServer::HttpServer(evhttp* http, Handler handler)
+    : http_(http), handler_(std::move(handler)) {
+  evhttp_set_max_body_size(http_, kMaxBodyBytes);
+  evhttp_set_max_headers_size(http_, kMaxHeaderBytes);
+  evhttp_set_timeout(http_, kSilenceSeconds);
+  evhttp_set_default_content_type(http_, nullptr);
+  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                        EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+                                        EVHTTP_REQ_PATCH);
+  evhttp_set_gencb(http_, &HttpServer::OnRequest, this);
+}
+
+HttpServer::~HttpServer() {
+  evhttp_free(http_);
+}
+
+void HttpServer::OnRequest(evhttp_request* request, void* self) {
+  static_cast<HttpServer*>(self)->handler_(request);
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/http_server.h
@@ -0,0 +1,41 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_HTTP_SERVER_H_
+#define DRAGONFLYTACK_SRC_CALLS_HTTP_SERVER_H_
+
+#include <functional>
+#include <memory>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/base/host_port.h"
+
+struct event_base;
+struct evhttp;
+struct evhttp_request;
+
+namespace dragonflytack {
+
+// An evhttp server with the size limits of calls.
+class HttpServer final {
+ public:
+  // Called with each whole request; it has to be answered through evhttp.
+  using Handler = std::function<void(evhttp_request*)>;
+
+  // Returns nothing when the address cannot be bound.
+  static std::unique_ptr<HttpServer> Make(event_base* base,
+                                          const HostPort& address,
+                                          Handler handler,
+                                          Failure* reason);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+ private:
+  HttpServer(evhttp* http, Handler handler);
+  static void OnRequest(evhttp_request* request, void* self);
+
+  evhttp* const http_;
+  const Handler handler_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_HTTP_SERVER_H_
--- /dev/null
+++ b/src/calls/inbound_call.cc
@@ -0,0 +1,94 @@
+#include "calls/inbound_call.h"
+
+#include <string>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <nlohmann/json.hpp>
+
+#include "calls/http_headers.h"
+
+namespace dragonflytack {
+
+namespace {
+
+std::string RefusalBody(const CallResult& result) {
+  return nlohmann::json{{"error", CallReasonName(result.reason)},
+                        {"detail", result.detail}}
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+InboundCall::InboundCall(evhttp_request* request,
+                         std::function<void()> on_hang_up)
+    : request_(request),
+      connection_(evhttp_request_get_connection(request)),
+      on_hang_up_(std::move(on_hang_up)) {
+  evhttp_connection_set_closecb(connection_, &InboundCall::OnClosed, this);
+  // evhttp stops reading while it waits for the answer and would not notice
+  // that the other side closed.
+  bufferevent_enable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+}
+
+InboundCall::~InboundCall() {
+  if (request_ != nullptr) {
+    on_hang_up_ = nullptr;
+    Reply(CallResult::Refused(CallReason::kStopping, "the node stops"));
+  }
+}
+
+void InboundCall::Reply(const CallResult& result) {
+  evkeyvalq* headers = answer_headers();
+  evhttp_add_header(headers, kOutcomeHeader,
+                    CallOutcomeName(result.outcome).data());
+  if (result.retried) {
+    evhttp_add_header(headers, kRetriedHeader, "1");
+  }
+  const int status = result.Status();
+  if (result.outcome == CallOutcome::kDone) {
+    const evkeyvalq* from =
+        evhttp_request_get_input_headers(result.answer.get());
+    CopyEndToEndHeaders(from, headers);
+    if (evhttp_request_get_command(request_) == EVHTTP_REQ_HEAD) {
+      // The length that a GET would have had; evhttp would write 0.
+      const std::string_view length = FindHeader(from, "Content-Length");
+      if (!length.empty()) {
+        evhttp_add_header(headers, "Content-Length", length.data());
+      }
+    }
+    Reply(status, evhttp_request_get_input_buffer(result.answer.get()));
+    return;
+  }
+  evhttp_add_header(headers, kReasonHeader,
+                    CallReasonName(result.reason).data());
+  evhttp_add_header(headers, "Content-Type", "application/json");
+  const std::string body = RefusalBody(result);
+  evbuffer* buffer = evbuffer_new();
+  evbuffer_add(buffer, body.data(), body.size());
+  Reply(status, buffer);
+  evbuffer_free(buffer);
+}
+
+void InboundCall::OnClosed(evhttp_connection* /*connection*/, void* self) {
+  auto* call = static_cast<InboundCall*>(self);
+  call->connection_ = nullptr;
+  const std::function<void()> on_hang_up =
+      std::exchange(call->on_hang_up_, nullptr);
+  if (on_hang_up) {
+    on_hang_up();
+  }
+}
+
+void InboundCall::Reply(int status, evbuffer* body) {
+  on_hang_up_ = nullptr;
+  if (connection_ != nullptr) {
+    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+  }
+  // Without a connection this only frees the request.
+  evhttp_send_reply(std::exchange(request_, nullptr), status, nullptr, body);
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/inbound_call.h
@@ -0,0 +1,55 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_INBOUND_CALL_H_
+#define DRAGONFLYTACK_SRC_CALLS_INBOUND_CALL_H_
+
+#include <functional>
+#include <string_view>
+
+#include <event2/http.h>
+
+#include "calls/call_result.h"
+
+namespace dragonflytack {
+
+// A request that one of this node's servers received and has to answer once.
+// It notices when the other side hangs up before.
+class InboundCall final {
+ public:
+  // `on_hang_up` is called from evhttp's callbacks at most once, and never
+  // after an answer.
+  InboundCall(evhttp_request* request, std::function<void()> on_hang_up);
+
+  // Refuses the call as not run if it was not answered.
+  ~InboundCall();
+  InboundCall(const InboundCall&) = delete;
+  InboundCall& operator=(const InboundCall&) = delete;
+
+  evhttp_request* request() const { return request_; }
+  const evkeyvalq* headers() const {
+    return evhttp_request_get_input_headers(request_);
+  }
+  // Where headers of the answer are added before Reply().
+  evkeyvalq* answer_headers() const {
+    return evhttp_request_get_output_headers(request_);
+  }
+  bool answered() const { return request_ == nullptr; }
+
+  // Answers with the result: the target's answer as it is, or a JSON body
+  // {"error", "detail"} with the header x-reason. The result's body is moved
+  // out. request() is null afterwards.
+  void Reply(const CallResult& result);
+
+  // Answers with the present answer_headers() and a body, which is moved out.
+  // request() is null afterwards.
+  void Reply(int status, evbuffer* body);
+
+ private:
+  static void OnClosed(evhttp_connection* connection, void* self);
+
+  evhttp_request* request_;
+  evhttp_connection* connection_;
+  std::function<void()> on_hang_up_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_INBOUND_CALL_H_
--- /dev/null
+++ b/src/calls/routed_call.h
@@ -0,0 +1,82 @@
+#ifndef DRAGONFLYTACK_SRC_CALLS_ROUTED_CALL_H_
+#define DRAGONFLYTACK_SRC_CALLS_ROUTED_CALL_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "calls/call_context.h"
+#include "calls/call_request.h"
+#include "calls/call_result.h"
+#include "calls/call_span.h"
+#include "calls/exchange.h"
+#include "dragonflytack/base/clock.h"
+#include "routing/endpoint_state.h"
+
+namespace dragonflytack {
+
+// The life of one call: choose a target, attempt, perhaps retry, answer. A
+// policy for one-time calls can wrap it; it starts the call when it may be
+// dispatched and takes the result. Destroying it before the end cancels the
+// call downstream.
+class RoutedCall final {
+ public:
+  // Called once, never from within Start(). The call may be destroyed within.
+  using Callback = std::function<void(CallResult)>;
+
+  // `context` must outlive the call.
+  RoutedCall(const CallContext* context,
+             CallRequest request,
+             Callback callback);
+  ~RoutedCall();
+  RoutedCall(const RoutedCall&) = delete;
+  RoutedCall& operator=(const RoutedCall&) = delete;
+
+  void Start();
+
+  const CallRequest& request() const { return request_; }
+
+  // Whether a byte of the call may have reached a target.
+  bool maybe_dispatched() const { return maybe_dispatched_; }
+
+  // Time that the target took for the call, zero when it is not known.
+  std::chrono::microseconds target_time() const { return target_time_; }
+
+ private:
+  bool is_one_time() const {
+    return request_.route->row.kind == ServiceKind::kOneTime;
+  }
+  TimePoint Now() const;
+  // Starts an attempt. `previous` is reported when no other target is left.
+  void Attempt(CallResult previous);
+  void OnExchangeEnd(ExchangeEnd end, HttpRequestPtr answer);
+  CallResult ReadAnswer(HttpRequestPtr answer, AttemptEnd* health);
+  void WriteRequest(evhttp_request* out, Milliseconds remaining);
+  bool MayRetry(const CallResult& result);
+  void EndAttempt(AttemptEnd health, std::string_view outcome);
+  // Reports the result in the next round of the loop.
+  void FinishLater(CallResult result);
+  void Finish(CallResult result);
+
+  const CallContext* const context_;
+  const CallRequest request_;
+  Callback callback_;
+  int attempts_ = 0;
+  std::vector<ServicePool::EndpointPtr> tried_;
+  ServicePool::EndpointPtr target_;
+  std::unique_ptr<CallSpan> span_;
+  std::unique_ptr<Exchange> exchange_;
+  TimePoint attempt_start_;
+  TimerId finish_timer_ = 0;
+  CallResult pending_;
+  bool maybe_dispatched_ = false;
+  // An attempt ended without saying whether the call was run.
+  bool maybe_ran_ = false;
+  std::chrono::microseconds target_time_{0};
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_CALLS_ROUTED_CALL_H_
--- /dev/null
+++ b/src/calls/target_side.cc
@@ -0,0 +1,322 @@
+#include "calls/target_side.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "calls/call_metrics.h"
+#include "calls/call_span.h"
+#include "calls/connection_pool.h"
+#include "calls/deferred_deleter.h"
+#include "calls/http_headers.h"
+#include "calls/inbound_call.h"
+#include "calls/service_share.h"
+#include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/observe/tracer.h"
+#include "dragonflytack/routing/route_snapshot.h"
+#include "routing/router.h"
+
+namespace dragonflytack {
+
+class TargetSide::Call final {
+ public:
+  Call(TargetSide* side, evhttp_request* request)
+      : inbound(request, [this, side] { side->OnHangUp(this); }) {}
+
+  InboundCall inbound;
+  TimePoint deadline;
+  TraceContext trace;
+  // "queue" while the call waits, "target" while it runs.
+  std::unique_ptr<CallSpan> span;
+  bool has_slot = false;
+  TimePoint sent_at;
+  std::unique_ptr<Exchange> exchange;
+};
+
+TargetSide::TargetSide(const CallContext* context,
+                       std::function<void()> on_call_ended)
+    : context_(context), on_call_ended_(std::move(on_call_ended)) {}
+
+TargetSide::~TargetSide() {
+  context_->loop->timers().Cancel(queue_timer_);
+  for (auto& [pointer, call] : calls_) {
+    const bool dispatched = call->exchange != nullptr;
+    call->exchange.reset();
+    Reply(call.get(),
+          dispatched
+              ? CallResult::Unknown(CallReason::kStopping, "the node stops")
+              : CallResult::Refused(CallReason::kStopping, "the node stops"));
+  }
+}
+
+void TargetSide::OnRequest(evhttp_request* request) {
+  auto owned = std::make_unique<Call>(this, request);
+  Call* call = owned.get();
+  calls_.emplace(call, std::move(owned));
+  CallResult refusal = Prepare(call);
+  if (refusal.reason == CallReason::kNone) {
+    refusal = Admit(call);
+  }
+  if (refusal.reason != CallReason::kNone) {
+    Reply(call, refusal);
+    Remove(call);
+  }
+}
+
+CallResult TargetSide::Prepare(Call* call) {
+  const evkeyvalq* headers = call->inbound.headers();
+  if (draining_ || target_.state == TargetState::kDraining ||
+      target_.state == TargetState::kLeft) {
+    return CallResult::Refused(CallReason::kDraining, "the target drains");
+  }
+  if (route_ == nullptr ||
+      FindHeader(headers, kServiceHeader) != target_.service) {
+    return CallResult::Refused(CallReason::kWrongService,
+                               "the target here offers another service");
+  }
+  if (target_.state == TargetState::kStarting) {
+    return CallResult::Refused(CallReason::kDraining, "the target starts");
+  }
+  const TimePoint now = context_->loop->clock().Now();
+  call->deadline = now + Milliseconds(FindNumber(headers, kDeadlineHeader)
+                                          .value_or(route_->row.deadline_ms));
+  call->trace = context_->tracer->Accept(FindHeader(headers, kTraceHeader));
+  if (!rate_.TryTake(now)) {
+    return CallResult::Refused(CallReason::kRateLimited,
+                               "the rate limit of the service is reached");
+  }
+  CallResult accepted;
+  accepted.reason = CallReason::kNone;
+  return accepted;
+}
+
+CallResult TargetSide::Admit(Call* call) {
+  CallResult accepted;
+  accepted.reason = CallReason::kNone;
+  // A free slot is used even when the average says that the deadline cannot be
+  // met: otherwise no call would ever correct the average.
+  if (slots_.TryTake()) {
+    call->has_slot = true;
+    Run(call);
+    return accepted;
+  }
+  if (queue_.size() >= static_cast<size_t>(route_->row.max_queue)) {
+    return CallResult::Refused(CallReason::kOverloaded, "the queue is full");
+  }
+  const int ahead = static_cast<int>(queue_.CountAhead(call->deadline));
+  if (context_->loop->clock().Now() + slots_.ExpectedTime(ahead) >
+      call->deadline) {
+    return CallResult::Refused(CallReason::kDeadline,
+                               "the deadline cannot be met");
+  }
+  call->span = std::make_unique<CallSpan>(context_, call->trace, "queue",
+                                          target_.service);
+  queue_.Push(call->deadline, call);
+  context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
+  ArmQueueTimer();
+  return accepted;
+}
+
+void TargetSide::Run(Call* call) {
+  context_->metrics->slots_in_use()->Set(slots_.in_use());
+  if (call->span != nullptr) {
+    call->span->End("done");
+  }
+  call->span = std::make_unique<CallSpan>(context_, call->trace, "target",
+                                          target_.service);
+  call->sent_at = context_->loop->clock().Now();
+  const Milliseconds limit =
+      std::max(std::chrono::floor<Milliseconds>(call->deadline - call->sent_at),
+               Milliseconds(1));
+  evhttp_request* in = call->inbound.request();
+  call->exchange = context_->connections->Start(
+      {target_.address, target_.port}, route_->row.max_connections, limit,
+      evhttp_request_get_command(in), evhttp_request_get_uri(in),
+      [&](evhttp_request* out) {
+        evkeyvalq* headers = evhttp_request_get_output_headers(out);
+        CopyEndToEndHeaders(call->inbound.headers(), headers);
+        AddHeader(headers, kDeadlineHeader, limit.count());
+        evhttp_add_header(headers, kTraceHeader,
+                          call->span->context().ToHeader().c_str());
+        evbuffer* body = evhttp_request_get_input_buffer(in);
+        if (const size_t size = evbuffer_get_length(body); size > 0) {
+          AddHeader(headers, "Content-Length", static_cast<int64_t>(size));
+          evbuffer_add_buffer(evhttp_request_get_output_buffer(out), body);
+        }
+      },
+      [this, call](ExchangeEnd end, HttpRequestPtr answer) {
+        OnExchangeEnd(call, end, std::move(answer));
+      });
+  if (call->exchange == nullptr) {
+    Reply(call,
+          CallResult::Refused(CallReason::kOverloaded,
+                              "all connections to the target are in use"));
+    ReleaseSlot(call);
+    Remove(call);
+  }
+}
+
+void TargetSide::OnExchangeEnd(Call* call,
+                               ExchangeEnd end,
+                               HttpRequestPtr answer) {
+  context_->deleter->Add(std::move(call->exchange));
+  const auto time = context_->loop->clock().Now() - call->sent_at;
+  CallResult result;
+  switch (end) {
+    case ExchangeEnd::kAnswered: {
+      const evkeyvalq* headers = evhttp_request_get_input_headers(answer.get());
+      const std::string_view load = FindHeader(headers, kLoadHeader);
+      evkeyvalq* out = call->inbound.answer_headers();
+      if (!load.empty()) {
+        evhttp_add_header(out, kLoadHeader, load.data());
+      }
+      AddHeader(
+          out, kTargetTimeHeader,
+          std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+      result.outcome = CallOutcome::kDone;
+      result.retried = !FindHeader(headers, kRetriedHeader).empty();
+      result.answer = std::move(answer);
+      slots_.RecordTime(time);
+      break;
+    }
+    case ExchangeEnd::kNotSent:
+      result = CallResult::Refused(CallReason::kUnreachable,
+                                   "no connection to the target");
+      break;
+    case ExchangeEnd::kTimeout:
+      slots_.RecordTime(time);
+      result = CallResult::Unknown(CallReason::kDeadline,
+                                   "no answer within the deadline");
+      break;
+    case ExchangeEnd::kBroken:
+      result = CallResult::Unknown(
+          CallReason::kUpstreamFailed,
+          "the target's connection ended before the whole answer came");
+      break;
+    case ExchangeEnd::kTooLarge:
+      result = CallResult::Unknown(CallReason::kTooLarge,
+                                   "the answer is over the size limit");
+      break;
+  }
+  Reply(call, result);
+  ReleaseSlot(call);
+  Remove(call);
+}
+
+void TargetSide::ReleaseSlot(Call* call) {
+  if (std::exchange(call->has_slot, false)) {
+    slots_.Release();
+    context_->metrics->slots_in_use()->Set(slots_.in_use());
+    RunQueued();
+  }
+}
+
+void TargetSide::RunQueued() {
+  ExpireQueued();
+  while (!queue_.empty() && slots_.TryTake()) {
+    Call* call = queue_.Pop();
+    context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
+    call->has_slot = true;
+    Run(call);
+  }
+}
+
+void TargetSide::ExpireQueued() {
+  const TimePoint now = context_->loop->clock().Now();
+  while (queue_.EarliestDeadline() && *queue_.EarliestDeadline() <= now) {
+    Call* call = queue_.Pop();
+    context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
+    Reply(call, CallResult::Refused(CallReason::kDeadline,
+                                    "the deadline passed in the queue"));
+    Remove(call);
+  }
+  ArmQueueTimer();
+}
+
+void TargetSide::ArmQueueTimer() {
+  const std::optional<TimePoint> earliest = queue_.EarliestDeadline();
+  context_->loop->timers().Cancel(queue_timer_);
+  queue_timer_ = 0;
+  if (earliest) {
+    queue_timer_ = context_->loop->timers().SubscribeOnce(
+        std::max(std::chrono::ceil<Milliseconds>(*earliest -
+                                                 context_->loop->clock().Now()),
+                 Milliseconds(0)),
+        [this] { ExpireQueued(); });
+  }
+}
+
+void TargetSide::SetTarget(const LocalTarget& target) {
+  const bool same_service = target.service == target_.service;
+  target_ = target;
+  if (!same_service) {
+    route_ = nullptr;
+  }
+  OnRoutes();
+}
+
+void TargetSide::OnRoutes() {
+  const auto& routes = context_->router->routes();
+  if (routes != nullptr) {
+    const auto found = routes->services.find(target_.service);
+    route_ = found == routes->services.end() ? nullptr : found->second;
+  }
+  if (route_ != nullptr) {
+    ApplyLimits();
+  }
+}
+
+void TargetSide::ApplyLimits() {
+  const ServiceRow& row = route_->row;
+  const ServiceShare share = ServiceShare::Of(*route_, context_->node);
+  int limit = target_.slots > 0 ? target_.slots : row.slots;
+  limit = std::min(limit, row.max_connections);
+  if (row.max_concurrency > 0) {
+    limit = std::min(limit, share.OfCount(row.max_concurrency));
+  }
+  slots_.set_limit(std::max(limit, 1));
+  rate_.SetRate(share.OfRate(row.rate_limit), context_->loop->clock().Now());
+  RunQueued();
+}
+
+void TargetSide::Reply(Call* call, const CallResult& result) {
+  if (result.outcome == CallOutcome::kNotRun) {
+    evhttp_add_header(call->inbound.answer_headers(), kNotRunHeader, "1");
+  }
+  if (result.outcome != CallOutcome::kDone) {
+    context_->metrics->CountRefused("target", result.reason);
+  }
+  if (call->span != nullptr) {
+    call->span->End(result.outcome == CallOutcome::kDone
+                        ? CallOutcomeName(result.outcome)
+                        : CallReasonName(result.reason));
+  }
+  call->inbound.Reply(result);
+}
+
+void TargetSide::OnHangUp(Call* call) {
+  if (queue_.Remove(call->deadline, call)) {
+    context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
+    ArmQueueTimer();
+  }
+  if (call->span != nullptr) {
+    call->span->End(CallReasonName(CallReason::kCallerGone));
+  }
+  context_->metrics->CountRefused("target", CallReason::kCallerGone);
+  // Closes the connection to the target, which tells it to stop.
+  call->exchange.reset();
+  ReleaseSlot(call);
+  Remove(call);
+}
+
+void TargetSide::Remove(Call* call) {
+  const auto found = calls_.find(call);
+  context_->deleter->Add(std::shared_ptr<void>(std::move(found->second)));
+  calls_.erase(found);
+  on_call_ended_();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/calls/upstream_connection.cc
@@ -0,0 +1,191 @@
+#include "calls/upstream_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <cerrno>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+
+#include "calls/http_headers.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Longer than any deadline; the exchange has its own limit. It also bounds how
+// long evhttp keeps an idle connection.
+constexpr int kSilenceSeconds = 120;
+
+// Returns whether the framing proves that the answer is whole. An answer that
+// ends with the connection may have been cut off.
+bool IsWhole(evhttp_request* answer) {
+  const int status = evhttp_request_get_response_code(answer);
+  if (evhttp_request_get_command(answer) == EVHTTP_REQ_HEAD || status == 204 ||
+      status == 304) {
+    return true;
+  }
+  const evkeyvalq* headers = evhttp_request_get_input_headers(answer);
+  const std::optional<int64_t> length = FindNumber(headers, "Content-Length");
+  if (!FindHeader(headers, "Transfer-Encoding").empty()) {
+    return answer->chunked != 0;
+  }
+  return length.has_value() &&
+         static_cast<size_t>(*length) ==
+             evbuffer_get_length(evhttp_request_get_input_buffer(answer));
+}
+
+bool AllowsReuse(evhttp_request* answer) {
+  return answer->major == 1 && answer->minor >= 1 &&
+         FindHeader(evhttp_request_get_input_headers(answer), "Connection")
+             .empty();
+}
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(event_base* base,
+                                       DeferredDeleter* deleter,
+                                       const HostPort& to,
+                                       const Events* events)
+    : deleter_(deleter),
+      events_(events),
+      connection_(evhttp_connection_base_new(base,
+                                             nullptr,
+                                             to.address.c_str(),
+                                             to.port)) {
+  evhttp_connection_set_timeout(connection_, kSilenceSeconds);
+  evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
+  evhttp_connection_set_max_body_size(connection_, kMaxBodyBytes);
+  evhttp_connection_set_closecb(connection_, &UpstreamConnection::OnClosed,
+                                this);
+  bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+  evbuffer_add_cb(bufferevent_get_output(bufev), &UpstreamConnection::OnOutput,
+                  this);
+}
+
+UpstreamConnection::~UpstreamConnection() {
+  evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+  bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+  evbuffer_remove_cb(bufferevent_get_output(bufev),
+                     &UpstreamConnection::OnOutput, this);
+  evhttp_connection_free(connection_);
+}
+
+evhttp_request* UpstreamConnection::NewRequest() {
+  evhttp_request* request =
+      evhttp_request_new(&UpstreamConnection::OnAnswer, this);
+  evhttp_request_set_error_cb(request, &UpstreamConnection::OnError);
+  return request;
+}
+
+bool UpstreamConnection::Send(evhttp_request* request,
+                              evhttp_cmd_type method,
+                              const char* uri,
+                              Exchange* exchange) {
+  sent_ = false;
+  too_large_ = false;
+  sending_ = true;
+  // A connect that fails at once is reported from within this call.
+  const bool started =
+      evhttp_make_request(connection_, request, method, uri) == 0 && sending_;
+  sending_ = false;
+  if (!started) {
+    Retire();
+    return false;
+  }
+  exchange_ = exchange;
+  return true;
+}
+
+void UpstreamConnection::Abandon() {
+  exchange_ = nullptr;
+  Retire();
+}
+
+bool UpstreamConnection::IsStale() const {
+  const int fd =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection_));
+  char byte;
+  return fd < 0 || recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void UpstreamConnection::OnAnswer(evhttp_request* request, void* self) {
+  static_cast<UpstreamConnection*>(self)->HandleAnswer(request);
+}
+
+void UpstreamConnection::OnError(evhttp_request_error error, void* self) {
+  if (error == EVREQ_HTTP_DATA_TOO_LONG) {
+    static_cast<UpstreamConnection*>(self)->too_large_ = true;
+  }
+}
+
+void UpstreamConnection::OnClosed(evhttp_connection* /*connection*/,
+                                  void* self) {
+  auto* connection = static_cast<UpstreamConnection*>(self);
+  // With an exchange in progress, evhttp ends the request next.
+  if (connection->exchange_ == nullptr) {
+    connection->Retire();
+  }
+}
+
+void UpstreamConnection::OnOutput(evbuffer* /*buffer*/,
+                                  const evbuffer_cb_info* info,
+                                  void* self) {
+  auto* connection = static_cast<UpstreamConnection*>(self);
+  if (!connection->connected_ && info->n_added > 0) {
+    // evhttp writes a request into the buffer once it is connected.
+    connection->connected_ = true;
+    const int on = 1;
+    setsockopt(bufferevent_getfd(
+                   evhttp_connection_get_bufferevent(connection->connection_)),
+               IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  }
+  // Bytes leave the buffer when they are written, and also when evhttp drops
+  // them after a failure. The latter errs on the side of "may have been sent".
+  if (info->n_deleted > 0) {
+    connection->sent_ = true;
+  }
+}
+
+void UpstreamConnection::HandleAnswer(evhttp_request* request) {
+  Exchange* exchange = std::exchange(exchange_, nullptr);
+  if (exchange == nullptr) {
+    sending_ = false;
+    Retire();
+    return;
+  }
+  if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
+    Retire();
+    ExchangeEnd end = sent_ ? ExchangeEnd::kBroken : ExchangeEnd::kNotSent;
+    exchange->Finish(too_large_ ? ExchangeEnd::kTooLarge : end, nullptr);
+    return;
+  }
+  if (!IsWhole(request)) {
+    Retire();
+    exchange->Finish(ExchangeEnd::kBroken, nullptr);
+    return;
+  }
+  bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+  if (!retired_ && AllowsReuse(request) &&
+      evbuffer_get_length(bufferevent_get_input(bufev)) == 0) {
+    events_->on_idle(this);
+  } else {
+    Retire();
+  }
+  evhttp_request_own(request);
+  exchange->Finish(ExchangeEnd::kAnswered,
+                   HttpRequestPtr(request, HttpRequestDeleter{deleter_}));
+}
+
+void UpstreamConnection::Retire() {
+  if (!retired_) {
+    retired_ = true;
+    events_->on_retired(this);
+  }
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/routing/ejection.cc
@@ -0,0 +1,38 @@
+#include "routing/ejection.h"
+
+#include <algorithm>
+
+namespace dragonflytack {
+
+bool Ejection::Record(AttemptEnd end) {
+  if (end == AttemptEnd::kNeutral) {
+    return false;
+  }
+  // Halving both counts keeps the rate and lets old attempts fade.
+  if (++attempts_ > 2 * kMinAttempts) {
+    attempts_ /= 2;
+    timeouts_ /= 2;
+  }
+  if (end == AttemptEnd::kSuccess) {
+    failures_in_row_ = 0;
+    if (++successes_in_row_ >= kSuccessesToForget) {
+      next_period_ = kFirstPeriod;
+    }
+  } else {
+    successes_in_row_ = 0;
+    ++failures_in_row_;
+    timeouts_ += end == AttemptEnd::kTimeout ? 1 : 0;
+  }
+  return failures_in_row_ >= kFailuresToEject ||
+         (attempts_ >= kMinAttempts && 2 * timeouts_ > attempts_);
+}
+
+void Ejection::Eject(TimePoint now) {
+  until_ = now + next_period_;
+  next_period_ = std::min(2 * next_period_, kLongestPeriod);
+  failures_in_row_ = kFailuresToEject - 1;
+  attempts_ = 0;
+  timeouts_ = 0;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/routing/endpoint_state.h
@@ -0,0 +1,82 @@
+#ifndef DRAGONFLYTACK_SRC_ROUTING_ENDPOINT_STATE_H_
+#define DRAGONFLYTACK_SRC_ROUTING_ENDPOINT_STATE_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/routing/endpoint.h"
+#include "routing/ejection.h"
+
+namespace dragonflytack {
+
+// What this node has seen of one endpoint: its own calls in flight, latencies,
+// load reports and failures. It outlives snapshots that still name the
+// endpoint.
+class EndpointState final {
+ public:
+  // A refusal as overloaded keeps new calls away for this long.
+  static constexpr Milliseconds kOverloadedPeriod{1000};
+  // A refusal as draining keeps new calls away until the snapshot says so too.
+  static constexpr Milliseconds kDrainingPeriod{3000};
+  // Older load reports count as none.
+  static constexpr Milliseconds kLoadReportLife{5000};
+  static constexpr Milliseconds kWarmUp{10'000};
+  static constexpr double kColdWeight = 0.1;
+
+  // `slots` is the number of calls at which the endpoint counts as full.
+  EndpointState(const Endpoint& endpoint,
+                int slots,
+                TimePoint now,
+                int64_t wall_millis);
+
+  // Takes over what a newer snapshot says.
+  void Update(const Endpoint& endpoint,
+              int slots,
+              TimePoint now,
+              int64_t wall_millis);
+
+  const NodeRecord& record() const { return record_; }
+  int in_flight() const { return in_flight_; }
+
+  void OnSent() { ++in_flight_; }
+  void OnEnded(AttemptEnd end, std::chrono::nanoseconds latency);
+  // `load` is 0 to 1; other values are cut.
+  void OnLoadReport(double load, TimePoint now);
+  void OnOverloaded(TimePoint now) {
+    overloaded_until_ = now + kOverloadedPeriod;
+  }
+  void OnDraining(TimePoint now) { draining_until_ = now + kDrainingPeriod; }
+
+  // Lower is better: calls in flight times latency, changed by at most half by
+  // the load report. The report is only a hint because it may lag or mislead.
+  double Score(TimePoint now) const;
+
+  // Share of the calls that a warm endpoint would get, kColdWeight to 1.
+  double WarmWeight(TimePoint now) const;
+
+  bool IsFull(TimePoint now) const {
+    return in_flight_ >= slots_ || now < overloaded_until_;
+  }
+  bool IsDraining(TimePoint now) const { return now < draining_until_; }
+
+  Ejection& ejection() { return ejection_; }
+  const Ejection& ejection() const { return ejection_; }
+
+ private:
+  NodeRecord record_;
+  int slots_;
+  int in_flight_ = 0;
+  double latency_us_;
+  double load_ = 0;
+  TimePoint load_until_{};
+  TimePoint overloaded_until_{};
+  TimePoint draining_until_{};
+  // When the warm-up began, by this node's clock.
+  TimePoint warming_since_{};
+  Ejection ejection_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_ROUTING_ENDPOINT_STATE_H_
--- /dev/null
+++ b/tests/call_fixture.cc
@@ -0,0 +1,268 @@
+#include "call_fixture.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+namespace dragonflytack {
+
+namespace {
+
+sockaddr_in ToSockaddr(const std::string& address, uint16_t port) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(port);
+  inet_pton(AF_INET, address.c_str(), &result.sin_addr);
+  return result;
+}
+
+// Reads more bytes until `deadline`. Returns false at the end of the stream.
+bool ReadMore(int fd, TimePoint deadline, std::string* text) {
+  const auto left = std::chrono::ceil<Milliseconds>(
+      deadline - std::chrono::steady_clock::now());
+  pollfd poller{fd, POLLIN, 0};
+  if (left.count() <= 0 ||
+      poll(&poller, 1, static_cast<int>(left.count())) < 1) {
+    return false;
+  }
+  char buffer[65536];
+  const ssize_t size = recv(fd, buffer, sizeof(buffer), 0);
+  if (size <= 0) {
+    return false;
+  }
+  text->append(buffer, static_cast<size_t>(size));
+  return true;
+}
+
+size_t ContentLength(const std::string& head) {
+  const HttpReply reply{0, head, "", Milliseconds(0)};
+  const std::string text = reply.Header("content-length");
+  return text.empty() ? 0 : std::stoul(text);
+}
+
+}  // namespace
+
+std::string LoopbackAddress(int index) {
+  const int pid = getpid();
+  return fmt::format("127.{}.{}.{}", 10 + (pid >> 8) % 200, pid % 250 + 1,
+                     index + 1);
+}
+
+std::string HttpReply::Header(const std::string& name) const {
+  std::string lower = head;
+  std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
+  const size_t found = lower.find("\r\n" + name + ":");
+  if (found == std::string::npos) {
+    return "";
+  }
+  const size_t start = head.find_first_not_of(' ', found + name.size() + 3);
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
+Socket::Socket(const std::string& address, uint16_t port)
+    : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  const sockaddr_in to = ToSockaddr(address, port);
+  if (connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0) {
+    close(std::exchange(fd_, -1));
+  }
+}
+
+Socket::~Socket() {
+  if (fd_ >= 0) {
+    close(fd_);
+  }
+}
+
+void Socket::Send(const std::string& text) const {
+  size_t sent = 0;
+  while (sent < text.size()) {
+    const ssize_t size =
+        send(fd_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+    if (size <= 0) {
+      return;
+    }
+    sent += static_cast<size_t>(size);
+  }
+}
+
+HttpReply Socket::Receive(Milliseconds limit) const {
+  HttpReply reply;
+  const TimePoint start = std::chrono::steady_clock::now();
+  std::string text;
+  while (true) {
+    const size_t end = text.find("\r\n\r\n");
+    if (end != std::string::npos) {
+      reply.head = text.substr(0, end + 2);
+      reply.body = text.substr(end + 4);
+      if (reply.body.size() >= ContentLength(reply.head)) {
+        reply.status = std::stoi(text.substr(9, 3));
+        break;
+      }
+    }
+    if (!ReadMore(fd_, start + limit, &text)) {
+      break;
+    }
+  }
+  reply.elapsed = std::chrono::duration_cast<Milliseconds>(
+      std::chrono::steady_clock::now() - start);
+  return reply;
+}
+
+ScriptedTarget::ScriptedTarget(const std::string& address,
+                               uint16_t port,
+                               Script script)
+    : script_(std::move(script)),
+      listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  const int on = 1;
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in at = ToSockaddr(address, port);
+  cr_assert_eq(
+      bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at)), 0);
+  listen(listener_, 512);
+  acceptor_ = std::thread([this] {
+    while (true) {
+      const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      std::lock_guard<std::mutex> lock(mutex_);
+      if (fd < 0 || stopping_) {
+        return;
+      }
+      fds_.push_back(fd);
+      threads_.emplace_back([this, fd] { Serve(fd); });
+    }
+  });
+}
+
+ScriptedTarget::~ScriptedTarget() {
+  stopping_ = true;
+  shutdown(listener_, SHUT_RDWR);
+  acceptor_.join();
+  close(listener_);
+  for (const int fd : fds_) {
+    shutdown(fd, SHUT_RDWR);
+  }
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  for (const int fd : fds_) {
+    close(fd);
+  }
+}
+
+void ScriptedTarget::Serve(int fd) {
+  std::string text;
+  while (!stopping_) {
+    const size_t end = text.find("\r\n\r\n");
+    if (end == std::string::npos ||
+        text.size() < end + 4 + ContentLength(text.substr(0, end + 2))) {
+      if (!ReadMore(fd, TimePoint::max() - std::chrono::hours(1), &text)) {
+        ++closed_;
+        return;
+      }
+      continue;
+    }
+    const std::string head = text.substr(0, end + 2);
+    text.erase(0, end + 4 + ContentLength(head));
+    if (!script_(fd, head, ++requests_)) {
+      shutdown(fd, SHUT_RDWR);
+      return;
+    }
+  }
+}
+
+bool ScriptedTarget::Answer(int fd, const std::string& body) {
+  const std::string text = fmt::format(
+      "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+  send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+  return true;
+}
+
+CallFixture::CallFixture(int targets, const ServiceRow& row) {
+  for (int i = 0; i <= targets; ++i) {
+    Settings settings;
+    settings.node_id = fmt::format("n{}", i);
+    settings.region = "r";
+    settings.data_centre = "d";
+    settings.address = Address(i);
+    settings.call_port = kCallPort;
+    settings.mesh_port = kMeshPort;
+    auto node = std::make_unique<Node>(settings);
+    CallTask::Events events;
+    events.on_stopped = [flag = &node->stopped](const NodeId&) {
+      *flag = true;
+    };
+    Failure reason;
+    node->task =
+        CallTask::Make(settings, 1, &node->clock, &node->logger, &node->metrics,
+                       &node->tracer, std::move(events), &reason);
+    cr_assert_not_null(node->task.get(), "%s", reason.ToString().c_str());
+    nodes_.push_back(std::move(node));
+  }
+  Publish(row);
+  for (int i = 1; i <= targets; ++i) {
+    SetTargetState(i, TargetState::kReady);
+  }
+  // The mailboxes are read within a round of the loops.
+  std::this_thread::sleep_for(Milliseconds(20));
+}
+
+void CallFixture::Publish(const ServiceRow& row) {
+  auto route = std::make_shared<ServiceRoute>();
+  route->row = row;
+  for (size_t i = 1; i < nodes_.size(); ++i) {
+    Endpoint endpoint;
+    endpoint.record.id = fmt::format("n{}", i);
+    endpoint.record.region = "r";
+    endpoint.record.data_centre = "d";
+    endpoint.record.address = Address(static_cast<int>(i));
+    endpoint.record.mesh_port = kMeshPort;
+    endpoint.record.service = row.service;
+    endpoint.record.state = TargetState::kReady;
+    route->endpoints.push_back(endpoint);
+  }
+  auto routes = std::make_shared<RouteSnapshot>();
+  routes->version = ++version_;
+  routes->services[row.service] = route;
+  for (auto& node : nodes_) {
+    node->task->PostRoutes(routes);
+  }
+}
+
+void CallFixture::SetTargetState(int node, TargetState state) {
+  task(node)->PostTarget({"s", Address(node), kTargetPort, state, 0});
+}
+
+bool CallFixture::WaitUntilStopped(int node, Milliseconds limit) {
+  const TimePoint end = std::chrono::steady_clock::now() + limit;
+  while (!nodes_[node]->stopped && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  return nodes_[node]->stopped;
+}
+
+std::string CallFixture::Request(const std::string& id,
+                                 int deadline_ms,
+                                 const std::string& headers) {
+  return fmt::format(
+      "GET /s/x HTTP/1.1\r\nHost: h\r\nx-deadline-ms: {}\r\nx-request-id: "
+      "{}\r\n{}\r\n",
+      deadline_ms, id, headers);
+}
+
+HttpReply CallFixture::Call(const std::string& id,
+                            int deadline_ms,
+                            const std::string& headers) const {
+  const Socket socket(Address(0), kCallPort);
+  cr_assert_geq(socket.fd(), 0);
+  socket.Send(Request(id, deadline_ms, headers));
+  return socket.Receive(Milliseconds(deadline_ms + 2000));
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/tests/call_fixture.h
@@ -0,0 +1,126 @@
+#ifndef DRAGONFLYTACK_TESTS_CALL_FIXTURE_H_
+#define DRAGONFLYTACK_TESTS_CALL_FIXTURE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "dragonflytack/base/clock.h"
+#include "dragonflytack/base/settings.h"
+#include "dragonflytack/base/system_clock.h"
+#include "dragonflytack/calls/call_task.h"
+#include "dragonflytack/observe/metrics_registry.h"
+#include "dragonflytack/observe/tracer.h"
+#include "dragonflytack/routing/route_snapshot.h"
+
+namespace dragonflytack {
+
+// An address in 127/8 that belongs to this test's process and `index`.
+std::string LoopbackAddress(int index);
+
+// What a blocking HTTP client received. `status` is 0 when no whole answer came
+// within the limit.
+struct HttpReply {
+  int status = 0;
+  std::string head;
+  std::string body;
+  Milliseconds elapsed{0};
+  // Value of a header in lower case; empty when it is missing.
+  std::string Header(const std::string& name) const;
+};
+
+// A connected socket, closed at the end; -1 when the connection failed.
+class Socket {
+ public:
+  Socket(const std::string& address, uint16_t port);
+  explicit Socket(int fd) : fd_(fd) {}
+  ~Socket();
+  Socket(const Socket&) = delete;
+  int fd() const { return fd_; }
+  void Send(const std::string& text) const;
+  HttpReply Receive(Milliseconds limit) const;
+
+ private:
+  int fd_;
+};
+
+// A target that handles each request on a blocking thread by a script, for
+// faults that a proper server cannot produce.
+class ScriptedTarget {
+ public:
+  // Gets the socket, the head and the number of the request from 1. Returns
+  // whether the connection stays open.
+  using Script = std::function<bool(int fd, const std::string& head, int n)>;
+
+  ScriptedTarget(const std::string& address, uint16_t port, Script script);
+  ~ScriptedTarget();
+  int requests() const { return requests_; }
+  // Connections that the other side closed.
+  int closed() const { return closed_; }
+  static bool Answer(int fd, const std::string& body);
+
+ private:
+  void Serve(int fd);
+
+  const Script script_;
+  int listener_;
+  std::atomic<int> requests_ = 0;
+  std::atomic<int> closed_ = 0;
+  std::atomic<bool> stopping_ = false;
+  std::mutex mutex_;
+  std::vector<int> fds_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+// Nodes that share one snapshot of one service "s", each with the port of a
+// target beside it.
+class CallFixture {
+ public:
+  static constexpr uint16_t kCallPort = 7001;
+  static constexpr uint16_t kMeshPort = 7002;
+  static constexpr uint16_t kTargetPort = 7003;
+
+  // The first node has no target; the others do.
+  CallFixture(int targets, const ServiceRow& row);
+
+  std::string Address(int node) const { return LoopbackAddress(node); }
+  CallTask* task(int node) { return nodes_[node]->task.get(); }
+  MetricsRegistry* metrics(int node) { return &nodes_[node]->metrics; }
+  Tracer* tracer(int node) { return &nodes_[node]->tracer; }
+  // Ends a node as a crash would.
+  void Kill(int node) { nodes_[node]->task.reset(); }
+  bool WaitUntilStopped(int node, Milliseconds limit);
+  void Publish(const ServiceRow& row);
+  void SetTargetState(int node, TargetState state);
+
+  // Makes a call through the first node.
+  HttpReply Call(const std::string& id,
+                 int deadline_ms,
+                 const std::string& headers = "") const;
+  static std::string Request(const std::string& id,
+                             int deadline_ms,
+                             const std::string& headers = "");
+
+ private:
+  struct Node {
+    explicit Node(const Settings& settings)
+        : logger(&clock, LogLevel::kError, settings.node_id), tracer(0, 1) {}
+    SystemClock clock;
+    Logger logger;
+    MetricsRegistry metrics;
+    Tracer tracer;
+    std::atomic<bool> stopped = false;
+    std::unique_ptr<CallTask> task;
+  };
+  std::vector<std::unique_ptr<Node>> nodes_;
+  uint64_t version_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_TESTS_CALL_FIXTURE_H_
--- /dev/null
+++ b/tools/target_standin/execution_counts.cc
@@ -0,0 +1,65 @@
+#include "target_standin/execution_counts.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflytack {
+
+namespace {
+
+nlohmann::json Repeated(const std::unordered_map<std::string, int>& counts) {
+  nlohmann::json repeated = nlohmann::json::object();
+  for (const auto& [name, count] : counts) {
+    if (count > 1) {
+      repeated[name] = count;
+    }
+  }
+  return repeated;
+}
+
+}  // namespace
+
+void ExecutionCounts::Names::Record(std::string_view name) {
+  if (name.empty()) {
+    return;
+  }
+  const auto [found, added] = counts.try_emplace(std::string(name), 0);
+  ++found->second;
+  if (added) {
+    order.push_back(found->first);
+    if (order.size() > kMaxNames) {
+      counts.erase(order.front());
+      order.pop_front();
+    }
+  }
+}
+
+int ExecutionCounts::Names::Count(const std::string& name) const {
+  const auto found = counts.find(name);
+  return found == counts.end() ? 0 : found->second;
+}
+
+void ExecutionCounts::Record(std::string_view key,
+                             std::string_view request_id) {
+  ++total_;
+  keys_.Record(key);
+  requests_.Record(request_id);
+}
+
+int ExecutionCounts::OfRequest(const std::string& request_id) const {
+  return requests_.Count(request_id);
+}
+
+int ExecutionCounts::OfKey(const std::string& key) const {
+  return keys_.Count(key);
+}
+
+std::string ExecutionCounts::ToJson() const {
+  return nlohmann::json{{"total", total_},
+                        {"keys", keys_.counts.size()},
+                        {"requests", requests_.counts.size()},
+                        {"repeated_keys", Repeated(keys_.counts)},
+                        {"repeated_requests", Repeated(requests_.counts)}}
+      .dump();
+}
+
+}  // namespace dragonflytack
