--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -142,7 +142,7 @@
                                    registry_.digests().whole()};
   const Message message = heartbeat;
   const std::string frame = MessageCodec::Encode(message);
-  for (PeerLink* link : links_.Up()) {
+  for (LinkState* link : links_.Up()) {
     links_.SendFrame(link, message.index(), frame);
   }
 }
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -66,23 +66,23 @@
 
  private:
   // Handles one kind of message; chosen by the alternative of Message.
-  void Handle(PeerLink* link, const HelloMessage& message);
-  void Handle(PeerLink* link, const HeartbeatMessage& message);
-  void Handle(PeerLink* link, const RecordsMessage& message);
-  void Handle(PeerLink* link, const SuspicionsMessage& message);
-  void Handle(PeerLink* link, const DeltaMessage& message);
-  void Handle(PeerLink* link, const HoldMessage& message);
-  void Handle(PeerLink* link, const TableRequestMessage& message);
-  void Handle(PeerLink* link, const TableMessage& message);
-  void Handle(PeerLink* link, const SnapshotRequestMessage& message);
-  void Handle(PeerLink* link, const SnapshotEndMessage& message);
-  void Handle(PeerLink* link, const SnapshotTakenMessage& message);
-  void Handle(PeerLink* link, const BusyMessage& message);
-  void Handle(PeerLink* link, const BucketsMessage& message);
-  void Handle(PeerLink* link, const BucketHashesMessage& message);
-  void Handle(PeerLink* link, const WantMessage& message);
+  void Handle(LinkState* link, const HelloMessage& message);
+  void Handle(LinkState* link, const HeartbeatMessage& message);
+  void Handle(LinkState* link, const RecordsMessage& message);
+  void Handle(LinkState* link, const SuspicionsMessage& message);
+  void Handle(LinkState* link, const DeltaMessage& message);
+  void Handle(LinkState* link, const HoldMessage& message);
+  void Handle(LinkState* link, const TableRequestMessage& message);
+  void Handle(LinkState* link, const TableMessage& message);
+  void Handle(LinkState* link, const SnapshotRequestMessage& message);
+  void Handle(LinkState* link, const SnapshotEndMessage& message);
+  void Handle(LinkState* link, const SnapshotTakenMessage& message);
+  void Handle(LinkState* link, const BusyMessage& message);
+  void Handle(LinkState* link, const BucketsMessage& message);
+  void Handle(LinkState* link, const BucketHashesMessage& message);
+  void Handle(LinkState* link, const WantMessage& message);
 
-  void SayHello(PeerLink* link);
+  void SayHello(LinkState* link);
   void Tick();
   void Heartbeat();
   void UpdateSpeaker();
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -14,7 +14,7 @@
 void DistributionCore::Impl::OnLinkUp(LinkId id,
                                       const NodeRecord& peer,
                                       bool outgoing) {
-  PeerLink* link = keeper_.OnUp(id, peer, outgoing);
+  LinkState* link = keeper_.OnUp(id, peer, outgoing);
   if (link == nullptr) {
     return;
   }
@@ -25,7 +25,7 @@
 }
 
 void DistributionCore::Impl::OnFrame(LinkId id, std::string_view frame) {
-  PeerLink* link = links_.Find(id);
+  LinkState* link = links_.Find(id);
   if (link == nullptr || !link->up) {
     return;
   }
@@ -48,7 +48,7 @@
 }
 
 void DistributionCore::Impl::OnLinkDown(LinkId id, const Failure& reason) {
-  if (const PeerLink* link = links_.Find(id)) {
+  if (const LinkState* link = links_.Find(id)) {
     logger_->Info("link_down",
                   {{"peer", link->peer}, {"reason", reason.ToString()}});
   }
@@ -58,7 +58,7 @@
   EvaluateTable();
 }
 
-void DistributionCore::Impl::SayHello(PeerLink* link) {
+void DistributionCore::Impl::SayHello(LinkState* link) {
   HelloMessage hello;
   hello.in_force = joined();
   hello.version = joined() ? table_.in_force()->version() : 0;
@@ -72,7 +72,7 @@
   links_.Send(link, hello);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const HelloMessage& message) {
   link->hello_received = true;
   link->in_force = message.in_force;
@@ -93,7 +93,7 @@
   EvaluateTable();
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const HeartbeatMessage& message) {
   if (message.version != 0 || link->in_force) {
     link->in_force = true;
@@ -110,22 +110,22 @@
   records_.OnDigest(link, message.digest, may_repair);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const RecordsMessage& message) {
   records_.OnRecords(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const SuspicionsMessage& message) {
   records_.OnSuspicions(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const DeltaMessage& message) {
   table_.OnDelta(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const HoldMessage& message) {
   if (link->in_force) {
     // The peer puts it in force next, and may be restarted before its
@@ -136,22 +136,23 @@
   table_.OnPeerVersion(link, message.version);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const TableRequestMessage& message) {
   table_.OnRequest(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const TableMessage& message) {
   table_.OnTable(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const SnapshotRequestMessage&) {
   snapshots_.OnRequest(link);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link, const SnapshotEndMessage&) {
+void DistributionCore::Impl::Handle(LinkState* link,
+                                    const SnapshotEndMessage&) {
   if (joiner_.OnSnapshotEnd(link)) {
     keeper_.Refresh();
     keeper_.Tick(joined());
@@ -159,28 +160,28 @@
   }
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const SnapshotTakenMessage&) {
   snapshots_.Release(link->id);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const BusyMessage& message) {
   joiner_.OnBusy(link, message);
   joiner_.Tick();
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const BucketsMessage& message) {
   records_.OnBuckets(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const BucketHashesMessage& message) {
   records_.OnBucketHashes(link, message);
 }
 
-void DistributionCore::Impl::Handle(PeerLink* link,
+void DistributionCore::Impl::Handle(LinkState* link,
                                     const WantMessage& message) {
   records_.OnWant(link, message);
 }
--- a/src/distribution/joiner.cc
+++ b/src/distribution/joiner.cc
@@ -39,7 +39,7 @@
   }
 }
 
-void Joiner::OnBusy(PeerLink* link, const BusyMessage& message) {
+void Joiner::OnBusy(LinkState* link, const BusyMessage& message) {
   link->busy_until = clock_->Now() + Milliseconds(message.retry_ms);
   if (asked_ != link->id) {
     return;
@@ -53,7 +53,7 @@
   }
 }
 
-bool Joiner::OnSnapshotEnd(PeerLink* link) {
+bool Joiner::OnSnapshotEnd(LinkState* link) {
   if (asked_ != link->id || synced_) {
     return false;
   }
@@ -87,7 +87,7 @@
 void Joiner::DialCandidates() {
   const TimePoint now = clock_->Now();
   size_t missing = kMaxLinks;
-  for (const PeerLink* link : links_->Up()) {
+  for (const LinkState* link : links_->Up()) {
     // Peers that are busy or have nothing are no help to join.
     if (link->in_force && link->busy_until <= now && missing > 0) {
       --missing;
@@ -118,8 +118,8 @@
   if (asked_ != 0 && now - asked_at_ < kSnapshotTimeout) {
     return;
   }
-  PeerLink* best = nullptr;
-  for (PeerLink* link : links_->Up()) {
+  LinkState* best = nullptr;
+  for (LinkState* link : links_->Up()) {
     const auto distance = static_cast<int>(link->link_class);
     if (!link->in_force || link->busy_until > now || link->id == asked_ ||
         now - started_ < kPatiencePerClass * distance) {
--- a/src/distribution/joiner.h
+++ b/src/distribution/joiner.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "distribution/backoff.h"
+#include "distribution/link_state.h"
 #include "distribution/messages.h"
-#include "distribution/peer_link.h"
 #include "distribution/seed_list.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/host_port.h"
@@ -36,9 +36,9 @@
   // Adds the peers of the store's list.
   void OnSeeds(const SeedList& seeds);
   // Adds peers that a busy one named; they are asked first.
-  void OnBusy(PeerLink* link, const BusyMessage& message);
+  void OnBusy(LinkState* link, const BusyMessage& message);
   // Takes the end of a snapshot. Returns whether it was the one asked for.
-  bool OnSnapshotEnd(PeerLink* link);
+  bool OnSnapshotEnd(LinkState* link);
   void OnLinkDown(LinkId link);
   // Dials candidates while links are missing and asks for the snapshot.
   void Tick();
--- a/src/distribution/link_keeper.cc
+++ b/src/distribution/link_keeper.cc
@@ -190,8 +190,8 @@
   }
 }
 
-PeerLink* LinkKeeper::OnUp(LinkId id, const NodeRecord& peer, bool outgoing) {
-  if (const PeerLink* dialled = links_->Find(id)) {
+LinkState* LinkKeeper::OnUp(LinkId id, const NodeRecord& peer, bool outgoing) {
+  if (const LinkState* dialled = links_->Find(id)) {
     const NodeId expected = dialled->peer;
     if (expected != peer.id) {
       NoteFailure(expected);
@@ -201,7 +201,7 @@
     links_->Close(id);
     return nullptr;
   }
-  const PeerLink* existing = links_->FindUp(peer.id);
+  const LinkState* existing = links_->FindUp(peer.id);
   if (existing != nullptr && existing->id != id) {
     // Both ends keep the link that the smaller id dialled. A newer link from
     // the same end replaces one that this end lost, and so does any link when
@@ -223,7 +223,7 @@
 }
 
 void LinkKeeper::OnDown(LinkId id) {
-  const PeerLink* link = links_->Find(id);
+  const LinkState* link = links_->Find(id);
   if (link == nullptr) {
     return;
   }
@@ -239,7 +239,7 @@
 }
 
 void LinkKeeper::ForgiveSilence() {
-  for (PeerLink* link : links_->Up()) {
+  for (LinkState* link : links_->Up()) {
     link->last_heard = clock_->Now();
   }
 }
@@ -248,7 +248,7 @@
   std::set<NodeId> asked = overlay_.successors;
   asked.insert(overlay_.predecessors.begin(), overlay_.predecessors.end());
   return std::all_of(asked.begin(), asked.end(), [this](const NodeId& id) {
-    const PeerLink* link = links_->FindUp(id);
+    const LinkState* link = links_->FindUp(id);
     const auto dial = dials_.find(id);
     return (link != nullptr && link->hello_received) ||
            (dial != dials_.end() && dial->second.failures > 0);
--- a/src/distribution/link_keeper.h
+++ b/src/distribution/link_keeper.h
@@ -7,8 +7,8 @@
 #include <set>
 #include <string>
 
+#include "distribution/link_state.h"
 #include "distribution/overlay.h"
-#include "distribution/peer_link.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/registry/node_record.h"
 
@@ -49,7 +49,7 @@
   // predecessors are asked for the version floor too.
   void Tick(bool joined);
   // Takes a link that came up. Returns null when it is closed as a duplicate.
-  PeerLink* OnUp(LinkId id, const NodeRecord& peer, bool outgoing);
+  LinkState* OnUp(LinkId id, const NodeRecord& peer, bool outgoing);
   void OnDown(LinkId id);
   // Counts all links as heard now, after a pause of this node.
   void ForgiveSilence();
--- a/src/distribution/peer_link.h
+++ b/src/distribution/link_state.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_PEER_LINK_H_
-#define DRAGONFLYTACK_SRC_DISTRIBUTION_PEER_LINK_H_
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_STATE_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_STATE_H_
 
 #include <cstdint>
 #include <set>
@@ -18,7 +18,7 @@
 namespace dragonflytack {
 
 // One connection to a peer with what is known about the peer's state.
-struct PeerLink final {
+struct LinkState final {
   LinkId id = 0;
   HostPort address;
   bool outgoing = false;
@@ -50,4 +50,4 @@
 
 }  // namespace dragonflytack
 
-#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_PEER_LINK_H_
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_STATE_H_
--- a/src/distribution/link_table.cc
+++ b/src/distribution/link_table.cc
@@ -23,7 +23,7 @@
 
 void LinkTable::Dial(const HostPort& address, const NodeId& peer) {
   const LinkId id = layer_->Connect(address);
-  PeerLink& link = links_[id];
+  LinkState& link = links_[id];
   link.id = id;
   link.address = address;
   link.outgoing = true;
@@ -31,8 +31,8 @@
   link.opened = clock_->Now();
 }
 
-PeerLink* LinkTable::MarkUp(LinkId id, const NodeRecord& peer, bool outgoing) {
-  PeerLink& link = links_[id];
+LinkState* LinkTable::MarkUp(LinkId id, const NodeRecord& peer, bool outgoing) {
+  LinkState& link = links_[id];
   link.id = id;
   link.address = HostPort{peer.address, peer.peer_port};
   link.outgoing = outgoing;
@@ -54,11 +54,11 @@
   }
 }
 
-void LinkTable::Send(PeerLink* link, const Message& message) {
+void LinkTable::Send(LinkState* link, const Message& message) {
   SendFrame(link, message.index(), MessageCodec::Encode(message));
 }
 
-void LinkTable::SendFrame(PeerLink* link,
+void LinkTable::SendFrame(LinkState* link,
                           size_t kind,
                           const std::string& frame) {
   TrafficCounters::Count& count =
@@ -68,23 +68,25 @@
   layer_->Send(link->id, frame);
 }
 
-void LinkTable::CountReceived(const PeerLink& link, size_t kind, size_t bytes) {
+void LinkTable::CountReceived(const LinkState& link,
+                              size_t kind,
+                              size_t bytes) {
   TrafficCounters::Count& count =
       traffic_.received[kind][static_cast<size_t>(link.link_class)];
   ++count.frames;
   count.bytes += bytes;
 }
 
-size_t LinkTable::QueuedBytes(const PeerLink& link) const {
+size_t LinkTable::QueuedBytes(const LinkState& link) const {
   return layer_->QueuedBytes(link.id);
 }
 
-PeerLink* LinkTable::Find(LinkId id) {
+LinkState* LinkTable::Find(LinkId id) {
   const auto found = links_.find(id);
   return found == links_.end() ? nullptr : &found->second;
 }
 
-PeerLink* LinkTable::FindUp(const NodeId& peer) {
+LinkState* LinkTable::FindUp(const NodeId& peer) {
   for (auto& [id, link] : links_) {
     if (link.up && link.peer == peer) {
       return &link;
@@ -93,8 +95,8 @@
   return nullptr;
 }
 
-std::vector<PeerLink*> LinkTable::Up() {
-  std::vector<PeerLink*> up;
+std::vector<LinkState*> LinkTable::Up() {
+  std::vector<LinkState*> up;
   for (auto& [id, link] : links_) {
     if (link.up) {
       up.push_back(&link);
--- a/src/distribution/link_table.h
+++ b/src/distribution/link_table.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "distribution/link_state.h"
 #include "distribution/messages.h"
-#include "distribution/peer_link.h"
 #include "dragonflytack/distribution/traffic_counters.h"
 
 namespace dragonflytack {
@@ -28,28 +28,28 @@
   // Starts a connection. `peer` is empty when only the address is known.
   void Dial(const HostPort& address, const NodeId& peer);
   // Takes note that a link is up and returns it.
-  PeerLink* MarkUp(LinkId id, const NodeRecord& peer, bool outgoing);
+  LinkState* MarkUp(LinkId id, const NodeRecord& peer, bool outgoing);
   // Closes a link; nothing more is reported for it.
   void Close(LinkId id);
   // Forgets a link that the layer reported down.
   void Remove(LinkId id) { links_.erase(id); }
 
-  void Send(PeerLink* link, const Message& message);
+  void Send(LinkState* link, const Message& message);
   // Sends one encoded frame, which may go to several links.
-  void SendFrame(PeerLink* link, size_t kind, const std::string& frame);
-  void CountReceived(const PeerLink& link, size_t kind, size_t bytes);
-  size_t QueuedBytes(const PeerLink& link) const;
+  void SendFrame(LinkState* link, size_t kind, const std::string& frame);
+  void CountReceived(const LinkState& link, size_t kind, size_t bytes);
+  size_t QueuedBytes(const LinkState& link) const;
 
-  PeerLink* Find(LinkId id);
+  LinkState* Find(LinkId id);
   // Returns the link to a peer that is up, null when there is none.
-  PeerLink* FindUp(const NodeId& peer);
+  LinkState* FindUp(const NodeId& peer);
   // Returns all links that are up. They stay valid until one is closed.
-  std::vector<PeerLink*> Up();
+  std::vector<LinkState*> Up();
   bool IsDialing(const HostPort& address) const;
   // Number of connections that are being made.
   size_t dialing() const;
   size_t up_count() const;
-  const std::map<LinkId, PeerLink>& links() const { return links_; }
+  const std::map<LinkId, LinkState>& links() const { return links_; }
   const TrafficCounters& traffic() const { return traffic_; }
 
  private:
@@ -57,7 +57,7 @@
   const Clock* const clock_;
   const std::string region_;
   const std::string data_centre_;
-  std::map<LinkId, PeerLink> links_;
+  std::map<LinkId, LinkState> links_;
   TrafficCounters traffic_;
 };
 
--- a/src/distribution/registry_sync.cc
+++ b/src/distribution/registry_sync.cc
@@ -87,7 +87,7 @@
   }
 }
 
-void RegistrySync::OnRecord(PeerLink* from, const RecordUpdate& update) {
+void RegistrySync::OnRecord(LinkState* from, const RecordUpdate& update) {
   const NodeRecord& record = update.record;
   if (record.id == self_.id) {
     OnKnownAge(record.incarnation, record.sequence);
@@ -130,7 +130,7 @@
   }
 }
 
-void RegistrySync::OnRecords(PeerLink* from, const RecordsMessage& message) {
+void RegistrySync::OnRecords(LinkState* from, const RecordsMessage& message) {
   for (const RecordUpdate& update : message.records) {
     OnRecord(from, update);
   }
@@ -154,7 +154,7 @@
   }
 }
 
-void RegistrySync::OnSuspicions(PeerLink* from,
+void RegistrySync::OnSuspicions(LinkState* from,
                                 const SuspicionsMessage& message) {
   for (const Suspicion& suspicion : message.suspicions) {
     if (suspicion.id == self_.id) {
@@ -187,7 +187,7 @@
   }
 }
 
-void RegistrySync::TellOwnSuspicion(PeerLink* link) {
+void RegistrySync::TellOwnSuspicion(LinkState* link) {
   const RegistryEntry* entry = registry_->Find(link->peer);
   if (entry != nullptr && entry->liveness != Liveness::kAlive) {
     links_->Send(link, SuspicionsMessage{{Suspicion{
@@ -195,7 +195,7 @@
   }
 }
 
-void RegistrySync::OnDigest(PeerLink* link,
+void RegistrySync::OnDigest(LinkState* link,
                             const RegistryDigest& digest,
                             bool may_repair) {
   if (digest == registry_->digests().whole()) {
@@ -214,7 +214,7 @@
   links_->Send(link, BucketsMessage{registry_->digests().buckets()});
 }
 
-void RegistrySync::OnBuckets(PeerLink* link, const BucketsMessage& message) {
+void RegistrySync::OnBuckets(LinkState* link, const BucketsMessage& message) {
   std::map<uint8_t, std::vector<uint64_t>> differing;
   for (size_t i = 0; i < message.buckets.size(); ++i) {
     if (message.buckets[i] != registry_->digests().buckets()[i]) {
@@ -239,7 +239,7 @@
   links_->Send(link, BucketHashesMessage{{differing.begin(), differing.end()}});
 }
 
-void RegistrySync::OnBucketHashes(PeerLink* link,
+void RegistrySync::OnBucketHashes(LinkState* link,
                                   const BucketHashesMessage& message) {
   std::map<uint8_t, std::unordered_set<uint64_t>> theirs;
   for (const auto& [bucket, hashes] : message.buckets) {
@@ -259,7 +259,7 @@
   }
 }
 
-void RegistrySync::OnWant(PeerLink* link, const WantMessage& message) {
+void RegistrySync::OnWant(LinkState* link, const WantMessage& message) {
   const std::unordered_set<uint64_t> wanted(message.hashes.begin(),
                                             message.hashes.end());
   SendMatching(link, [&wanted](uint8_t, uint64_t hash) {
@@ -271,7 +271,7 @@
   // Most links carry the same batch, so its frame is made once.
   std::set<NodeId> framed;
   std::string frame;
-  for (PeerLink* link : links_->Up()) {
+  for (LinkState* link : links_->Up()) {
     if (links_->QueuedBytes(*link) > kMaxQueuedBytes) {
       continue;
     }
@@ -311,14 +311,14 @@
   }
 }
 
-void RegistrySync::SendAll(PeerLink* link) {
+void RegistrySync::SendAll(LinkState* link) {
   link->pending_records.clear();
   link->pending_successions.clear();
   SendMatching(link, [](uint8_t, uint64_t) { return true; });
 }
 
-void RegistrySync::FloodRecord(const NodeId& id, const PeerLink* except) {
-  for (PeerLink* link : links_->Up()) {
+void RegistrySync::FloodRecord(const NodeId& id, const LinkState* except) {
+  for (LinkState* link : links_->Up()) {
     // The owner is the last to need its own record.
     if (link != except && link->peer != id) {
       link->pending_records.insert(id);
@@ -327,8 +327,8 @@
 }
 
 void RegistrySync::FloodSuspicion(const Suspicion& suspicion,
-                                  const PeerLink* except) {
-  for (PeerLink* link : links_->Up()) {
+                                  const LinkState* except) {
+  for (LinkState* link : links_->Up()) {
     if (link != except) {
       link->pending_suspicions.push_back(suspicion);
     }
@@ -336,8 +336,8 @@
 }
 
 void RegistrySync::FloodSuccession(const Succession& succession,
-                                   const PeerLink* except) {
-  for (PeerLink* link : links_->Up()) {
+                                   const LinkState* except) {
+  for (LinkState* link : links_->Up()) {
     if (link != except) {
       link->pending_successions.emplace(succession.home,
                                         succession.incarnation);
@@ -357,7 +357,7 @@
   on_change_();
 }
 
-void RegistrySync::SendMatching(PeerLink* link, const HashFilter& filter) {
+void RegistrySync::SendMatching(LinkState* link, const HashFilter& filter) {
   RecordsMessage part;
   for (const auto& [id, entry] : registry_->entries()) {
     if (filter(entry->bucket, entry->hash)) {
@@ -381,7 +381,7 @@
   }
 }
 
-void RegistrySync::SendPart(PeerLink* link, RecordsMessage* part) {
+void RegistrySync::SendPart(LinkState* link, RecordsMessage* part) {
   links_->Send(link, std::exchange(*part, {}));
 }
 
--- a/src/distribution/registry_sync.h
+++ b/src/distribution/registry_sync.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "distribution/link_state.h"
 #include "distribution/messages.h"
-#include "distribution/peer_link.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/registry/node_record.h"
 #include "registry/failure_detector.h"
@@ -55,36 +55,36 @@
   size_t suspects() const { return detector_.size(); }
 
   // Takes the record that a peer presented or that a message carries.
-  void OnRecord(PeerLink* from, const RecordUpdate& update);
-  void OnRecords(PeerLink* from, const RecordsMessage& message);
-  void OnSuspicions(PeerLink* from, const SuspicionsMessage& message);
+  void OnRecord(LinkState* from, const RecordUpdate& update);
+  void OnRecords(LinkState* from, const RecordsMessage& message);
+  void OnSuspicions(LinkState* from, const SuspicionsMessage& message);
   // Takes the age that a peer knows of this node.
   void OnKnownAge(uint64_t incarnation, uint64_t sequence);
   // Tells a peer of a suspicion about itself, so that it refutes it.
-  void TellOwnSuspicion(PeerLink* link);
+  void TellOwnSuspicion(LinkState* link);
 
   // Takes a heartbeat's digest. `may_repair` is false on links that must not
   // carry a repair.
-  void OnDigest(PeerLink* link, const RegistryDigest& digest, bool may_repair);
-  void OnBuckets(PeerLink* link, const BucketsMessage& message);
-  void OnBucketHashes(PeerLink* link, const BucketHashesMessage& message);
-  void OnWant(PeerLink* link, const WantMessage& message);
+  void OnDigest(LinkState* link, const RegistryDigest& digest, bool may_repair);
+  void OnBuckets(LinkState* link, const BucketsMessage& message);
+  void OnBucketHashes(LinkState* link, const BucketHashesMessage& message);
+  void OnWant(LinkState* link, const WantMessage& message);
 
   // Sends the batches that wait.
   void Flush();
   // Sends the whole registry in parts.
-  void SendAll(PeerLink* link);
+  void SendAll(LinkState* link);
 
  private:
   using HashFilter = std::function<bool(uint8_t bucket, uint64_t hash)>;
 
-  void FloodRecord(const NodeId& id, const PeerLink* except);
-  void FloodSuspicion(const Suspicion& suspicion, const PeerLink* except);
-  void FloodSuccession(const Succession& succession, const PeerLink* except);
+  void FloodRecord(const NodeId& id, const LinkState* except);
+  void FloodSuspicion(const Suspicion& suspicion, const LinkState* except);
+  void FloodSuccession(const Succession& succession, const LinkState* except);
   void RaiseIncarnation(uint64_t above);
   void CommitSelf();
-  void SendMatching(PeerLink* link, const HashFilter& filter);
-  void SendPart(PeerLink* link, RecordsMessage* part);
+  void SendMatching(LinkState* link, const HashFilter& filter);
+  void SendPart(LinkState* link, RecordsMessage* part);
   RecordUpdate ToUpdate(const RegistryEntry& entry) const;
   SuccessionUpdate ToUpdate(const Succession& succession) const;
 
--- a/src/distribution/snapshot_server.cc
+++ b/src/distribution/snapshot_server.cc
@@ -23,7 +23,7 @@
       clock_(clock),
       random_(random) {}
 
-void SnapshotServer::OnRequest(PeerLink* link) {
+void SnapshotServer::OnRequest(LinkState* link) {
   const bool busy = served_.size() >= kMaxServed && !served_.contains(link->id);
   if (busy || table_->in_force() == nullptr) {
     BusyMessage message;
--- a/src/distribution/snapshot_server.h
+++ b/src/distribution/snapshot_server.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <vector>
 
-#include "distribution/peer_link.h"
+#include "distribution/link_state.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/host_port.h"
 
@@ -34,7 +34,7 @@
                  const Clock* clock,
                  Random* random);
 
-  void OnRequest(PeerLink* link);
+  void OnRequest(LinkState* link);
   // The newcomer has the snapshot, or its link is gone.
   void Release(LinkId link) { served_.erase(link); }
   void Tick();
--- a/src/distribution/table_sync.cc
+++ b/src/distribution/table_sync.cc
@@ -52,7 +52,7 @@
   }
 }
 
-void TableSync::OnDelta(PeerLink* link, const DeltaMessage& message) {
+void TableSync::OnDelta(LinkState* link, const DeltaMessage& message) {
   const TableDelta& delta = message.delta;
   if (baseline_) {
     return;
@@ -100,7 +100,7 @@
   Adopt(std::move(table), false, link);
 }
 
-void TableSync::OnTable(PeerLink* link, const TableMessage& message) {
+void TableSync::OnTable(LinkState* link, const TableMessage& message) {
   if (baseline_) {
     return;
   }
@@ -125,7 +125,7 @@
   Adopt(std::move(table), false, link);
 }
 
-void TableSync::OnRequest(PeerLink* link, const TableRequestMessage& message) {
+void TableSync::OnRequest(LinkState* link, const TableRequestMessage& message) {
   if (newest_ == nullptr || baseline_) {
     return;
   }
@@ -142,7 +142,7 @@
   SendWhole(link);
 }
 
-void TableSync::OnPeerVersion(PeerLink* link, TableVersion version) {
+void TableSync::OnPeerVersion(LinkState* link, TableVersion version) {
   link->version = std::max(link->version, version);
   if (baseline_ || newest_ == nullptr) {
     return;
@@ -157,7 +157,7 @@
   Evaluate(floor_known_);
 }
 
-void TableSync::SendWhole(PeerLink* link) {
+void TableSync::SendWhole(LinkState* link) {
   if (newest_ == nullptr || baseline_) {
     return;
   }
@@ -189,14 +189,14 @@
 
 void TableSync::Adopt(std::shared_ptr<const Table> table,
                       bool from_store,
-                      PeerLink* source) {
+                      LinkState* source) {
   newest_ = std::move(table);
   needs_holders_ = from_store;
   history_.Append(newest_);
   if (source != nullptr) {
     links_->Send(source, HoldMessage{held()});
   }
-  for (PeerLink* link : links_->Up()) {
+  for (LinkState* link : links_->Up()) {
     Push(link);
   }
   Evaluate(floor_known_);
@@ -234,7 +234,7 @@
   return holders >= std::min(kHolders, peers) && (other_holds || !other_up);
 }
 
-void TableSync::Push(PeerLink* link) {
+void TableSync::Push(LinkState* link) {
   const TimePoint now = clock_->Now();
   if (baseline_ || newest_ == nullptr || !link->in_force ||
       link->version >= held() ||
@@ -264,7 +264,7 @@
   return frame_;
 }
 
-void TableSync::Request(PeerLink* link, bool whole) {
+void TableSync::Request(LinkState* link, bool whole) {
   const TimePoint now = clock_->Now();
   if (now - link->requested_at < kRepeat && !whole) {
     return;
--- a/src/distribution/table_sync.h
+++ b/src/distribution/table_sync.h
@@ -19,7 +19,7 @@
 
 class LinkTable;
 class Logger;
-struct PeerLink;
+struct LinkState;
 
 // Decides which version of the table this node holds, which is in force, and
 // sends versions to peers that lack them. Versions only rise.
@@ -51,15 +51,15 @@
   // Takes note that the store has no table object, for a node without a table.
   void OnNoTable();
 
-  void OnDelta(PeerLink* link, const DeltaMessage& message);
-  void OnTable(PeerLink* link, const TableMessage& message);
-  void OnRequest(PeerLink* link, const TableRequestMessage& message);
+  void OnDelta(LinkState* link, const DeltaMessage& message);
+  void OnTable(LinkState* link, const TableMessage& message);
+  void OnRequest(LinkState* link, const TableRequestMessage& message);
   // Takes note of a version that the peer holds; pushes to it or requests from
   // it.
-  void OnPeerVersion(PeerLink* link, TableVersion version);
+  void OnPeerVersion(LinkState* link, TableVersion version);
 
   // Sends the whole table, for a snapshot.
-  void SendWhole(PeerLink* link);
+  void SendWhole(LinkState* link);
 
   // Puts the newest version in force when its conditions have come to hold.
   // `floor_known` says whether the floor's value counts.
@@ -81,11 +81,11 @@
  private:
   void Adopt(std::shared_ptr<const Table> table,
              bool from_store,
-             PeerLink* source);
+             LinkState* source);
   void Refuse(TableVersion version, const Failure& reason, const NodeId& from);
   bool EnoughHolders() const;
-  void Push(PeerLink* link);
-  void Request(PeerLink* link, bool whole);
+  void Push(LinkState* link);
+  void Request(LinkState* link, bool whole);
   std::string DeltaFrame(TableVersion from, size_t* kind);
 
   LinkTable* const links_;
--- /dev/null
+++ b/tools/measure_driver/fleet.h
@@ -0,0 +1,115 @@
+#ifndef TOOLS_MEASURE_DRIVER_FLEET_H_
+#define TOOLS_MEASURE_DRIVER_FLEET_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflytack/base/host_port.h"
+#include "measure_driver/fleet_options.h"
+#include "support/child_process.h"
+
+namespace dragonflytack {
+
+// A store stand-in and a number of daemons on addresses of 127.0.0.0/8, spread
+// over three regions with two data centres each, as the users run them today.
+class Fleet final {
+ public:
+  static constexpr uint16_t kStorePort = 7000;
+  static constexpr uint16_t kCallPort = 7001;
+  static constexpr uint16_t kMeshPort = 7002;
+  static constexpr uint16_t kPeerPort = 7003;
+  static constexpr uint16_t kAdminPort = 7004;
+  static constexpr uint16_t kTargetPort = 7005;
+  static constexpr uint16_t kStoreAdminPort = 7006;
+
+  struct Node {
+    std::string id;
+    std::string region;
+    std::string data_centre;
+    std::string address;
+    std::string service;
+    std::optional<ChildProcess> daemon;
+    std::optional<ChildProcess> target;
+  };
+
+  explicit Fleet(const FleetOptions& options);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // Starts the store; false when it does not answer within 5 s.
+  bool StartStore();
+
+  // Sets a fault switch of the store, for example "outage=refuse".
+  bool SetStoreFault(const std::string& fault);
+
+  // Requests that the store has received so far, of all kinds; a waiting watch
+  // counts once.
+  uint64_t StoreCalls() const;
+  int WaitingWatches() const;
+
+  // Writes an object on the condition of its version. Returns the new version,
+  // 0 on failure.
+  uint64_t PutObject(const std::string& key,
+                     const std::string& value,
+                     uint64_t if_version) const;
+
+  // Starts the daemon, and the target when the options ask for one and it does
+  // not run.
+  bool StartNode(size_t index);
+  bool StartAllNodes();
+
+  // Without target programs, announces a target beside each running node every
+  // few seconds, as the programs would, until the fleet ends.
+  void StartAnnouncing();
+
+  // Waits until every running node has at least `version` in force. Returns the
+  // seconds it took.
+  std::optional<double> WaitInForce(uint64_t version, int timeout_ms);
+
+  // Waits until every running node knows `count` living nodes.
+  std::optional<double> WaitMembers(size_t count, int timeout_ms);
+
+  // Answers of `path` on the admin ports of all running nodes, by index; a null
+  // value where none came.
+  std::vector<nlohmann::json> AskAll(const std::string& path) const;
+
+  // Metrics text of all running nodes, by index; empty where none came.
+  std::vector<std::string> MetricsOfAll() const;
+
+  // Sum of a metric over those of its label sets whose text contains `label`.
+  static double SumMetric(const std::string& text,
+                          const std::string& name,
+                          const std::string& label = {});
+
+  std::vector<Node>& nodes() { return nodes_; }
+  HostPort store() const;
+  HostPort EntryOf(size_t index) const;
+  size_t RunningCount() const;
+  const FleetOptions& options() const { return options_; }
+
+ private:
+  std::string WriteSettings(const Node& node) const;
+  bool StartTarget(Node* node);
+  std::vector<std::string> AskAllText(const std::string& path) const;
+  nlohmann::json StoreState() const;
+  void AnnounceAll() const;
+
+  const FleetOptions options_;
+  std::map<std::string, std::string> admin_headers_;
+  std::optional<ChildProcess> store_;
+  std::vector<Node> nodes_;
+  std::atomic<bool> announcing_{false};
+  std::thread announcer_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_MEASURE_DRIVER_FLEET_H_
--- /dev/null
+++ b/tools/measure_driver/main.cc
@@ -0,0 +1,125 @@
+// Measures fleets of real daemons on this machine; see tools/measure --help.
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/program_options.hpp>
+
+#include "measure_driver/distribution_measure.h"
+#include "measure_driver/linear_fit.h"
+
+namespace dragonflytack {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kExitUsage = 2;
+constexpr int kTwoYearNodes = 5300;
+constexpr int kMaxNodes = 240;
+
+struct Arguments {
+  std::string measure;
+  std::string build_dir;
+  std::string log_dir;
+  std::vector<int> sizes;
+  bool no_baseline = false;
+};
+
+FleetOptions MakeOptions(const Arguments& arguments,
+                         int nodes,
+                         const std::string& mode,
+                         int network) {
+  FleetOptions fleet;
+  fleet.build_dir = arguments.build_dir;
+  fleet.nodes = nodes;
+  fleet.network = network;
+  fleet.work_dir = fmt::format("{}/{}-{}", arguments.log_dir, mode, nodes);
+  std::filesystem::create_directories(fleet.work_dir);
+  return fleet;
+}
+
+bool MeasureDistribution(const Arguments& arguments) {
+  bool met = true;
+  // A network of its own for each run keeps late connections of an earlier
+  // fleet out.
+  int network = 20;
+  for (const int nodes : arguments.sizes) {
+    const FleetOptions push = MakeOptions(arguments, nodes, "push", network++);
+    met = DistributionMeasure(push, "push").Run() && met;
+    if (!arguments.no_baseline) {
+      FleetOptions baseline =
+          MakeOptions(arguments, nodes, "baseline", network++);
+      baseline.watch_on_every_node = true;
+      // The baseline is a comparison; its figures decide nothing.
+      DistributionMeasure(baseline, "baseline").Run();
+    }
+  }
+  return met;
+}
+
+int Main(int argc, char** argv) {
+  Arguments arguments;
+  options::options_description description("tools/measure options");
+  description.add_options()("help", "print this text")(
+      "measure", options::value(&arguments.measure)->required(),
+      "distribution: convergence, control bytes, memory, processor time and "
+      "store calls; fit: reads JSON lines and prints the fit at 5,300 nodes")(
+      "build-dir", options::value(&arguments.build_dir)->default_value("build"),
+      "folder with the programs")(
+      "log-dir",
+      options::value(&arguments.log_dir)->default_value("build/measure-logs"),
+      "folder for settings and logs of the fleets")(
+      "nodes", options::value(&arguments.sizes)->multitoken(),
+      "sizes of the fleets; default 24")(
+      "no-baseline", options::bool_switch(&arguments.no_baseline),
+      "leave out the comparison run");
+  options::positional_options_description positional;
+  positional.add("measure", 1);
+  try {
+    options::variables_map values;
+    options::store(options::command_line_parser(argc, argv)
+                       .options(description)
+                       .positional(positional)
+                       .run(),
+                   values);
+    if (values.count("help") > 0) {
+      std::cout << description;
+      return EXIT_SUCCESS;
+    }
+    options::notify(values);
+  } catch (const options::error& error) {
+    fmt::print(stderr, "measure: {}\n", error.what());
+    return kExitUsage;
+  }
+  if (arguments.sizes.empty()) {
+    arguments.sizes = {24};
+  }
+  for (const int nodes : arguments.sizes) {
+    if (nodes < 1 || nodes > kMaxNodes) {
+      fmt::print(stderr, "measure: --nodes takes 1 to {}\n", kMaxNodes);
+      return kExitUsage;
+    }
+  }
+  if (arguments.measure == "fit") {
+    PrintFits(std::cin, kTwoYearNodes);
+    return EXIT_SUCCESS;
+  }
+  if (arguments.measure == "distribution") {
+    return MeasureDistribution(arguments) ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
+  fmt::print(stderr, "measure: no measurement \"{}\"\n", arguments.measure);
+  return kExitUsage;
+}
+
+}  // namespace
+
+}  // namespace dragonflytack
+
+int main(int argc, char** argv) {
+  return dragonflytack::Main(argc, argv);
+}
--- /dev/null
+++ b/tools/measure_driver/report.h
@@ -0,0 +1,45 @@
+#ifndef TOOLS_MEASURE_DRIVER_REPORT_H_
+#define TOOLS_MEASURE_DRIVER_REPORT_H_
+
+#include <optional>
+#include <string>
+
+namespace dragonflytack {
+
+// Prints the figures of a measurement, one JSON object a line, and remembers
+// whether each met its target.
+class Report final {
+ public:
+  // `mode` tells variants of the same measurement apart, for example "push" and
+  // "baseline".
+  Report(std::string mode, int nodes);
+
+  // Prints a figure. With a target the value must not be above it.
+  void Print(const std::string& figure,
+             double value,
+             const std::string& unit,
+             std::optional<double> target = std::nullopt);
+
+  // As Print(), but the value must not be below the target.
+  void PrintAtLeast(const std::string& figure,
+                    double value,
+                    const std::string& unit,
+                    double target);
+
+  bool all_met() const { return all_met_; }
+
+ private:
+  void Write(const std::string& figure,
+             double value,
+             const std::string& unit,
+             std::optional<double> target,
+             bool met);
+
+  const std::string mode_;
+  const int nodes_;
+  bool all_met_ = true;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_MEASURE_DRIVER_REPORT_H_
--- a/tools/support/http_batch.cc
+++ b/tools/support/http_batch.cc
@@ -23,6 +23,13 @@
   HttpExchange* exchange;
 };
 
+evhttp_cmd_type CommandOf(const std::string& method) {
+  if (method == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  return method == "POST" ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+}
+
 void OnAnswer(evhttp_request* request, void* context) {
   auto* pending = static_cast<PendingExchange*>(context);
   if (request != nullptr) {
@@ -70,10 +77,8 @@
       evbuffer_add(evhttp_request_get_output_buffer(request),
                    exchange.body.data(), exchange.body.size());
     }
-    evhttp_make_request(
-        connection, request,
-        exchange.body.empty() ? EVHTTP_REQ_GET : EVHTTP_REQ_POST,
-        exchange.path.c_str());
+    evhttp_make_request(connection, request, CommandOf(exchange.method),
+                        exchange.path.c_str());
   }
   event_base_loopexit(base, &timeout);
   event_base_dispatch(base);
--- a/tools/support/http_batch.h
+++ b/tools/support/http_batch.h
@@ -14,7 +14,8 @@
 struct HttpExchange final {
   HostPort server;
   std::string path;
-  // GET when empty, POST otherwise.
+  // GET, POST or PUT.
+  std::string method = "GET";
   std::string body;
   std::map<std::string, std::string> headers;
   int status = 0;
