--- a/src/store/http_connection.h
+++ b/src/store/http_connection.h
@@ -47,7 +47,7 @@
 // One persistent HTTP/1.1 connection that carries one request at a time. A
 // request is written at most once: nothing is sent again after a failure. After
 // any end but kAnswered the connection is closed and the next request opens a
-// new one. Belongs to the thread of `loop`.
+// new one. Belongs to the thread of `loop`. The process must ignore SIGPIPE.
 class HttpConnection final {
  public:
   using Callback = std::function<void(HttpAnswer)>;
