--- /dev/null
+++ b/src/table/table_csv.cc
@@ -0,0 +1,241 @@
+#include "table/table_csv.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "dragonflytack/table/table_document.h"
+#include "table/column.h"
+
+namespace dragonflytack {
+
+namespace {
+
+struct CsvRecord {
+  int line = 0;
+  std::vector<std::string> fields;
+};
+
+Failure CsvFailure(int line, std::string detail) {
+  return Failure{FailureCode::kInvalidCsv, fmt::format("line {}", line),
+                 std::move(detail)};
+}
+
+// Splits the text into records. A quoted field may hold commas, line ends and
+// doubled quotes.
+class CsvReader final {
+ public:
+  explicit CsvReader(std::string_view text) : text_(text) {}
+
+  std::optional<std::vector<CsvRecord>> Read(Failure* reason) {
+    std::vector<CsvRecord> records;
+    while (at_ < text_.size()) {
+      CsvRecord record{line_, {}};
+      if (!ReadRecord(&record, reason)) {
+        return std::nullopt;
+      }
+      // Empty lines, as editors leave them at the end, hold no record.
+      if (record.fields.size() > 1 || !record.fields[0].empty()) {
+        records.push_back(std::move(record));
+      }
+    }
+    return records;
+  }
+
+ private:
+  bool ReadRecord(CsvRecord* record, Failure* reason) {
+    while (true) {
+      std::string& field = record->fields.emplace_back();
+      if (at_ < text_.size() && text_[at_] == '"') {
+        if (!ReadQuoted(&field, reason)) {
+          return false;
+        }
+      } else {
+        const size_t end =
+            std::min(text_.find_first_of(",\r\n\"", at_), text_.size());
+        field = text_.substr(at_, end - at_);
+        at_ = end;
+      }
+      if (at_ == text_.size() || TakeLineEnd()) {
+        return true;
+      }
+      if (text_[at_] != ',') {
+        *reason = CsvFailure(line_,
+                             "a field holds a quote or carriage return "
+                             "but is not quoted as a whole");
+        return false;
+      }
+      ++at_;
+    }
+  }
+
+  bool ReadQuoted(std::string* field, Failure* reason) {
+    const int first_line = line_;
+    ++at_;
+    while (at_ < text_.size()) {
+      const char letter = text_[at_++];
+      if (letter == '"' && (at_ == text_.size() || text_[at_] != '"')) {
+        return true;
+      }
+      at_ += letter == '"' ? 1 : 0;
+      line_ += letter == '\n' ? 1 : 0;
+      *field += letter;
+    }
+    *reason = CsvFailure(first_line, "a quoted field does not end");
+    return false;
+  }
+
+  bool TakeLineEnd() {
+    const std::string_view rest = text_.substr(at_);
+    if (!rest.starts_with("\n") && !rest.starts_with("\r\n")) {
+      return false;
+    }
+    at_ += rest[0] == '\n' ? 1 : 2;
+    ++line_;
+    return true;
+  }
+
+  const std::string_view text_;
+  size_t at_ = 0;
+  int line_ = 1;
+};
+
+std::optional<std::vector<const Column*>> ParseHeader(const CsvRecord& header,
+                                                      Failure* reason) {
+  std::vector<const Column*> columns;
+  for (const std::string& name : header.fields) {
+    const Column* column = FindColumn(name);
+    const bool again =
+        std::find(columns.begin(), columns.end(), column) != columns.end();
+    if (column == nullptr || again) {
+      *reason = CsvFailure(
+          header.line,
+          again ? fmt::format("the column \"{}\" is named twice", name)
+                : fmt::format("there is no column \"{}\"; the columns are {}",
+                              name, ColumnNames()));
+      return std::nullopt;
+    }
+    columns.push_back(column);
+  }
+  for (const Column& column : Columns()) {
+    if (!column.default_text &&
+        std::find(columns.begin(), columns.end(), &column) == columns.end()) {
+      *reason = CsvFailure(
+          header.line, fmt::format("the column {} is missing", column.name));
+      return std::nullopt;
+    }
+  }
+  return columns;
+}
+
+std::optional<ServiceRow> ParseRecord(const std::vector<const Column*>& columns,
+                                      const CsvRecord& record,
+                                      Failure* reason) {
+  if (record.fields.size() != columns.size()) {
+    *reason = CsvFailure(record.line,
+                         fmt::format("{} fields under a header of {}",
+                                     record.fields.size(), columns.size()));
+    return std::nullopt;
+  }
+  ServiceRow row;
+  for (size_t i = 0; i < columns.size(); ++i) {
+    const Column& column = *columns[i];
+    const std::string_view text =
+        record.fields[i].empty() && column.default_text
+            ? *column.default_text
+            : std::string_view(record.fields[i]);
+    std::optional<std::string> fault;
+    if (!column.parse_text(column, text, &row)) {
+      fault = fmt::format("\"{}\" is not {}", text, column.range);
+    } else {
+      fault = column.validate(column, row);
+    }
+    if (fault) {
+      *reason =
+          Failure{FailureCode::kInvalidCsv,
+                  fmt::format("line {}, column {}", record.line, column.name),
+                  *std::move(fault)};
+      return std::nullopt;
+    }
+  }
+  return row;
+}
+
+void AppendField(std::string_view text, std::string* line) {
+  if (text.find_first_of(",\"\r\n") == std::string_view::npos) {
+    *line += text;
+    return;
+  }
+  *line += '"';
+  for (const char letter : text) {
+    line->append(letter == '"' ? 2 : 1, letter);
+  }
+  *line += '"';
+}
+
+}  // namespace
+
+std::optional<Table::Rows> ParseCsv(std::string_view text, Failure* reason) {
+  if (text.size() > TableDocument::kMaxBytes) {
+    *reason = Failure{FailureCode::kTooLarge, "CSV",
+                      fmt::format("{} bytes are more than {}", text.size(),
+                                  TableDocument::kMaxBytes)};
+    return std::nullopt;
+  }
+  // Spreadsheets write a byte order mark.
+  if (text.starts_with("\xEF\xBB\xBF")) {
+    text.remove_prefix(3);
+  }
+  std::optional<std::vector<CsvRecord>> records = CsvReader(text).Read(reason);
+  if (!records) {
+    return std::nullopt;
+  }
+  if (records->empty()) {
+    *reason = CsvFailure(1, "the header is missing");
+    return std::nullopt;
+  }
+  const auto columns = ParseHeader(records->front(), reason);
+  if (!columns) {
+    return std::nullopt;
+  }
+  Table::Rows rows;
+  for (size_t i = 1; i < records->size(); ++i) {
+    std::optional<ServiceRow> row =
+        ParseRecord(*columns, (*records)[i], reason);
+    if (!row) {
+      return std::nullopt;
+    }
+    const std::string service = row->service;
+    if (!rows.emplace(service, *std::move(row)).second) {
+      *reason =
+          CsvFailure((*records)[i].line,
+                     fmt::format("there are two rows of \"{}\"", service));
+      return std::nullopt;
+    }
+  }
+  return rows;
+}
+
+std::string FormatCsv(const Table::Rows& rows) {
+  std::string text;
+  for (const Column& column : Columns()) {
+    text += text.empty() ? "" : ",";
+    text += column.name;
+  }
+  text += "\r\n";
+  for (const auto& [service, row] : rows) {
+    std::string line;
+    for (const Column& column : Columns()) {
+      if (&column != &Columns().front()) {
+        line += ',';
+      }
+      AppendField(column.format_text(column, row), &line);
+    }
+    text += line + "\r\n";
+  }
+  return text;
+}
+
+}  // namespace dragonflytack
