--- /dev/null
+++ b/src/store/table_history.cc
@@ -0,0 +1,149 @@
+#include "store/table_history.h"
+
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "dragonflytack/store/store_client.h"
+#include "table/table_json.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+// Objects asked for at a time; an archive may have up to 1 MB.
+constexpr int kPageObjects = 16;
+
+}  // namespace
+
+std::string HistoryArchive::Key(TableVersion version) {
+  return fmt::format("{}{:020}", kPrefix, version);
+}
+
+std::optional<HistoryArchive> HistoryArchive::Parse(const std::string& text,
+                                                    Failure* reason) {
+  const json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!value.is_object() || !value.contains("edits") ||
+      !value["edits"].is_array()) {
+    *reason = Failure{FailureCode::kInvalidTable, "history",
+                      "it is not a JSON object with the array edits"};
+    return std::nullopt;
+  }
+  HistoryArchive archive;
+  for (const json& item : value["edits"]) {
+    std::optional<EditRecord> edit = EditFromJson(item, reason);
+    if (!edit) {
+      return std::nullopt;
+    }
+    archive.edits.push_back(*std::move(edit));
+  }
+  return archive;
+}
+
+std::string HistoryArchive::ToJson() const {
+  json values = json::array();
+  for (const EditRecord& edit : edits) {
+    values.push_back(EditToJson(edit));
+  }
+  return json{{"edits", std::move(values)}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
+}
+
+bool HistoryArchive::Add(std::span<const EditRecord> others) {
+  std::set<std::string> known;
+  for (const EditRecord& edit : edits) {
+    known.insert(edit.edit_id);
+  }
+  bool added = false;
+  for (const EditRecord& edit : others) {
+    if (known.insert(edit.edit_id).second) {
+      edits.push_back(edit);
+      added = true;
+    }
+  }
+  return added;
+}
+
+TableHistory::TableHistory(StoreClient* store) : store_(store) {}
+
+void TableHistory::Read(TableVersion after, Callback callback) {
+  after_ = after;
+  callback_ = std::move(callback);
+  // The table is read first: edits that are archived in between are then found
+  // twice rather than not at all.
+  store_->Get("table",
+              [this, alive = std::weak_ptr<int>(alive_)](
+                  std::optional<StoreObject> object, const Failure& reason) {
+                if (!alive.expired()) {
+                  OnTable(object, reason);
+                }
+              });
+}
+
+void TableHistory::OnTable(const std::optional<StoreObject>& object,
+                           const Failure& reason) {
+  if (!object) {
+    Finish(std::nullopt, reason);
+    return;
+  }
+  if (object->version != 0) {
+    Failure fault;
+    std::optional<TableDocument> document =
+        TableDocument::Parse(object->value, &fault);
+    if (!document) {
+      Finish(std::nullopt, fault);
+      return;
+    }
+    recent_ = std::move(document->recent);
+  }
+  ReadPage(HistoryArchive::Key(after_));
+}
+
+void TableHistory::Finish(std::optional<std::vector<EditRecord>> edits,
+                          const Failure& reason) {
+  // The callback may destroy this object.
+  const Callback callback = std::move(callback_);
+  callback(std::move(edits), reason);
+}
+
+void TableHistory::ReadPage(const std::string& start_after) {
+  store_->List(
+      HistoryArchive::kPrefix, start_after, kPageObjects,
+      [this, alive = std::weak_ptr<int>(alive_)](
+          std::optional<std::vector<StoreObject>> page, const Failure& reason) {
+        if (!alive.expired()) {
+          OnPage(page, reason);
+        }
+      });
+}
+
+void TableHistory::OnPage(const std::optional<std::vector<StoreObject>>& page,
+                          const Failure& reason) {
+  if (!page) {
+    Finish(std::nullopt, reason);
+    return;
+  }
+  for (const StoreObject& object : *page) {
+    Failure fault;
+    const std::optional<HistoryArchive> archive =
+        HistoryArchive::Parse(object.value, &fault);
+    if (!archive) {
+      fault.subject = object.key;
+      Finish(std::nullopt, fault);
+      return;
+    }
+    all_.Add(archive->edits);
+  }
+  if (page->size() == static_cast<size_t>(kPageObjects)) {
+    ReadPage(page->back().key);
+    return;
+  }
+  all_.Add(recent_);
+  Finish(std::move(all_.edits), Failure{});
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/store/table_history.h
@@ -0,0 +1,70 @@
+#ifndef DRAGONFLYTACK_STORE_TABLE_HISTORY_H_
+#define DRAGONFLYTACK_STORE_TABLE_HISTORY_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "dragonflytack/base/failure.h"
+#include "dragonflytack/store/store_object.h"
+#include "dragonflytack/table/edit_record.h"
+#include "dragonflytack/table/table_document.h"
+
+namespace dragonflytack {
+
+class StoreClient;
+
+// Edits that were moved out of the table, in objects "history/<version>": the
+// version is that of the table they were taken from, with 20 digits, so that
+// the order of keys is the order of edits. Two objects may hold the same edit.
+struct HistoryArchive final {
+  static constexpr char kPrefix[] = "history/";
+
+  std::vector<EditRecord> edits;
+
+  static std::string Key(TableVersion version);
+  static std::optional<HistoryArchive> Parse(const std::string& json,
+                                             Failure* reason);
+  std::string ToJson() const;
+
+  // Adds the edits that it does not hold; returns false when it held all.
+  bool Add(std::span<const EditRecord> others);
+};
+
+// Reads all edits, oldest first, from the history objects and the table.
+class TableHistory final {
+ public:
+  using Callback = std::function<void(std::optional<std::vector<EditRecord>>,
+                                      const Failure& reason)>;
+
+  // `store` must outlive the object; destroying it drops the answer.
+  explicit TableHistory(StoreClient* store);
+  TableHistory(const TableHistory&) = delete;
+  TableHistory& operator=(const TableHistory&) = delete;
+
+  // Reads the archives made of versions above `after`, and `recent`. Called
+  // once.
+  void Read(TableVersion after, Callback callback);
+
+ private:
+  void OnTable(const std::optional<StoreObject>& object, const Failure& reason);
+  void ReadPage(const std::string& start_after);
+  void OnPage(const std::optional<std::vector<StoreObject>>& page,
+              const Failure& reason);
+  void Finish(std::optional<std::vector<EditRecord>> edits,
+              const Failure& reason);
+
+  StoreClient* const store_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  TableVersion after_ = 0;
+  Callback callback_;
+  std::vector<EditRecord> recent_;
+  HistoryArchive all_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_STORE_TABLE_HISTORY_H_
--- a/src/table/table_edit.cc
+++ b/src/table/table_edit.cc
@@ -24,7 +24,9 @@
         from == nullptr ? std::string() : column.format_text(column, *from);
     std::string new_text =
         to == nullptr ? std::string() : column.format_text(column, *to);
-    if (old_text != new_text) {
+    const bool added_default =
+        from == nullptr && new_text == column.default_text;
+    if (old_text != new_text && !added_default) {
       cells->push_back(CellEdit{service, std::string(column.name),
                                 std::move(old_text), std::move(new_text)});
     }
@@ -142,6 +144,7 @@
                                  const std::string& service,
                                  const std::string& column,
                                  const std::string& text,
+                                 const std::optional<std::string>& expect,
                                  Failure* reason) {
   const ServiceRow* old_row = FindRow(rows, service);
   if (old_row == nullptr) {
@@ -159,6 +162,18 @@
   }
   CellEdits cells;
   DiffRow(service, old_row, &row, &cells);
+  if (expect) {
+    const Column& edited = *FindColumn(column);
+    // Brings the text into the form of the table where it has one.
+    ServiceRow expected = *old_row;
+    const std::string old_text = edited.parse_text(edited, *expect, &expected)
+                                     ? edited.format_text(edited, expected)
+                                     : *expect;
+    if (old_text != edited.format_text(edited, *old_row)) {
+      cells = {
+          CellEdit{service, column, old_text, edited.format_text(edited, row)}};
+    }
+  }
   return cells;
 }
 
--- a/src/table/table_edit.h
+++ b/src/table/table_edit.h
@@ -27,18 +27,21 @@
 using CellEdits = std::vector<CellEdit>;
 
 // The cells in which two sets of rows differ. A row that is added or removed
-// begins with its cell "service" and names all its other cells too, so that
-// edits hold whole rows and the removal of a changed row is seen as a conflict.
+// begins with its cell "service". A removal names all other cells too, so that
+// the removal of a changed row is seen as a conflict; an addition leaves out
+// those that have their default, which keeps the edit of an import small.
 CellEdits DiffRows(const Table::Rows& from, const Table::Rows& to);
 
 // Each returns the cells that the edit changes, or nothing with the reason:
 // kInvalidArgument with "service/column" for a column or value that is not
 // valid, kNotFound for a row that does not exist, kConflict for a row that
-// already exists.
+// already exists. `expect` replaces the old text of the cell, so that an edit
+// of a cell with another text ends in a conflict.
 std::optional<CellEdits> SetCell(const Table::Rows& rows,
                                  const std::string& service,
                                  const std::string& column,
                                  const std::string& text,
+                                 const std::optional<std::string>& expect,
                                  Failure* reason);
 std::optional<CellEdits> AddRow(const Table::Rows& rows,
                                 const std::string& service,
--- a/tests/table_edit_test.cc
+++ b/tests/table_edit_test.cc
@@ -17,9 +17,15 @@
 Test(table_edit, merges_other_cells_and_names_overlapping_ones) {
   const Table::Rows base = TwoRows();
   Failure reason;
-  const auto slots = SetCell(base, "a", "slots", "5", &reason);
-  const auto slots_again = SetCell(base, "a", "slots", "6", &reason);
-  const auto queue = SetCell(base, "a", "max_queue", "9", &reason);
+  Table::Rows unchanged = base;
+  cr_assert_eq(
+      ApplyCells(*SetCell(base, "a", "slots", "12", "11", &reason), &unchanged)
+          .size(),
+      1u);
+  cr_assert(SetCell(base, "a", "slots", "12", "012", &reason)->empty());
+  const auto slots = SetCell(base, "a", "slots", "5", {}, &reason);
+  const auto slots_again = SetCell(base, "a", "slots", "6", {}, &reason);
+  const auto queue = SetCell(base, "a", "max_queue", "9", {}, &reason);
   const auto remove = RemoveRow(base, "a", &reason);
   const auto add = AddRow(base, "c", {{"kind", "one_time"}}, &reason);
   Table::Rows rows = base;
@@ -61,13 +67,13 @@
   const auto refused = [&](bool given, FailureCode code) {
     return !given && reason.code == code;
   };
-  cr_assert(refused(SetCell(base, "x", "slots", "1", &reason).has_value(),
+  cr_assert(refused(SetCell(base, "x", "slots", "1", {}, &reason).has_value(),
                     FailureCode::kNotFound));
-  cr_assert(refused(SetCell(base, "a", "colour", "1", &reason).has_value(),
+  cr_assert(refused(SetCell(base, "a", "colour", "1", {}, &reason).has_value(),
                     FailureCode::kInvalidArgument));
-  cr_assert(refused(SetCell(base, "a", "service", "c", &reason).has_value(),
+  cr_assert(refused(SetCell(base, "a", "service", "c", {}, &reason).has_value(),
                     FailureCode::kInvalidArgument));
-  cr_assert(refused(SetCell(base, "a", "slots", "0", &reason).has_value(),
+  cr_assert(refused(SetCell(base, "a", "slots", "0", {}, &reason).has_value(),
                     FailureCode::kInvalidArgument));
   cr_assert(refused(AddRow(base, "c", {}, &reason).has_value(),
                     FailureCode::kInvalidArgument));
