Test the distribution core under faults

Cause: the core was only tested for joining. Change: tests drive several cores over a fake store and a fake network with seeded delays, drops, duplicates and reordering; fixes found while writing them: hello again after the first table, dials of unknown seeds and of dead nodes, and a fetch that is short of budget no longer backs off.

--- a/include/dragonflytack/base/host_port.h
+++ b/include/dragonflytack/base/host_port.h
@@ -20,6 +20,7 @@
 
   std::string ToString() const;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false report on this operator.
   friend auto operator<=>(const HostPort&, const HostPort&) = default;
 };
 
--- a/src/distribution/call_budget.h
+++ b/src/distribution/call_budget.h
@@ -11,8 +11,8 @@
 // kBurst calls, then kPerSecond.
 class CallBudget final {
  public:
-  static constexpr double kBurst = 10;
-  static constexpr double kPerSecond = 2;
+  static constexpr double kBurst = 20;
+  static constexpr double kPerSecond = 5;
 
   bool Take(TimePoint now) {
     const std::chrono::duration<double> passed = now - last_;
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -81,7 +81,10 @@
           [this](const SeedList::DataCentre& listed) {
             return ListOwnDataCentre(listed);
           },
-          [this](const SeedList& seeds) { joiner_.OnSeeds(seeds); }),
+          [this](const SeedList& seeds) {
+            joiner_.OnSeeds(
+                seeds, [this](const HostPort& peer) { return IsLive(peer); });
+          }),
       routes_(&registry_) {
   table_.set_on_in_force([this] { OnTableInForce(); });
 }
@@ -138,7 +141,8 @@
 }
 
 void DistributionCore::Impl::Heartbeat() {
-  const HeartbeatMessage heartbeat{joined() ? table_.in_force()->version() : 0,
+  const HeartbeatMessage heartbeat{joined(),
+                                   joined() ? table_.in_force()->version() : 0,
                                    registry_.digests().whole()};
   const Message message = heartbeat;
   const std::string frame = MessageCodec::Encode(message);
@@ -160,13 +164,15 @@
                 ? Milliseconds(second ? 150 : 0)
                 : Milliseconds(second ? 800 : 400);
   }
-  // Before a table is in force, the version floor decides what is fetched.
-  watcher_.SetActive(joined() && IsSpeaker(), delay);
+  // The version floor's probe comes first. A node without a table watches too,
+  // because the version that the probe named may be a bad one.
+  watcher_.SetActive(
+      (joined() || table_.floor().store_answered()) && IsSpeaker(), delay);
 }
 
 void DistributionCore::Impl::EvaluateTable() {
   size_t known_peers = 0;
-  if (!joined() && !table_.floor().store_answered()) {
+  if (!joined()) {
     known_peers = static_cast<size_t>(std::count_if(
                       registry_.entries().begin(), registry_.entries().end(),
                       [](const auto& item) { return item.second->IsLive(); })) -
@@ -209,6 +215,12 @@
 void DistributionCore::Impl::OnTableInForce() {
   UpdateSpeaker();
   PublishRoutes();
+  if (table_.in_force_since().size() == 1) {
+    // Peers push versions only to those that have a table in force.
+    for (PeerLink* link : links_.Up()) {
+      SayHello(link);
+    }
+  }
 }
 
 void DistributionCore::Impl::OnRegistryChange() {
@@ -249,6 +261,15 @@
   }
 }
 
+bool DistributionCore::Impl::IsLive(const HostPort& peer) const {
+  return std::any_of(registry_.entries().begin(), registry_.entries().end(),
+                     [&](const auto& item) {
+                       return item.second->IsLive() &&
+                              item.second->address == peer.address &&
+                              item.second->peer_port == peer.port;
+                     });
+}
+
 SeedList::DataCentre DistributionCore::Impl::ListOwnDataCentre(
     const SeedList::DataCentre& listed) const {
   SeedList::DataCentre wanted{settings_.region, {}};
@@ -263,13 +284,7 @@
   // A listed peer that is not known yet may belong to a part of the fleet that
   // this node has not met; it stays listed until it was dialled.
   for (const HostPort& peer : listed.peers) {
-    const bool known =
-        std::any_of(registry_.entries().begin(), registry_.entries().end(),
-                    [&](const auto& item) {
-                      return item.second->address == peer.address &&
-                             item.second->peer_port == peer.port;
-                    });
-    if (!known && wanted.peers.size() < SeedList::kMaxPeers &&
+    if (!IsLive(peer) && wanted.peers.size() < SeedList::kMaxPeers &&
         joiner_.IsUntried(peer)) {
       wanted.peers.push_back(peer);
     }
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -95,6 +95,8 @@
   void PublishRoutes();
   SeedList::DataCentre ListOwnDataCentre(
       const SeedList::DataCentre& listed) const;
+  // Whether a live node is known at this address.
+  bool IsLive(const HostPort& peer) const;
   bool joined() const { return table_.in_force() != nullptr; }
   bool IsSpeaker() const;
 
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -95,8 +95,8 @@
 
 void DistributionCore::Impl::Handle(PeerLink* link,
                                     const HeartbeatMessage& message) {
-  if (message.version != 0 || link->in_force) {
-    link->in_force = true;
+  link->in_force = message.in_force;
+  if (message.in_force) {
     memory_.Remember(link->peer, message.version,
                      timers_->clock().WallMillis());
     if (!joined()) {
--- a/src/distribution/joiner.cc
+++ b/src/distribution/joiner.cc
@@ -26,14 +26,26 @@
   candidates_.erase(own_address_);
 }
 
-void Joiner::OnSeeds(const SeedList& seeds) {
+void Joiner::OnSeeds(const SeedList& seeds,
+                     const std::function<bool(const HostPort&)>& is_live) {
+  const TimePoint now = clock_->Now();
+  size_t dials = 0;
+
   for (const auto& [name, data_centre] : seeds.data_centres) {
     const int distance = name == data_centre_            ? 0
                          : data_centre.region == region_ ? 1
                                                          : 2;
     for (const HostPort& peer : data_centre.peers) {
-      if (peer != own_address_) {
-        candidates_.try_emplace(peer).first->second.distance = distance;
+      if (peer == own_address_) {
+        continue;
+      }
+      Candidate& candidate = candidates_.try_emplace(peer).first->second;
+      candidate.distance = distance;
+      if (dials < kMaxLinks && candidate.next <= now && !is_live(peer) &&
+          !links_->IsDialing(peer)) {
+        ++dials;
+        candidate.next = now + candidate.backoff.Next(random_);
+        links_->Dial(peer, {});
       }
     }
   }
@@ -96,10 +108,7 @@
   missing -= std::min(missing, links_->dialing());
   std::vector<std::pair<std::tuple<int, uint64_t>, const HostPort*>> order;
   for (const auto& [address, candidate] : candidates_) {
-    const bool linked = std::any_of(
-        links_->links().begin(), links_->links().end(),
-        [&](const auto& item) { return item.second.address == address; });
-    if (candidate.next <= now && !linked) {
+    if (candidate.next <= now && !links_->IsLinkedOrDialing(address)) {
       order.emplace_back(
           std::tuple(candidate.distance, random_->Below(1'000'000)), &address);
     }
--- a/src/distribution/joiner.h
+++ b/src/distribution/joiner.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYTACK_SRC_DISTRIBUTION_JOINER_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -33,8 +34,11 @@
          const Clock* clock,
          Random* random);
 
-  // Adds the peers of the store's list.
-  void OnSeeds(const SeedList& seeds);
+  // Adds the peers of the store's list. Those where no live node is known are
+  // dialled at once: they may belong to a part of the fleet that this node has
+  // not met.
+  void OnSeeds(const SeedList& seeds,
+               const std::function<bool(const HostPort&)>& is_live);
   // Adds peers that a busy one named; they are asked first.
   void OnBusy(PeerLink* link, const BusyMessage& message);
   // Takes the end of a snapshot. Returns whether it was the one asked for.
--- a/src/distribution/link_keeper.cc
+++ b/src/distribution/link_keeper.cc
@@ -154,6 +154,28 @@
   for (const NodeId& id : wanted) {
     DialPeer(id);
   }
+  if (overlay_.data_centre_rank < Overlay::kGateways &&
+      now - dead_dialled_ >= kDeadDialInterval) {
+    dead_dialled_ = now;
+    DialOneDead();
+  }
+}
+
+void LinkKeeper::DialOneDead() {
+  std::vector<const RegistryEntry*> dead;
+  for (const auto& [id, entry] : registry_->entries()) {
+    if (entry->liveness == Liveness::kDead &&
+        entry->state != TargetState::kLeft) {
+      dead.push_back(entry.get());
+    }
+  }
+  if (!dead.empty()) {
+    const RegistryEntry* entry = dead[random_->Below(dead.size())];
+    const HostPort address{entry->address, entry->peer_port};
+    if (!links_->IsLinkedOrDialing(address)) {
+      links_->Dial(address, {});
+    }
+  }
 }
 
 void LinkKeeper::DialPeer(const NodeId& id) {
--- a/src/distribution/link_keeper.h
+++ b/src/distribution/link_keeper.h
@@ -30,6 +30,9 @@
   static constexpr Milliseconds kMaxRedial{2'000};
   // A link that the overlay does not ask for serves joining and is then closed.
   static constexpr Milliseconds kUnwantedTime{10'000};
+  // The first nodes of a data centre dial one dead node each time this passes.
+  // Two parts of a data centre that declared each other dead meet again so.
+  static constexpr Milliseconds kDeadDialInterval{5'000};
 
   // The pointers must outlive it. `on_unreachable` is called for a ring
   // neighbour to which no connection can be made.
@@ -68,6 +71,7 @@
 
   bool IsRingNeighbour(const NodeId& id) const;
   void DialPeer(const NodeId& id);
+  void DialOneDead();
   void NoteFailure(const NodeId& id);
   std::set<NodeId> RegionPeers() const;
   bool HasLinkTo(const std::string& data_centre) const;
@@ -86,6 +90,7 @@
   std::set<NodeId> probes_;
   // When a link to each data centre was last up.
   std::map<std::string, TimePoint> reached_;
+  TimePoint dead_dialled_;
 };
 
 }  // namespace dragonflytack
--- a/src/distribution/link_table.cc
+++ b/src/distribution/link_table.cc
@@ -109,6 +109,12 @@
   });
 }
 
+bool LinkTable::IsLinkedOrDialing(const HostPort& address) const {
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& item) {
+    return item.second.address == address;
+  });
+}
+
 size_t LinkTable::dialing() const {
   return links_.size() - up_count();
 }
--- a/src/distribution/link_table.h
+++ b/src/distribution/link_table.h
@@ -46,6 +46,7 @@
   // Returns all links that are up. They stay valid until one is closed.
   std::vector<PeerLink*> Up();
   bool IsDialing(const HostPort& address) const;
+  bool IsLinkedOrDialing(const HostPort& address) const;
   // Number of connections that are being made.
   size_t dialing() const;
   size_t up_count() const;
--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -80,6 +80,7 @@
 }
 void Append(const HeartbeatMessage& message, json* array) {
   const uint64_t digest[] = {message.digest.sum, message.digest.exclusive_or};
+  array->push_back(message.in_force);
   array->push_back(message.version);
   array->push_back(Bytes(digest, 2));
 }
@@ -151,6 +152,7 @@
 }
 Message ReadHeartbeat(CborReader* reader) {
   HeartbeatMessage message;
+  message.in_force = reader->Boolean();
   message.version = reader->Unsigned();
   const std::vector<uint64_t> digest = reader->Numbers(2);
   if (digest.size() == 2) {
--- a/src/distribution/messages.h
+++ b/src/distribution/messages.h
@@ -39,6 +39,8 @@
 };
 
 struct HeartbeatMessage final {
+  // Version in force; `in_force` is false before the first one.
+  bool in_force = false;
   TableVersion version = 0;
   RegistryDigest digest;
 
--- a/src/distribution/table_watcher.cc
+++ b/src/distribution/table_watcher.cc
@@ -12,6 +12,7 @@
 constexpr char kTableKey[] = "table";
 // A store that answers unchanged watches at once is asked no more often.
 constexpr Milliseconds kMinWatchTime{1'000};
+constexpr Milliseconds kBudgetWait{250};
 }  // namespace
 
 TableWatcher::TableWatcher(StoreCaller* store,
@@ -82,7 +83,7 @@
         OnWatch(generation, version.has_value(), version.value_or(0), asked);
       });
   if (!made) {
-    After(&watch_timer_, kMinWatchTime, [this] { StartWatch(); });
+    After(&watch_timer_, kBudgetWait, [this] { StartWatch(); });
   }
 }
 
@@ -126,9 +127,9 @@
   if (fetching_) {
     return;
   }
-  const auto retry = [this, wanted] {
+  const auto retry = [this, wanted](Milliseconds delay) {
     if (wanted()) {
-      After(&fetch_timer_, fetch_backoff_.Next(random_), [this, wanted] {
+      After(&fetch_timer_, delay, [this, wanted] {
         if (wanted()) {
           Fetch(wanted);
         }
@@ -140,7 +141,7 @@
       [this, retry](std::optional<StoreObject> object, const Failure&) {
         fetching_ = false;
         if (!object.has_value()) {
-          retry();
+          retry(fetch_backoff_.Next(random_));
           return;
         }
         fetch_backoff_.Reset();
@@ -152,7 +153,8 @@
         }
       });
   if (!fetching_) {
-    retry();
+    // The budget refills; the store itself gave no reason to back off.
+    retry(kBudgetWait);
   }
 }
 
--- a/src/distribution/version_memory.h
+++ b/src/distribution/version_memory.h
@@ -13,7 +13,7 @@
 // beyond the peer's restart so that it can be told its version floor.
 class VersionMemory final {
  public:
-  static constexpr int64_t kRetentionMs = 24 * 3600 * 1000;
+  static constexpr int64_t kRetentionMs = 24LL * 3600 * 1000;
 
   void Remember(const NodeId& peer, TableVersion version, int64_t now_ms) {
     Entry& entry = entries_[peer];
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -31,7 +31,7 @@
  public:
   // Nodes that left or died, and successions, are forgotten after this time. It
   // is as long as peers remember the version of a node.
-  static constexpr int64_t kRetentionMs = 24 * 3600 * 1000;
+  static constexpr int64_t kRetentionMs = 24LL * 3600 * 1000;
 
   using Entries = std::map<std::string_view, std::unique_ptr<RegistryEntry>>;
   using Successions = std::map<std::pair<NodeId, uint64_t>, Succession>;
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,224 @@
+#include <criterion/criterion.h>
+
+#include "core_fleet.h"
+#include "distribution/overlay.h"
+#include "registry/registry.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr Milliseconds kSecond{1'000};
+
+}  // namespace
+
+// Guards against a record of an earlier life that comes late and replaces the
+// present one, and against digests that depend on the order of arrival.
+Test(membership, merge_by_incarnation_then_sequence) {
+  const std::pair<uint64_t, uint64_t> ages[] = {{5, 9}, {6, 1}, {6, 2}, {7, 1}};
+  for (const bool rising : {false, true}) {
+    ManualClock clock;
+    Registry registry(&clock);
+    for (size_t i = 0; i < 4; ++i) {
+      NodeRecord record{"a",
+                        ages[rising ? i : 3 - i].first,
+                        ages[rising ? i : 3 - i].second,
+                        "r",
+                        "d",
+                        "1.2.3.4"};
+      const MergeOutcome expected =
+          rising || i == 0 ? MergeOutcome::kNewer : MergeOutcome::kOlder;
+      cr_assert(registry.Merge(record, Liveness::kAlive, 0) == expected);
+      if (i == 0 || rising) {
+        cr_assert(registry.Merge(record, Liveness::kAlive, 0) ==
+                  MergeOutcome::kSame);
+      }
+    }
+    cr_assert_eq(registry.Find("a")->incarnation, 7);
+    Registry fresh(&clock);
+    fresh.Merge(registry.Find("a")->ToRecord(), Liveness::kAlive, 0);
+    cr_assert(fresh.digests().whole() == registry.digests().whole());
+    // A suspicion of an earlier age says nothing about the present one.
+    cr_assert_not(registry.SetLiveness("a", 6, 2, Liveness::kDead));
+    clock.Advance(Milliseconds(Registry::kRetentionMs));
+    registry.Expire();
+    cr_assert_neq(registry.Find("a"), nullptr);
+    registry.SetLiveness("a", 7, 1, Liveness::kDead);
+    clock.Advance(Milliseconds(Registry::kRetentionMs));
+    registry.Expire();
+    cr_assert_eq(registry.Find("a"), nullptr);
+    cr_assert(registry.digests().whole() == RegistryDigest{});
+  }
+}
+
+// Guards against a ring that leaves nodes without links.
+Test(membership, ring_offsets) {
+  cr_assert(Overlay::Offsets(1).empty());
+  cr_assert(Overlay::Offsets(2) == std::set<size_t>{1});
+  cr_assert((Overlay::Offsets(3) == std::set<size_t>{1, 2}));
+  cr_assert((Overlay::Offsets(480) == std::set<size_t>{1, 2, 22, 240}));
+}
+
+// Guards against a dead node that keeps getting calls, and against deaths in a
+// data centre that is only cut off (7.2).
+Test(membership, crash_is_noticed_but_lost_region_is_not_dead) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1", "south1"}, 5);
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(10); }));
+  fleet.Run(10 * kSecond);
+  fleet.Crash("north1-1", true);
+  cr_assert(fleet.RunUntil(10 * kSecond,
+                           [&] { return fleet.AllKnow(1, Liveness::kDead); }));
+  for (int i = 0; i < 5; ++i) {
+    fleet.Crash("south1-" + std::to_string(i), true);
+  }
+  fleet.Run(40 * kSecond);
+  cr_assert(fleet.AllKnow(1, Liveness::kDead));
+}
+
+// Guards against a common pause, or a herd of deaths, that kills living nodes.
+Test(membership, herd_does_not_kill_living_nodes) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 20);
+  cr_assert(fleet.RunUntil(60 * kSecond, [&] { return fleet.AllKnow(20); }));
+  fleet.Run(10 * kSecond);
+  for (int i = 0; i < 7; ++i) {
+    fleet.Pause("north1-" + std::to_string(i), true);
+  }
+  fleet.Crash("north1-19", true);
+  fleet.Run(9 * kSecond);
+  cr_assert_eq(fleet.nodes["north1-10"].core->Status().suspects, 8);
+  for (int i = 0; i < 7; ++i) {
+    fleet.Pause("north1-" + std::to_string(i), false);
+  }
+  cr_assert(fleet.RunUntil(20 * kSecond, [&] {
+    for (const auto& [id, node] : fleet.nodes) {
+      for (const Endpoint& known : node.core == nullptr
+                                       ? std::vector<Endpoint>()
+                                       : node.core->KnownNodes()) {
+        cr_assert(
+            known.liveness != Liveness::kDead || known.record.id == "north1-19",
+            "%s believes %s dead", id.c_str(), known.record.id.c_str());
+      }
+    }
+    return fleet.AllKnow(19) && fleet.AllKnow(1, Liveness::kDead);
+  }));
+}
+
+// Guards against a node that was paused and, on its return, believes the rest
+// of the fleet dead or stays dead to it.
+Test(membership, paused_node_returns) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 6);
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(6); }));
+  fleet.Run(10 * kSecond);
+  fleet.Pause("north1-3", true);
+  fleet.Run(30 * kSecond);
+  cr_assert(fleet.nodes["north1-0"].routes->nodes->at("north1-3").liveness ==
+            Liveness::kDead);
+  fleet.Pause("north1-3", false);
+  fleet.Run(Milliseconds(400));
+  for (const Endpoint& known : fleet.nodes["north1-3"].core->KnownNodes()) {
+    cr_assert(known.liveness != Liveness::kDead);
+  }
+  cr_assert(fleet.RunUntil(15 * kSecond, [&] { return fleet.AllKnow(6); }));
+}
+
+// Guards against a connection that went silent for good and is kept.
+Test(membership, silent_link_is_replaced) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 4);
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(4); }));
+  fleet.Run(15 * kSecond);
+  const auto old_links = fleet.nodes["north1-0"].core->Status().links;
+  cr_assert_geq(old_links.size(), 3);
+  for (const auto& link : old_links) {
+    fleet.network.Silence(fleet.nodes["north1-0"].host,
+                          fleet.nodes[link.peer].host);
+  }
+  fleet.Run(6 * kSecond);
+  const auto new_links = fleet.nodes["north1-0"].core->Status().links;
+  cr_assert_geq(new_links.size(), 3);
+  for (const auto& link : new_links) {
+    cr_assert_gt(link.link, old_links.back().link);
+    cr_assert_leq(link.silent_for.count(), 1'100);
+  }
+  cr_assert(fleet.AllKnow(4));
+}
+
+// Guards against whole snapshots over slow, billed links after a partition, and
+// against records that stay different.
+Test(membership, partition_between_regions_is_repaired_by_digest) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1", "north2", "south1"}, 4);
+  cr_assert(fleet.RunUntil(60 * kSecond, [&] { return fleet.AllKnow(12); }));
+  fleet.Run(20 * kSecond);
+  const uint64_t snapshots = fleet.Frames("snapshot_request");
+  const auto is_south = [&](const HostPort& host) {
+    for (int i = 0; i < 4; ++i) {
+      if (fleet.nodes["south1-" + std::to_string(i)].host == host) {
+        return true;
+      }
+    }
+    return false;
+  };
+  fleet.network.cut = [&](const HostPort& a, const HostPort& b) {
+    return is_south(a) != is_south(b);
+  };
+  fleet.Run(30 * kSecond);
+  for (const char* id : {"north1-0", "north2-1", "south1-2", "south1-3"}) {
+    fleet.nodes[id].core->SetTarget("roster", TargetState::kReady, 7);
+  }
+  const TableVersion version = fleet.WriteTable({"roster"});
+  fleet.Run(10 * kSecond);
+  fleet.network.cut = [](const HostPort&, const HostPort&) { return false; };
+  cr_assert(fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(version); }));
+  const auto all_have_four = [&] {
+    for (const auto& [id, node] : fleet.nodes) {
+      if (node.routes->Find("roster")->endpoints.size() != 4) {
+        return false;
+      }
+    }
+    return true;
+  };
+  cr_assert(fleet.RunUntil(10 * kSecond, all_have_four));
+  cr_assert(fleet.AllKnow(12));
+  cr_assert_eq(fleet.Frames("snapshot_request"), snapshots);
+  cr_assert_gt(fleet.Frames("bucket_hashes"), 0);
+}
+
+// Guards against a leaving node that still gets work (I7), a target that
+// returns after its planned stop, and a lost successor.
+Test(membership, drain_and_successor_reach_all) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1", "south1"}, 4);
+  fleet.WriteTable({"payroll"});
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(8); }));
+  DistributionCore* core = fleet.nodes["north1-0"].core.get();
+  core->SetTarget("payroll", TargetState::kReady, 0);
+  fleet.Run(2 * kSecond);
+  core->BeginDrain();
+  core->SetTarget("payroll", TargetState::kReady, 0);
+  cr_assert(fleet.RunUntil(kSecond, [&] {
+    const auto& endpoints =
+        fleet.nodes["south1-3"].routes->Find("payroll")->endpoints;
+    return endpoints.size() == 1 &&
+           endpoints[0].record.state == TargetState::kDraining;
+  }));
+  const std::pair home(NodeId("north1-0"), core->self().incarnation);
+  core->AnnounceSuccessor("north1-1");
+  fleet.nodes["north1-1"].core->AnnounceInheritance(home.first, home.second);
+  fleet.nodes["north1-2"].core->AnnounceInheritance(home.first, home.second);
+  fleet.Run(2 * kSecond);
+  fleet.Crash("north1-0");
+  fleet.Boot("north1-0");
+  fleet.Run(10 * kSecond);
+  for (const auto& [id, node] : fleet.nodes) {
+    cr_assert_eq(node.routes->successors->count(home), 1, "%s", id.c_str());
+    cr_assert_eq(node.routes->successors->at(home),
+                 fleet.nodes["north1-1"].routes->successors->at(home));
+    cr_assert_eq(node.routes->nodes->count("north1-0"), 1);
+  }
+}
+
+}  // namespace dragonflytack
