--- a/src/distribution/link_keeper.cc
+++ b/src/distribution/link_keeper.cc
@@ -130,7 +130,10 @@
     if (now - link.last_heard > kSilence) {
       logger_->Warning("link_silent", {{"peer", link.peer}});
       closing.push_back(id);
-      if (IsRingNeighbour(link.peer)) {
+      if (!link.hello_received) {
+        // Nothing ever came: the connection counts as failed.
+        failed.push_back(link.peer);
+      } else if (IsRingNeighbour(link.peer)) {
         probes_.insert(link.peer);
       }
       continue;
@@ -154,6 +157,28 @@
   for (const NodeId& id : wanted) {
     DialPeer(id);
   }
+  if (overlay_.data_centre_rank < Overlay::kGateways &&
+      now - dead_dialled_ >= kDeadDialInterval) {
+    dead_dialled_ = now;
+    DialOneDead();
+  }
+}
+
+void LinkKeeper::DialOneDead() {
+  std::vector<const RegistryEntry*> dead;
+  for (const auto& [id, entry] : registry_->entries()) {
+    if (entry->liveness == Liveness::kDead &&
+        entry->state != TargetState::kLeft) {
+      dead.push_back(entry.get());
+    }
+  }
+  if (!dead.empty()) {
+    const RegistryEntry* entry = dead[random_->Below(dead.size())];
+    const HostPort address{entry->address, entry->peer_port};
+    if (!links_->IsLinkedOrDialing(address)) {
+      links_->Dial(address, {});
+    }
+  }
 }
 
 void LinkKeeper::DialPeer(const NodeId& id) {
