--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -187,6 +187,13 @@
                    {{"class", link_class}})
         ->Set(counts[link_class]);
   }
+  for (const auto& [code, count] : parts_.links->end_counts()) {
+    metrics
+        ->GetGauge("dragonflytack_link_ends",
+                   "Links that ended since the start, by failure code.",
+                   {{"reason", code}})
+        ->Set(static_cast<int64_t>(count));
+  }
   for (const auto& [link_class, bytes] : traffic) {
     metrics
         ->GetGauge("dragonflytack_link_sent_bytes",
--- a/src/net/peer_link.cc
+++ b/src/net/peer_link.cc
@@ -172,6 +172,9 @@
   }
   // Bytes that arrived before the end may hold the peer's reason.
   OnReadable(socket, self);
+  if (link->session_ != nullptr) {
+    link->session_->EndOfStream();
+  }
   if ((what & BEV_EVENT_EOF) != 0) {
     link->Fail(FailureCode::kPeerUnreachable, "the peer ended the connection");
   } else {
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -207,6 +207,7 @@
                               {"outgoing", link->outgoing()},
                               {"was_up", was_up},
                               {"reason", reason.ToString()}});
+  ++end_counts_[std::string(FailureCodeName(reason.code))];
   // Nobody knows of an accepted link before its handshake has passed.
   if (link->outgoing() || was_up) {
     events_.on_down(link->id(), reason);
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -67,6 +67,10 @@
   const std::map<std::string, Traffic>& ended_traffic() const {
     return ended_traffic_;
   }
+  // Number of links that ended, by the name of the failure code.
+  const std::map<std::string, uint64_t>& end_counts() const {
+    return end_counts_;
+  }
   // Names the class of a link by where its peer is: "same_data_centre",
   // "same_region", "other_region", or "none" before the handshake has passed.
   std::string LinkClass(const PeerLink& link) const;
@@ -98,6 +102,7 @@
   size_t inbound_ = 0;
   std::unordered_map<LinkId, std::unique_ptr<PeerLink>> links_;
   std::map<std::string, Traffic> ended_traffic_;
+  std::map<std::string, uint64_t> end_counts_;
   std::function<void()> on_closed_;
   // Steps that must not run within the call that causes them.
   Mailbox<Task> later_;
--- a/src/net/websocketpp_session.cc
+++ b/src/net/websocketpp_session.cc
@@ -106,7 +106,6 @@
     connection_->set_message_handler(
         [this](Handle, typename Endpoint::message_ptr message) {
           if (message->get_opcode() != websocketpp::frame::opcode::binary) {
-            Close("only binary messages are accepted");
             Finish(End::kProtocolError, "message of another type than binary");
             return;
           }
@@ -142,7 +141,12 @@
     }
   }
 
-  void EndOfStream() override { connection_->eof(); }
+  void EndOfStream() override {
+    // A client reports the peer's close frame only once the stream has ended.
+    if (HasPeerClosed()) {
+      EndWithError();
+    }
+  }
 
   void Send(const std::string& payload) override {
     const ErrorCode error =
@@ -153,8 +157,11 @@
   }
 
   void Close(const std::string& reason) override {
+    // websocketpp ends the session when the frame is written, which is not
+    // news to the delegate.
+    ended_ = true;
     ErrorCode error;
-    connection_->close(websocketpp::close::status::policy_violation,
+    connection_->close(websocketpp::close::status::going_away,
                        reason.substr(0, kMaxCloseReasonBytes), error);
   }
 
@@ -163,13 +170,15 @@
   }
 
  private:
+  bool HasPeerClosed() const {
+    return connection_->get_remote_close_code() !=
+           websocketpp::close::status::abnormal_close;
+  }
+
   void EndWithError() {
-    namespace close = websocketpp::close;
     namespace processor = websocketpp::processor;
     const ErrorCode error = connection_->get_ec();
-    const close::status::value remote = connection_->get_remote_close_code();
-    if (remote != close::status::abnormal_close &&
-        remote != close::status::blank) {
+    if (HasPeerClosed()) {
       Finish(End::kPeerClosed, connection_->get_remote_close_reason());
     } else if (error == processor::error::make_error_code(
                             processor::error::message_too_big)) {
