Show the state of the distribution core on the admin port

Cause: operators need the refused version, the registry and the control bytes of a node. Change: /status, /nodes and /metrics read from DistributionCore; the class of a connection is WebSocketLink, as the core has a PeerLink of its own.

--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -27,6 +27,9 @@
                                                const Clock* clock,
                                                Logger* logger,
                                                Failure* reason) {
+  // libevent writes without MSG_NOSIGNAL: a peer that closes while it is
+  // written to must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   std::unique_ptr<EventLoop> loop = EventLoop::Make(clock);
   if (loop == nullptr) {
     *reason = {FailureCode::kInternal, "event loop", "libevent made no loop"};
@@ -99,8 +102,7 @@
       &loop_->timers(),
       [this](const LocalTarget& target) { OnTarget(target); });
   report_ = std::make_unique<FleetReport>(
-      FleetReport::Parts{clock_, core, links_.get(), store_.get(), &metrics_,
-                         &tracer_},
+      FleetReport::Parts{core, links_.get(), store_.get(), &metrics_, &tracer_},
       [this](const LocalTarget& target) { return TakeAnnouncement(target); });
   admin_api_ = std::make_unique<AdminApi>(settings_.shared_key,
                                           settings_.address, report_.get());
@@ -132,8 +134,6 @@
     evsignal_add(signal_event, nullptr);
     signal_events_.push_back(signal_event);
   }
-  // A peer that closes while it is written to must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
 }
 
 int ControlTask::Run() {
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -1,11 +1,11 @@
 #include "daemon/fleet_report.h"
 
+#include <array>
 #include <map>
 #include <utility>
 
 #include "daemon/observed_store.h"
 #include "daemon/process_usage.h"
-#include "dragonflytack/base/clock.h"
 #include "dragonflytack/distribution/distribution_core.h"
 #include "dragonflytack/observe/metrics_registry.h"
 #include "dragonflytack/observe/tracer.h"
@@ -39,6 +39,46 @@
   return object;
 }
 
+constexpr std::array<const char*, TrafficCounters::kLinkClasses> kClassNames = {
+    "same_data_centre", "same_region", "other_region"};
+
+void SetTraffic(MetricsRegistry* metrics,
+                const char* direction,
+                size_t kind,
+                size_t link_class,
+                const TrafficCounters::Count& count) {
+  if (count.frames == 0) {
+    return;  // Most pairs of kind and class never occur on a node.
+  }
+  const MetricsRegistry::Labels labels = {
+      {"direction", direction},
+      {"kind", std::string(TrafficCounters::kKindNames[kind])},
+      {"class", kClassNames[link_class]}};
+  metrics
+      ->GetGauge("dragonflytack_control_bytes",
+                 "Bytes of frames between nodes since the start.", labels)
+      ->Set(static_cast<int64_t>(count.bytes));
+  metrics
+      ->GetGauge("dragonflytack_control_frames",
+                 "Frames between nodes since the start.", labels)
+      ->Set(static_cast<int64_t>(count.frames));
+}
+
+// The subject of a refusal is "row/column" or the row alone.
+json RefusalToJson(const DistributionStatus& status) {
+  if (status.refused == 0) {
+    return nullptr;
+  }
+  const std::string& subject = status.refusal.subject;
+  const size_t slash = subject.find('/');
+  return {
+      {"version", status.refused},
+      {"row", subject.substr(0, slash)},
+      {"column", slash == std::string::npos ? "" : subject.substr(slash + 1)},
+      {"code", FailureCodeName(status.refusal.code)},
+      {"reason", status.refusal.detail}};
+}
+
 }  // namespace
 
 FleetReport::FleetReport(const Parts& parts, AnnounceCallback on_announce)
@@ -46,72 +86,76 @@
 
 void FleetReport::NoteRoutes(std::shared_ptr<const RouteSnapshot> routes) {
   routes_ = std::move(routes);
-  if (versions_.empty() || versions_.back().version != routes_->version) {
-    versions_.push_back({routes_->version, parts_.clock->WallMillis()});
-    if (versions_.size() > kMaxVersions) {
-      versions_.pop_front();
-    }
-  }
 }
 
 json FleetReport::Status() {
-  json registry = {{"alive", 0}, {"suspect", 0}, {"dead", 0}};
-  if (routes_ != nullptr && routes_->nodes != nullptr) {
-    std::map<Liveness, int> counts;
-    for (const auto& [id, location] : *routes_->nodes) {
-      ++counts[location.liveness];
-    }
-    for (const auto& [liveness, count] : counts) {
-      registry[std::string(LivenessName(liveness))] = count;
-    }
+  const DistributionStatus status = parts_.core->Status();
+  std::map<Liveness, int> counts;
+  for (const Endpoint& node : parts_.core->KnownNodes()) {
+    ++counts[node.liveness];
   }
   json versions = json::array();
-  for (const InForce& in_force : versions_) {
-    versions.push_back(
-        {{"version", in_force.version}, {"time_ms", in_force.time_ms}});
+  for (const auto& [version, time_ms] : status.in_force_since) {
+    versions.push_back({{"version", version}, {"time_ms", time_ms}});
   }
   const NodeRecord& self = parts_.core->self();
   const Failure& failure = parts_.store->last_failure();
   return {{"node", self.id},
           {"record", RecordToJson(self)},
-          {"version", routes_ == nullptr ? 0 : routes_->version},
-          {"links", Links()},
+          {"in_force", status.in_force},
+          {"version", status.version},
+          {"table_digest", status.table_digest},
+          {"held", status.held},
+          {"refused", RefusalToJson(status)},
+          {"links", Links(status)},
+          {"speaker", status.speaker},
           {"store",
            {{"contact", parts_.store->contact()},
+            {"calls", status.store_calls},
             {"last_answer_ms", parts_.store->last_answer_ms()},
             {"last_failure", failure.code == FailureCode::kNone
                                  ? json()
                                  : json(failure.ToString())}}},
-          {"registry", std::move(registry)},
+          {"registry",
+           {{"nodes", status.nodes},
+            {"alive", counts[Liveness::kAlive]},
+            {"suspect", counts[Liveness::kSuspect]},
+            {"dead", counts[Liveness::kDead]}}},
+          {"snapshots_served", status.snapshots_served},
           {"versions", std::move(versions)}};
 }
 
-json FleetReport::Links() const {
+json FleetReport::Links(const DistributionStatus& status) const {
+  std::map<LinkId, const DistributionStatus::Link*> known;
+  for (const DistributionStatus::Link& link : status.links) {
+    known[link.link] = &link;
+  }
   json links = json::array();
-  parts_.links->ForEachUp([&](const PeerLink& link) {
-    links.push_back({{"peer", link.peer().id},
-                     {"data_centre", link.peer().data_centre},
-                     {"region", link.peer().region},
-                     {"address", link.remote().ToString()},
-                     {"outgoing", link.outgoing()},
-                     {"class", parts_.links->LinkClass(link)},
-                     {"queued_bytes", link.queued_bytes()},
-                     {"sent_bytes", link.sent_bytes()},
-                     {"received_bytes", link.received_bytes()}});
+  parts_.links->ForEachUp([&](const WebSocketLink& link) {
+    json object = {{"peer", link.peer().id},
+                   {"data_centre", link.peer().data_centre},
+                   {"region", link.peer().region},
+                   {"address", link.remote().ToString()},
+                   {"outgoing", link.outgoing()},
+                   {"class", parts_.links->ClassName(link)},
+                   {"queued_bytes", link.queued_bytes()},
+                   {"sent_bytes", link.sent_bytes()},
+                   {"received_bytes", link.received_bytes()}};
+    if (const auto found = known.find(link.id()); found != known.end()) {
+      object["silent_ms"] = found->second->silent_for.count();
+      object["version"] = found->second->version;
+    }
+    links.push_back(std::move(object));
   });
   return links;
 }
 
 json FleetReport::Nodes() {
   json nodes = json::array();
-  if (routes_ != nullptr) {
-    for (const auto& [service, route] : routes_->services) {
-      for (const Endpoint& endpoint : route->endpoints) {
-        nodes.push_back(EndpointToJson(endpoint));
-      }
-    }
+  for (const Endpoint& node : parts_.core->KnownNodes()) {
+    nodes.push_back(EndpointToJson(node));
   }
-  return {{"nodes", std::move(nodes)}};
+  return {{"node", parts_.core->self().id}, {"nodes", std::move(nodes)}};
 }
 
 std::optional<json> FleetReport::Routes(const std::string& service) {
@@ -149,6 +193,8 @@
 
 std::string FleetReport::Metrics() {
   UpdateGauges();
+  UpdateCoreGauges();
+  UpdateLinkGauges();
   return parts_.metrics->RenderText();
 }
 
@@ -167,21 +213,56 @@
       ->GetGauge("dragonflytack_processor_milliseconds",
                  "User and system time of the process since its start.")
       ->Set(usage.processor_millis);
+}
+
+void FleetReport::UpdateCoreGauges() {
+  MetricsRegistry* const metrics = parts_.metrics;
+  const DistributionStatus status = parts_.core->Status();
   metrics
       ->GetGauge("dragonflytack_table_version",
                  "Version of the table that is in force.")
-      ->Set(routes_ == nullptr ? 0 : static_cast<int64_t>(routes_->version));
+      ->Set(static_cast<int64_t>(status.version));
+  const struct {
+    const char* name;
+    const char* help;
+    int64_t value;
+  } gauges[] = {
+      {"dragonflytack_refused_table_version",
+       "Last version that was refused, 0 for none.",
+       static_cast<int64_t>(status.refused)},
+      {"dragonflytack_known_nodes", "Nodes in the registry.",
+       static_cast<int64_t>(status.nodes)},
+      {"dragonflytack_suspected_nodes", "Nodes that are suspected.",
+       static_cast<int64_t>(status.suspects)},
+      {"dragonflytack_speaker", "1 when this node watches the store.",
+       status.speaker ? 1 : 0},
+      {"dragonflytack_snapshots_served", "Snapshots that are being served.",
+       static_cast<int64_t>(status.snapshots_served)},
+  };
+  for (const auto& gauge : gauges) {
+    metrics->GetGauge(gauge.name, gauge.help)->Set(gauge.value);
+  }
+  const TrafficCounters& traffic = parts_.core->traffic();
+  for (size_t kind = 0; kind < TrafficCounters::kKindNames.size(); ++kind) {
+    for (size_t i = 0; i < TrafficCounters::kLinkClasses; ++i) {
+      SetTraffic(metrics, "sent", kind, i, traffic.sent[kind][i]);
+      SetTraffic(metrics, "received", kind, i, traffic.received[kind][i]);
+    }
+  }
+}
+
+void FleetReport::UpdateLinkGauges() {
+  MetricsRegistry* const metrics = parts_.metrics;
   std::map<std::string, WebSocketLinkLayer::Traffic> traffic =
       parts_.links->ended_traffic();
   std::map<std::string, int> counts;
-  parts_.links->ForEachUp([&](const PeerLink& link) {
-    const std::string link_class = parts_.links->LinkClass(link);
+  parts_.links->ForEachUp([&](const WebSocketLink& link) {
+    const std::string link_class = parts_.links->ClassName(link);
     ++counts[link_class];
     traffic[link_class].sent += link.sent_bytes();
     traffic[link_class].received += link.received_bytes();
   });
-  for (const char* link_class :
-       {"same_data_centre", "same_region", "other_region"}) {
+  for (const char* const link_class : kClassNames) {
     metrics
         ->GetGauge("dragonflytack_links", "Links that are up.",
                    {{"class", link_class}})
--- a/src/daemon/fleet_report.h
+++ b/src/daemon/fleet_report.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYTACK_DAEMON_FLEET_REPORT_H_
 #define DRAGONFLYTACK_DAEMON_FLEET_REPORT_H_
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -9,16 +8,15 @@
 #include <vector>
 
 #include "daemon/admin_source.h"
-#include "dragonflytack/table/table_version.h"
 
 namespace dragonflytack {
 
-class Clock;
 class DistributionCore;
 class MetricsRegistry;
 class ObservedStore;
 class Tracer;
 class WebSocketLinkLayer;
+struct DistributionStatus;
 struct RouteSnapshot;
 
 // What the admin port shows of this node and of the fleet as it knows it.
@@ -26,12 +24,7 @@
  public:
   using AnnounceCallback = std::function<Failure(const LocalTarget&)>;
 
-  // Versions whose time of coming into force is remembered; the history of
-  // deltas has the same length.
-  static constexpr size_t kMaxVersions = 64;
-
   struct Parts {
-    const Clock* clock;
     const DistributionCore* core;
     const WebSocketLinkLayer* links;
     const ObservedStore* store;
@@ -54,18 +47,14 @@
   Failure Announce(const LocalTarget& target) override;
 
  private:
-  struct InForce {
-    TableVersion version;
-    int64_t time_ms;
-  };
-
-  nlohmann::json Links() const;
+  nlohmann::json Links(const DistributionStatus& status) const;
+  void UpdateCoreGauges();
+  void UpdateLinkGauges();
   void UpdateGauges();
 
   const Parts parts_;
   const AnnounceCallback on_announce_;
   std::shared_ptr<const RouteSnapshot> routes_;
-  std::deque<InForce> versions_;
 };
 
 }  // namespace dragonflytack
--- a/src/net/peer_link.cc
+++ b/src/net/websocket_link.cc
@@ -1,4 +1,4 @@
-#include "net/peer_link.h"
+#include "net/websocket_link.h"
 
 #include <cstring>
 #include <utility>
@@ -34,35 +34,35 @@
 
 }  // namespace
 
-std::span<const ChartAction<PeerLink>> PeerLink::Actions() {
-  static constexpr ChartAction<PeerLink> actions[] = {
-      {"StartHandshakeTimer", &PeerLink::StartHandshakeTimer},
-      {"StopHandshakeTimer", &PeerLink::StopHandshakeTimer},
-      {"StartWebSocket", &PeerLink::StartWebSocket},
-      {"SendHello", &PeerLink::SendHello},
-      {"SendProof", &PeerLink::SendProof},
-      {"ReportUp", &PeerLink::ReportUp},
-      {"ReportDown", &PeerLink::ReportDown},
-      {"SendCloseFrame", &PeerLink::SendCloseFrame},
-      {"StartLinger", &PeerLink::StartLinger},
-      {"EndOutput", &PeerLink::EndOutput},
-      {"Release", &PeerLink::Release},
+std::span<const ChartAction<WebSocketLink>> WebSocketLink::Actions() {
+  static constexpr ChartAction<WebSocketLink> actions[] = {
+      {"StartHandshakeTimer", &WebSocketLink::StartHandshakeTimer},
+      {"StopHandshakeTimer", &WebSocketLink::StopHandshakeTimer},
+      {"StartWebSocket", &WebSocketLink::StartWebSocket},
+      {"SendHello", &WebSocketLink::SendHello},
+      {"SendProof", &WebSocketLink::SendProof},
+      {"ReportUp", &WebSocketLink::ReportUp},
+      {"ReportDown", &WebSocketLink::ReportDown},
+      {"SendCloseFrame", &WebSocketLink::SendCloseFrame},
+      {"StartLinger", &WebSocketLink::StartLinger},
+      {"EndOutput", &WebSocketLink::EndOutput},
+      {"Release", &WebSocketLink::Release},
   };
   return actions;
 }
 
-bool PeerLink::CheckChart(Failure* reason) {
-  return ChartMachine<PeerLink>::CheckBinding(*FindEmbeddedChart("peer_link"),
-                                              Actions(), reason);
+bool WebSocketLink::CheckChart(Failure* reason) {
+  return ChartMachine<WebSocketLink>::CheckBinding(
+      *FindEmbeddedChart("peer_link"), Actions(), reason);
 }
 
-PeerLink::PeerLink(LinkId id,
-                   bool outgoing,
-                   const HostPort& remote,
-                   bufferevent* socket,
-                   const LinkOptions& options,
-                   TimerService* timers,
-                   Owner* owner)
+WebSocketLink::WebSocketLink(LinkId id,
+                             bool outgoing,
+                             const HostPort& remote,
+                             bufferevent* socket,
+                             const LinkOptions& options,
+                             TimerService* timers,
+                             Owner* owner)
     : id_(id),
       outgoing_(outgoing),
       remote_(remote),
@@ -71,18 +71,18 @@
       timers_(timers),
       owner_(owner),
       machine_(FindEmbeddedChart("peer_link"), this, Actions()) {
-  bufferevent_setcb(socket_, &PeerLink::OnReadable, &PeerLink::OnWritten,
-                    &PeerLink::OnEvent, this);
+  bufferevent_setcb(socket_, &WebSocketLink::OnReadable,
+                    &WebSocketLink::OnWritten, &WebSocketLink::OnEvent, this);
   bufferevent_setwatermark(socket_, EV_READ, 0, kReadAheadBytes);
 }
 
-PeerLink::~PeerLink() {
+WebSocketLink::~WebSocketLink() {
   timers_->Cancel(timer_);
   session_.reset();
   bufferevent_free(socket_);
 }
 
-void PeerLink::Start() {
+void WebSocketLink::Start() {
   if (machine_.is_final()) {
     return;  // Closed before it was started.
   }
@@ -105,7 +105,7 @@
   }
 }
 
-void PeerLink::Send(const std::string& frame) {
+void WebSocketLink::Send(const std::string& frame) {
   if (!is_up() || failing_) {
     return;
   }
@@ -123,22 +123,22 @@
   session_->Send(frame);
 }
 
-void PeerLink::Close() {
+void WebSocketLink::Close() {
   down_reported_ = true;
   reason_ = {FailureCode::kCancelled, remote_.ToString(), "closed"};
   machine_.Handle("closed");
 }
 
-bool PeerLink::is_up() const {
+bool WebSocketLink::is_up() const {
   return machine_.state() == "up";
 }
 
-size_t PeerLink::queued_bytes() const {
+size_t WebSocketLink::queued_bytes() const {
   return evbuffer_get_length(bufferevent_get_output(socket_));
 }
 
-void PeerLink::OnReadable(bufferevent* socket, void* self) {
-  auto* const link = static_cast<PeerLink*>(self);
+void WebSocketLink::OnReadable(bufferevent* socket, void* self) {
+  auto* const link = static_cast<WebSocketLink*>(self);
   evbuffer* const input = bufferevent_get_input(socket);
   const bool closing =
       link->session_ == nullptr || link->state() == "closing" ||
@@ -156,15 +156,15 @@
   }
 }
 
-void PeerLink::OnWritten(bufferevent* /*socket*/, void* self) {
-  auto* const link = static_cast<PeerLink*>(self);
+void WebSocketLink::OnWritten(bufferevent* /*socket*/, void* self) {
+  auto* const link = static_cast<WebSocketLink*>(self);
   if (link->queued_bytes() == 0) {
     link->machine_.Handle("flushed");
   }
 }
 
-void PeerLink::OnEvent(bufferevent* socket, short what, void* self) {
-  auto* const link = static_cast<PeerLink*>(self);
+void WebSocketLink::OnEvent(bufferevent* socket, short what, void* self) {
+  auto* const link = static_cast<WebSocketLink*>(self);
   const int error = EVUTIL_SOCKET_ERROR();
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     link->machine_.Handle("connected");
@@ -183,18 +183,18 @@
   }
 }
 
-void PeerLink::StartHandshakeTimer() {
+void WebSocketLink::StartHandshakeTimer() {
   timer_ = timers_->SubscribeOnce(options_.handshake_timeout, [this] {
     Fail(FailureCode::kPeerUnreachable,
          "no handshake within the time, in state " + state());
   });
 }
 
-void PeerLink::StopHandshakeTimer() {
+void WebSocketLink::StopHandshakeTimer() {
   timers_->Cancel(timer_);
 }
 
-void PeerLink::StartWebSocket() {
+void WebSocketLink::StartWebSocket() {
   const int enabled = 1;
   setsockopt(bufferevent_getfd(socket_), IPPROTO_TCP, TCP_NODELAY, &enabled,
              sizeof(enabled));
@@ -213,33 +213,33 @@
   session_->Start();
 }
 
-void PeerLink::SendHello() {
+void WebSocketLink::SendHello() {
   session_->Send(handshake_->MakeHello(owner_->SelfRecord()));
 }
 
-void PeerLink::SendProof() {
+void WebSocketLink::SendProof() {
   session_->Send(handshake_->MakeProof());
 }
 
-void PeerLink::ReportUp() {
+void WebSocketLink::ReportUp() {
   session_->set_max_message(options_.max_frame_bytes);
   up_reported_ = true;
   owner_->OnUp(this);
 }
 
-void PeerLink::ReportDown() {
+void WebSocketLink::ReportDown() {
   if (!std::exchange(down_reported_, true)) {
     owner_->OnDown(this, reason_, up_reported_);
   }
 }
 
-void PeerLink::SendCloseFrame() {
+void WebSocketLink::SendCloseFrame() {
   if (session_ != nullptr) {
     session_->Close(reason_.ToString());
   }
 }
 
-void PeerLink::StartLinger() {
+void WebSocketLink::StartLinger() {
   timers_->Cancel(timer_);
   timer_ = timers_->SubscribeOnce(options_.linger_timeout,
                                   [this] { machine_.Handle("lingered"); });
@@ -248,21 +248,21 @@
   }
 }
 
-void PeerLink::EndOutput() {
+void WebSocketLink::EndOutput() {
   shutdown(bufferevent_getfd(socket_), SHUT_WR);
 }
 
-void PeerLink::Release() {
+void WebSocketLink::Release() {
   timers_->Cancel(timer_);
   bufferevent_disable(socket_, EV_READ | EV_WRITE);
   owner_->OnReleased(this);
 }
 
-void PeerLink::OnWebSocketOpen() {
+void WebSocketLink::OnWebSocketOpen() {
   machine_.Handle("opened");
 }
 
-void PeerLink::OnWebSocketMessage(const std::string& payload) {
+void WebSocketLink::OnWebSocketMessage(const std::string& payload) {
   Failure reason;
   if (is_up()) {
     if (!failing_) {
@@ -283,12 +283,12 @@
   }
 }
 
-void PeerLink::OnWebSocketWrite(const char* data, size_t size) {
+void WebSocketLink::OnWebSocketWrite(const char* data, size_t size) {
   sent_bytes_ += size;
   bufferevent_write(socket_, data, size);
 }
 
-void PeerLink::OnWebSocketEnd(End end, const std::string& detail) {
+void WebSocketLink::OnWebSocketEnd(End end, const std::string& detail) {
   switch (end) {
     case End::kPeerClosed:
       Fail(is_up() ? FailureCode::kCancelled : FailureCode::kPeerRejected,
@@ -303,18 +303,18 @@
   }
 }
 
-void PeerLink::Fail(FailureCode code, const std::string& detail) {
+void WebSocketLink::Fail(FailureCode code, const std::string& detail) {
   Fail(Failure{code, remote_.ToString(), detail});
 }
 
-void PeerLink::Fail(Failure reason) {
+void WebSocketLink::Fail(Failure reason) {
   if (reason_.code == FailureCode::kNone) {
     reason_ = std::move(reason);
   }
   machine_.Handle("failed");
 }
 
-void PeerLink::FailLater(FailureCode code, const std::string& detail) {
+void WebSocketLink::FailLater(FailureCode code, const std::string& detail) {
   failing_ = true;
   timers_->Cancel(timer_);
   timer_ = timers_->SubscribeOnce(Milliseconds(0),
--- a/src/net/peer_link.h
+++ b/src/net/websocket_link.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYTACK_NET_PEER_LINK_H_
-#define DRAGONFLYTACK_NET_PEER_LINK_H_
+#ifndef DRAGONFLYTACK_NET_WEBSOCKET_LINK_H_
+#define DRAGONFLYTACK_NET_WEBSOCKET_LINK_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -25,7 +25,7 @@
 
 // One connection to a peer. The chart charts/peer_link.scxml drives its life;
 // the members without arguments are that chart's actions.
-class PeerLink final : public WebsocketppSession::Delegate {
+class WebSocketLink final : public WebsocketppSession::Delegate {
  public:
   // Where a link reports. OnReleased() must not destroy the link at once, as
   // the link is still running.
@@ -33,25 +33,27 @@
    public:
     virtual ~Owner() = default;
     virtual const NodeRecord& SelfRecord() = 0;
-    virtual void OnUp(PeerLink* link) = 0;
-    virtual void OnFrame(PeerLink* link, const std::string& frame) = 0;
+    virtual void OnUp(WebSocketLink* link) = 0;
+    virtual void OnFrame(WebSocketLink* link, const std::string& frame) = 0;
     // The link ended without Close(). `was_up` tells whether OnUp() was called.
-    virtual void OnDown(PeerLink* link, const Failure& reason, bool was_up) = 0;
-    virtual void OnReleased(PeerLink* link) = 0;
+    virtual void OnDown(WebSocketLink* link,
+                        const Failure& reason,
+                        bool was_up) = 0;
+    virtual void OnReleased(WebSocketLink* link) = 0;
   };
 
   // Takes over `socket`. `remote` is the address of the other end. All pointers
   // must outlive the link.
-  PeerLink(LinkId id,
-           bool outgoing,
-           const HostPort& remote,
-           bufferevent* socket,
-           const LinkOptions& options,
-           TimerService* timers,
-           Owner* owner);
-  ~PeerLink() override;
-  PeerLink(const PeerLink&) = delete;
-  PeerLink& operator=(const PeerLink&) = delete;
+  WebSocketLink(LinkId id,
+                bool outgoing,
+                const HostPort& remote,
+                bufferevent* socket,
+                const LinkOptions& options,
+                TimerService* timers,
+                Owner* owner);
+  ~WebSocketLink() override;
+  WebSocketLink(const WebSocketLink&) = delete;
+  WebSocketLink& operator=(const WebSocketLink&) = delete;
 
   // Connects an outgoing link, or begins the handshake of an accepted one.
   void Start();
@@ -79,7 +81,7 @@
   static bool CheckChart(Failure* reason);
 
  private:
-  static std::span<const ChartAction<PeerLink>> Actions();
+  static std::span<const ChartAction<WebSocketLink>> Actions();
   static void OnReadable(bufferevent* socket, void* self);
   static void OnWritten(bufferevent* socket, void* self);
   static void OnEvent(bufferevent* socket, short what, void* self);
@@ -115,7 +117,7 @@
   const LinkOptions& options_;
   TimerService* const timers_;
   Owner* const owner_;
-  ChartMachine<PeerLink> machine_;
+  ChartMachine<WebSocketLink> machine_;
   std::unique_ptr<WebsocketppSession> session_;
   std::unique_ptr<LinkHandshake> handshake_;
   TimerId timer_ = 0;
@@ -129,4 +131,4 @@
 
 }  // namespace dragonflytack
 
-#endif  // DRAGONFLYTACK_NET_PEER_LINK_H_
+#endif  // DRAGONFLYTACK_NET_WEBSOCKET_LINK_H_
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -123,7 +123,7 @@
 }
 
 void WebSocketLinkLayer::ForEachUp(
-    const std::function<void(const PeerLink&)>& visit) const {
+    const std::function<void(const WebSocketLink&)>& visit) const {
   for (const auto& [id, link] : links_) {
     if (link->is_up()) {
       visit(*link);
@@ -131,7 +131,7 @@
   }
 }
 
-std::string WebSocketLinkLayer::LinkClass(const PeerLink& link) const {
+std::string WebSocketLinkLayer::ClassName(const WebSocketLink& link) const {
   if (!link.is_up() && !link.was_up()) {
     return "none";
   }
@@ -160,15 +160,15 @@
   layer->Add(fd, /*outgoing=*/false, remote)->Start();
 }
 
-PeerLink* WebSocketLinkLayer::Add(int fd,
-                                  bool outgoing,
-                                  const HostPort& remote) {
+WebSocketLink* WebSocketLinkLayer::Add(int fd,
+                                       bool outgoing,
+                                       const HostPort& remote) {
   bufferevent* const socket =
       bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE);
   const LinkId id = next_id_++;
-  auto link = std::make_unique<PeerLink>(id, outgoing, remote, socket, options_,
-                                         &loop_->timers(), this);
-  PeerLink* const added = link.get();
+  auto link = std::make_unique<WebSocketLink>(id, outgoing, remote, socket,
+                                              options_, &loop_->timers(), this);
+  WebSocketLink* const added = link.get();
   links_.emplace(id, std::move(link));
   inbound_ += outgoing ? 0 : 1;
   return added;
@@ -187,7 +187,7 @@
   return events_.self();
 }
 
-void WebSocketLinkLayer::OnUp(PeerLink* link) {
+void WebSocketLinkLayer::OnUp(WebSocketLink* link) {
   logger_->Info("link_up", {{"link", link->id()},
                             {"peer", link->peer().id},
                             {"address", link->remote().ToString()},
@@ -195,11 +195,12 @@
   events_.on_up(link->id(), link->peer(), link->outgoing());
 }
 
-void WebSocketLinkLayer::OnFrame(PeerLink* link, const std::string& frame) {
+void WebSocketLinkLayer::OnFrame(WebSocketLink* link,
+                                 const std::string& frame) {
   events_.on_frame(link->id(), frame);
 }
 
-void WebSocketLinkLayer::OnDown(PeerLink* link,
+void WebSocketLinkLayer::OnDown(WebSocketLink* link,
                                 const Failure& reason,
                                 bool was_up) {
   logger_->Info("link_down", {{"link", link->id()},
@@ -214,8 +215,8 @@
   }
 }
 
-void WebSocketLinkLayer::OnReleased(PeerLink* link) {
-  Traffic& ended = ended_traffic_[LinkClass(*link)];
+void WebSocketLinkLayer::OnReleased(WebSocketLink* link) {
+  Traffic& ended = ended_traffic_[ClassName(*link)];
   ended.sent += link->sent_bytes();
   ended.received += link->received_bytes();
   inbound_ -= link->outgoing() ? 0 : 1;
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -12,7 +12,7 @@
 #include "dragonflytack/base/mailbox.h"
 #include "dragonflytack/distribution/link_layer.h"
 #include "net/link_options.h"
-#include "net/peer_link.h"
+#include "net/websocket_link.h"
 
 struct evconnlistener;
 struct sockaddr;
@@ -23,7 +23,7 @@
 
 // Links to peers over WebSocket. It owns the listening socket of the peer port
 // and runs on the loop's thread.
-class WebSocketLinkLayer final : public LinkLayer, public PeerLink::Owner {
+class WebSocketLinkLayer final : public LinkLayer, public WebSocketLink::Owner {
  public:
   // The receiver of reports, set before the loop runs.
   struct Events {
@@ -60,7 +60,7 @@
   void Shutdown(std::function<void()> on_closed);
 
   // Calls `visit` for each link that is up.
-  void ForEachUp(const std::function<void(const PeerLink&)>& visit) const;
+  void ForEachUp(const std::function<void(const WebSocketLink&)>& visit) const;
 
   size_t link_count() const { return links_.size(); }
   // Bytes of links that have ended.
@@ -73,7 +73,7 @@
   }
   // Names the class of a link by where its peer is: "same_data_centre",
   // "same_region", "other_region", or "none" before the handshake has passed.
-  std::string LinkClass(const PeerLink& link) const;
+  std::string ClassName(const WebSocketLink& link) const;
 
  private:
   using Task = std::function<void()>;
@@ -84,14 +84,14 @@
                        sockaddr* address,
                        int size,
                        void* self);
-  PeerLink* Add(int fd, bool outgoing, const HostPort& remote);
+  WebSocketLink* Add(int fd, bool outgoing, const HostPort& remote);
   void StartLater(LinkId id);
 
   const NodeRecord& SelfRecord() override;
-  void OnUp(PeerLink* link) override;
-  void OnFrame(PeerLink* link, const std::string& frame) override;
-  void OnDown(PeerLink* link, const Failure& reason, bool was_up) override;
-  void OnReleased(PeerLink* link) override;
+  void OnUp(WebSocketLink* link) override;
+  void OnFrame(WebSocketLink* link, const std::string& frame) override;
+  void OnDown(WebSocketLink* link, const Failure& reason, bool was_up) override;
+  void OnReleased(WebSocketLink* link) override;
 
   EventLoop* const loop_;
   const LinkOptions options_;
@@ -100,7 +100,7 @@
   evconnlistener* listener_ = nullptr;
   LinkId next_id_ = 1;
   size_t inbound_ = 0;
-  std::unordered_map<LinkId, std::unique_ptr<PeerLink>> links_;
+  std::unordered_map<LinkId, std::unique_ptr<WebSocketLink>> links_;
   std::map<std::string, Traffic> ended_traffic_;
   std::map<std::string, uint64_t> end_counts_;
   std::function<void()> on_closed_;
