--- /dev/null
+++ b/bench/onetime_bench.cc
@@ -0,0 +1,120 @@
+// Prints the cost of one-time records as JSON lines: processor time per
+// operation and bytes per record.
+
+#include <malloc.h>
+#include <cstdint>
+#include <ctime>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "onetime/attempt_guard.h"
+#include "onetime/attempt_numbers.h"
+#include "onetime/handover_message.h"
+#include "onetime/handover_receiver.h"
+#include "onetime/handover_sender.h"
+#include "onetime/home_records.h"
+#include "onetime/recorded_answer.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr int kRecords = 100'000;
+constexpr size_t kAnswerBytes = 64;
+constexpr TimePoint kNow{std::chrono::hours(1)};
+constexpr std::string_view kSecret = "0123456789abcdef0123456789abcdef";
+
+double CpuNanos() {
+  timespec time;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return 1e9 * static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec);
+}
+
+void Measure(const char* name, int count, const std::function<void(int)>& run) {
+  const double start = CpuNanos();
+  for (int i = 0; i < count; ++i) {
+    run(i);
+  }
+  fmt::print("{{\"bench\":\"{}\",\"count\":{},\"cpu_ns_per_op\":{:.0f}}}\n",
+             name, count, (CpuNanos() - start) / count);
+}
+
+size_t HeapBytes() {
+  return mallinfo2().uordblks;
+}
+
+void RunAll() {
+  HomeRecords home("node-1", 1, 1'700'000'000'000, kNow, {});
+  std::vector<OneTimeKey> keys;
+  keys.reserve(kRecords);
+  Measure("new_key", kRecords, [&](int) {
+    keys.push_back(home.NewKey(kNow, std::chrono::minutes(10)));
+  });
+  std::vector<std::string> texts(kRecords);
+  Measure("key_to_text", kRecords,
+          [&](int i) { texts[i] = keys[i].ToText(kSecret); });
+  Failure reason;
+  Measure("parse_key", kRecords, [&](int i) {
+    if (!OneTimeKey::Parse(texts[i], kSecret, &reason)) {
+      fmt::print(stderr, "{}\n", reason.ToString());
+    }
+  });
+  size_t heap = HeapBytes();
+  Measure("begin", kRecords, [&](int i) { home.Begin(keys[i], i, kNow); });
+  fmt::print("{{\"bench\":\"record\",\"bytes_per_record\":{:.0f}}}\n",
+             static_cast<double>(HeapBytes() - heap) / kRecords);
+  heap = HeapBytes();
+  Measure("finish", kRecords, [&](int i) {
+    home.FinishDone(
+        keys[i], 1,
+        std::make_shared<const RecordedAnswer>(RecordedAnswer{
+            200, "application/json", std::string(kAnswerBytes, 'x')}),
+        kNow);
+  });
+  fmt::print(
+      "{{\"bench\":\"answer\",\"body_bytes\":{},\"bytes_per_answer\":{:.0f}}}"
+      "\n",
+      kAnswerBytes, static_cast<double>(HeapBytes() - heap) / kRecords);
+  Measure("begin_recorded", kRecords,
+          [&](int i) { home.Begin(keys[i], i, kNow); });
+
+  AttemptNumbers numbers("node-1", 1);
+  AttemptGuard guard(7);
+  Measure("guard_admit", kRecords,
+          [&](int) { guard.Admit(numbers.Next("node-2", 7), kNow); });
+
+  HomeRecords successor("node-2", 2, 1'700'000'000'000, kNow, {});
+  HandoverReceiver receiver(&successor, [](const HomeIncarnation&) {});
+  home.BeginDrain();
+  HandoverSender sender(&home, {{.id = "node-2", .incarnation = 2}});
+  size_t messages = 0;
+  size_t bytes = 0;
+  const double start = CpuNanos();
+  while (auto outgoing = sender.Next(kNow)) {
+    const std::string encoded = outgoing->message.Encode(kSecret);
+    ++messages;
+    bytes += encoded.size();
+    auto message = HandoverMessage::Decode(encoded, kSecret, &reason);
+    sender.OnReply(receiver.OnMessage(std::move(*message), kNow), kNow);
+  }
+  fmt::print(
+      "{{\"bench\":\"handover\",\"records\":{},\"messages\":{},\"bytes\":{},"
+      "\"cpu_ns_per_record\":{:.0f}}}\n",
+      successor.records(), messages, bytes, (CpuNanos() - start) / kRecords);
+  const TimePoint later = kNow + std::chrono::hours(1);
+  Measure("sweep_per_2000_records", kRecords / 2'000,
+          [&](int) { successor.Sweep(later); });
+}
+
+}  // namespace
+
+}  // namespace dragonflytack
+
+int main() {
+  dragonflytack::RunAll();
+  return 0;
+}
