--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -221,7 +221,7 @@
   PublishRoutes();
   if (table_.in_force_since().size() == 1) {
     // Peers push versions only to those that have a table in force.
-    for (PeerLink* link : links_.Up()) {
+    for (LinkState* link : links_.Up()) {
       SayHello(link);
     }
   }
--- a/tools/measure_driver/distribution_measure.cc
+++ b/tools/measure_driver/distribution_measure.cc
@@ -18,6 +18,7 @@
 constexpr int kQuietSeconds = 10;
 constexpr int kConvergenceTimeoutMs = 6000;
 constexpr int kRecoveryTimeoutMs = 60'000;
+constexpr double kRecoveryTimeoutSeconds = kRecoveryTimeoutMs / 1000.0;
 constexpr int kOutageSeconds = 8;
 // After the start and after faults, the fleet settles before quiet is measured.
 constexpr int kSettleSeconds = 3;
@@ -250,7 +251,7 @@
   const std::optional<double> detected_s =
       fleet_.WaitMembers(fleet_.RunningCount(), kRecoveryTimeoutMs);
   report_.Print("herd_death_detection",
-                detected_s.value_or(kRecoveryTimeoutMs / 1000), "s");
+                detected_s.value_or(kRecoveryTimeoutSeconds), "s");
 
   const TableWriter::Accepted edit = writer_.EditOneCell();
   std::thread restart([this, &killed] {
@@ -265,10 +266,10 @@
   const std::optional<double> members_s =
       fleet_.WaitMembers(fleet_.nodes().size(), kRecoveryTimeoutMs);
   report_.Print("herd_restart_in_force",
-                back_s ? 3 + *back_s : kRecoveryTimeoutMs / 1000, "s");
+                back_s ? 3 + *back_s : kRecoveryTimeoutSeconds, "s");
   report_.Print("herd_restart_all_known",
                 back_s && members_s ? 3 + *back_s + *members_s
-                                    : kRecoveryTimeoutMs / 1000,
+                                    : kRecoveryTimeoutSeconds,
                 "s");
   report_.Print("herd_restart_store_calls_peak", peak, "calls/s", 2000);
 }
--- a/tools/measure_driver/fleet.cc
+++ b/tools/measure_driver/fleet.cc
@@ -178,9 +178,8 @@
        HostPort{node->address, kTargetPort}.ToString(), "--admin",
        HostPort{node->address, kAdminPort}.ToString(), "--call",
        HostPort{node->address, kCallPort}.ToString(), "--service",
-       node->service, "--service-ms",
-       fmt::format("{}", options_.service_ms), "--slots",
-       std::to_string(options_.slots)},
+       node->service, "--service-ms", fmt::format("{}", options_.service_ms),
+       "--slots", std::to_string(options_.slots)},
       fmt::format("{}/{}-target.log", options_.work_dir, node->id));
   return node->target.has_value();
 }
