Add the command-line tool

Cause: operators edit the table and look at the fleet from a shell. Conclusion: import, export, show, set, add, remove, history, diff, status, explain and trace exist.

--- /dev/null
+++ b/src/cli/add_verb.cc
@@ -0,0 +1,46 @@
+#include <map>
+
+#include "cli/column_notes.h"
+#include "cli/edit_report.h"
+#include "cli/tool_context.h"
+#include "cli/verb.h"
+
+namespace dragonflytack {
+
+namespace {
+
+class AddVerb final : public Verb {
+ public:
+  std::string Notes() const override { return ColumnNotes(); }
+
+  ExitCode Run(const Arguments& arguments,
+               const boost::program_options::variables_map&,
+               ToolContext* context) const override {
+    std::map<std::string, std::string> cells;
+    for (size_t i = 1; i < arguments.size(); ++i) {
+      const size_t equals = arguments[i].find('=');
+      if (equals == std::string::npos ||
+          !cells
+               .emplace(arguments[i].substr(0, equals),
+                        arguments[i].substr(equals + 1))
+               .second) {
+        return context->Fail(
+            Failure{FailureCode::kInvalidArgument, arguments[i],
+                    "it is not COLUMN=VALUE, or names a column twice"});
+      }
+    }
+    return EditAndReport(
+        [&](const Table::Rows& rows, Failure* reason) {
+          return AddRow(rows, arguments[0], cells, reason);
+        },
+        /*replace_unreadable=*/false, /*wait=*/false, context);
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<Verb> MakeAddVerb() {
+  return std::make_unique<AddVerb>();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/cli/admin_fetcher.cc
@@ -0,0 +1,120 @@
+#include "cli/admin_fetcher.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "dragonflytack/base/admin_authorization.h"
+#include "dragonflytack/base/event_loop.h"
+#include "store/http_connection.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+// The records of 5,300 nodes are about 2 MB.
+constexpr size_t kMaxAnswerBytes = 16'000'000;
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+
+FailureCode CodeOf(int status) {
+  if (status == kUnauthorized) {
+    return FailureCode::kAuthentication;
+  }
+  return status == kNotFound ? FailureCode::kNotFound
+                             : FailureCode::kPeerRejected;
+}
+
+// Returns the detail of an error answer, if it has one.
+std::string DetailOf(const HttpAnswer& answer) {
+  const json value = json::parse(answer.body, nullptr, false);
+  if (value.is_object() && value.contains("error") &&
+      value["error"].is_object()) {
+    const json detail = value["error"].value("detail", json());
+    if (detail.is_string()) {
+      return detail.get<std::string>();
+    }
+  }
+  return fmt::format("the node answered status {}", answer.status);
+}
+
+AdminAnswer Judge(const HostPort& node, const HttpAnswer& answer) {
+  if (answer.end != HttpEnd::kAnswered) {
+    return {std::nullopt,
+            Failure{FailureCode::kPeerUnreachable, node.ToString(),
+                    answer.end == HttpEnd::kNotSent
+                        ? "no connection to the admin port was made"
+                        : "the admin port did not answer"}};
+  }
+  if (answer.status != kOk) {
+    return {std::nullopt,
+            Failure{CodeOf(answer.status), node.ToString(), DetailOf(answer)}};
+  }
+  json value = json::parse(answer.body, nullptr, /*allow_exceptions=*/false);
+  if (value.is_discarded()) {
+    return {std::nullopt, Failure{FailureCode::kInvalidMessage, node.ToString(),
+                                  "the answer is not JSON"}};
+  }
+  return {std::move(value), Failure{}};
+}
+
+}  // namespace
+
+AdminFetcher::AdminFetcher(EventLoop* loop, const std::string& shared_key)
+    : loop_(loop),
+      authorization_(shared_key.empty() ? "" : AdminAuthorization(shared_key)) {
+}
+
+std::vector<AdminAnswer> AdminFetcher::FetchAll(
+    const std::vector<HostPort>& nodes,
+    const std::string& target,
+    Milliseconds timeout,
+    const std::function<void(size_t)>& on_progress) {
+  std::vector<AdminAnswer> answers(nodes.size());
+  if (nodes.empty()) {
+    return answers;
+  }
+  HttpRequest request{.target = target};
+  if (!authorization_.empty()) {
+    request.headers["authorization"] = authorization_;
+  }
+  std::vector<std::unique_ptr<HttpConnection>> connections(nodes.size());
+  size_t next = 0;
+  size_t done = 0;
+  const std::function<void()> start = [&] {
+    const size_t i = next++;
+    connections[i] =
+        std::make_unique<HttpConnection>(loop_, nodes[i], kMaxAnswerBytes);
+    connections[i]->Send(request, timeout, [&, i](const HttpAnswer& answer) {
+      answers[i] = Judge(nodes[i], answer);
+      connections[i].reset();
+      ++done;
+      if (on_progress) {
+        on_progress(done);
+      }
+      if (next < nodes.size()) {
+        start();
+      } else if (done == nodes.size()) {
+        loop_->Stop();
+      }
+    });
+  };
+  for (size_t i = 0; i < std::min(kParallel, nodes.size()); ++i) {
+    start();
+  }
+  loop_->Run();
+  return answers;
+}
+
+AdminAnswer AdminFetcher::Fetch(const HostPort& node,
+                                const std::string& target,
+                                Milliseconds timeout) {
+  return std::move(FetchAll({node}, target, timeout).front());
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/cli/edit_report.cc
@@ -0,0 +1,150 @@
+#include "cli/edit_report.h"
+
+#include <fstream>
+#include <iostream>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "cli/tool_context.h"
+#include "cli/version_wait.h"
+#include "table/table_csv.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+ExitCode ReportFailure(const EditOutcome& outcome, ToolContext* context) {
+  Failure failure = outcome.failure;
+  if (outcome.unsettled) {
+    failure.detail += fmt::format(
+        "; the edit {} may have landed: see \"dragonflytack history\" before "
+        "you repeat it",
+        outcome.edit.edit_id);
+  }
+  return context->Fail(failure, outcome.conflicts);
+}
+
+void PrintEdit(const EditOutcome& outcome, ToolContext* context) {
+  if (outcome.edit.cells.empty()) {
+    context->out() << fmt::format(
+        "nothing to change; the table is at version {}\n", outcome.version);
+    return;
+  }
+  for (const CellEdit& cell : outcome.edit.cells) {
+    context->out() << DescribeCell(cell) << "\n";
+  }
+  context->out() << fmt::format(
+      "version {}{}\n", outcome.version,
+      outcome.merged ? ", merged with another edit" : "");
+}
+
+json MissingToJson(const WaitOutcome& wait) {
+  json missing = json::array();
+  for (const MissingNode& item : wait.missing) {
+    missing.push_back(
+        {{"node", item.node.id},
+         {"region", item.node.region},
+         {"data_centre", item.node.data_centre},
+         {"version",
+          item.version.in_force ? json(*item.version.in_force) : json()},
+         {"reason", item.version.reason}});
+  }
+  return missing;
+}
+
+}  // namespace
+
+json CellsToJson(const CellEdits& cells) {
+  json list = json::array();
+  for (const CellEdit& cell : cells) {
+    list.push_back({{"service", cell.service},
+                    {"column", cell.column},
+                    {"old", cell.old_text},
+                    {"new", cell.new_text}});
+  }
+  return list;
+}
+
+std::string DescribeCell(const CellEdit& cell) {
+  return fmt::format("{}, {}: \"{}\" -> \"{}\"", cell.service, cell.column,
+                     cell.old_text, cell.new_text);
+}
+
+std::optional<Table::Rows> ReadCsvFile(const std::string& path,
+                                       Failure* reason) {
+  std::ifstream file;
+  if (path != "-") {
+    file.open(path, std::ios::binary);
+    if (!file) {
+      *reason = Failure{FailureCode::kInvalidArgument, path,
+                        "the file cannot be read"};
+      return std::nullopt;
+    }
+  }
+  std::istream& input = path == "-" ? std::cin : file;
+  // One byte more than allowed shows that the file is too large.
+  std::string text(TableDocument::kMaxBytes + 1, '\0');
+  input.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<size_t>(input.gcount()));
+  std::optional<Table::Rows> rows = ParseCsv(text, reason);
+  if (!rows) {
+    reason->subject = fmt::format("{}, {}", path, reason->subject);
+  }
+  return rows;
+}
+
+ExitCode EditAndReport(TableEditor::MakeCells make_cells,
+                       bool replace_unreadable,
+                       bool wait,
+                       ToolContext* context) {
+  Failure reason;
+  // A missing address is reported before anything is written.
+  if (wait && !context->Node(&reason)) {
+    return context->Fail(reason);
+  }
+  const std::optional<EditOutcome> outcome =
+      context->EditTable(std::move(make_cells), replace_unreadable, &reason);
+  if (!outcome) {
+    return context->Fail(reason);
+  }
+  if (outcome->failure.code != FailureCode::kNone) {
+    return ReportFailure(*outcome, context);
+  }
+  const bool json_output = context->options().json;
+  if (!json_output) {
+    PrintEdit(*outcome, context);
+  }
+  json result = {{"version", outcome->version},
+                 {"edit_id", outcome->edit.edit_id},
+                 {"changed", !outcome->edit.cells.empty()},
+                 {"merged", outcome->merged},
+                 {"cells", CellsToJson(outcome->edit.cells)}};
+  ExitCode code = ExitCode::kDone;
+  if (wait) {
+    const WaitOutcome waited = WaitForVersion(outcome->version, context);
+    code = ExitCodeOf(waited.failure.code);
+    result["wait"] = {{"nodes", waited.nodes},
+                      {"milliseconds", waited.milliseconds},
+                      {"missing", MissingToJson(waited)}};
+    if (code != ExitCode::kDone) {
+      context->Fail(waited.failure);
+    }
+    if (!json_output && code == ExitCode::kDone) {
+      context->out() << fmt::format(
+          "in force on {} nodes after {:.1f} s\n", waited.nodes,
+          static_cast<double>(waited.milliseconds) / 1000);
+    } else if (!json_output && !waited.missing.empty()) {
+      PrintMissing(waited, context);
+    }
+  }
+  if (json_output) {
+    context->PrintJson(result);
+  }
+  return code;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/cli/explain_verb.cc
@@ -0,0 +1,178 @@
+#include <algorithm>
+#include <ostream>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "cli/fleet.h"
+#include "cli/text_table.h"
+#include "cli/tool_context.h"
+#include "cli/verb.h"
+#include "dragonflytack/base/event_loop.h"
+#include "table/column.h"
+#include "table/table_json.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+// A warming target's share of its weight rises from the first to the whole in
+// this time (design section 8.2).
+constexpr int64_t kWarmUpMs = 10'000;
+constexpr double kColdShare = 0.1;
+
+struct EndpointView {
+  std::string node;
+  std::string region;
+  std::string data_centre;
+  std::string address;
+  std::string state;
+  std::string liveness;
+  double weight = 0;
+  // Empty for an endpoint that gets calls.
+  std::string left_out;
+};
+
+double WarmShare(const json& endpoint, int64_t now_ms) {
+  const auto since =
+      static_cast<int64_t>(NumberMember(endpoint, "warming_since_ms"));
+  const double done = std::clamp(
+      static_cast<double>(now_ms - since) / static_cast<double>(kWarmUpMs), 0.0,
+      1.0);
+  return kColdShare + (1 - kColdShare) * done;
+}
+
+EndpointView ViewOf(const json& endpoint,
+                    const ServiceRow& row,
+                    int64_t now_ms) {
+  EndpointView view{
+      TextMember(endpoint, "id"),          TextMember(endpoint, "region"),
+      TextMember(endpoint, "data_centre"), TextMember(endpoint, "address"),
+      TextMember(endpoint, "state"),       TextMember(endpoint, "liveness")};
+  const auto weight = row.weights.find(view.region);
+  view.weight =
+      weight == row.weights.end() ? ServiceRow::kDefaultWeight : weight->second;
+  // A node may know more than its routes say, for example an ejection.
+  view.left_out = TextMember(endpoint, "left_out");
+  if (view.liveness == "dead") {
+    view.left_out = "the node is dead";
+  } else if (view.state != "ready" && view.state != "warming") {
+    view.left_out = fmt::format("the target is {}", view.state);
+  } else if (view.weight == 0) {
+    view.left_out = fmt::format("the weight of {} is 0", view.region);
+  }
+  if (!view.left_out.empty()) {
+    view.weight = 0;
+  } else if (view.state == "warming") {
+    view.weight *= WarmShare(endpoint, now_ms);
+  }
+  return view;
+}
+
+class ExplainVerb final : public Verb {
+ public:
+  std::string Notes() const override {
+    return "Weights are those of the table, lowered while a target warms up. "
+           "Calls stay near\ntheir caller as long as near targets can take "
+           "them.\n";
+  }
+
+  ExitCode Run(const Arguments& arguments,
+               const boost::program_options::variables_map&,
+               ToolContext* context) const override {
+    Failure reason;
+    const std::optional<HostPort> node = context->Node(&reason);
+    if (!node) {
+      return context->Fail(reason);
+    }
+    // Other names cannot be in the table and would need escapes in the path.
+    const ServiceRow named{.service = arguments[0]};
+    const Column& column = Columns().front();
+    if (const auto fault = column.validate(column, named)) {
+      return context->Fail(
+          Failure{FailureCode::kInvalidArgument, "SERVICE", *fault});
+    }
+    AdminFetcher fetcher(context->loop(), context->options().shared_key);
+    const AdminAnswer answer = fetcher.Fetch(
+        *node, "/routes?service=" + arguments[0], context->options().timeout);
+    if (!answer.value) {
+      return context->Fail(answer.reason);
+    }
+    const json& value = *answer.value;
+    const std::optional<ServiceRow> row =
+        RowFromJson(ListOf(value, "row"), &reason);
+    const json& list = ListOf(value, "endpoints");
+    if (!row || !list.is_array()) {
+      return context->Fail(Failure{FailureCode::kInvalidMessage,
+                                   node->ToString(),
+                                   "the answer is not a route"});
+    }
+    std::vector<EndpointView> views;
+    for (const json& endpoint : list) {
+      views.push_back(
+          ViewOf(endpoint, *row, context->loop()->clock().WallMillis()));
+    }
+    if (context->options().json) {
+      PrintJson(value, *row, views, context);
+    } else {
+      PrintText(value, *row, views, context);
+    }
+    return ExitCode::kDone;
+  }
+
+ private:
+  static void PrintText(const json& route,
+                        const ServiceRow& row,
+                        const std::vector<EndpointView>& views,
+                        ToolContext* context) {
+    const Column& kind = *FindColumn("kind");
+    context->out() << fmt::format("{} ({}), version {}, as node {} sees it\n\n",
+                                  row.service, kind.format_text(kind, row),
+                                  NumberMember(route, "version"),
+                                  TextMember(route, "node"));
+    TextTable table({"endpoint", "region", "data centre", "address", "state",
+                     "liveness", "weight", "left out because"});
+    size_t used = 0;
+    for (const EndpointView& view : views) {
+      used += view.left_out.empty() ? 1 : 0;
+      table.Add({view.node, view.region, view.data_centre, view.address,
+                 view.state, view.liveness, fmt::format("{:.0f}", view.weight),
+                 view.left_out});
+    }
+    context->out() << table.ToString()
+                   << fmt::format("{} of {} endpoints get calls\n", used,
+                                  views.size());
+  }
+
+  static void PrintJson(const json& route,
+                        const ServiceRow& row,
+                        const std::vector<EndpointView>& views,
+                        ToolContext* context) {
+    json list = json::array();
+    for (const EndpointView& view : views) {
+      list.push_back({{"endpoint", view.node},
+                      {"region", view.region},
+                      {"data_centre", view.data_centre},
+                      {"address", view.address},
+                      {"state", view.state},
+                      {"liveness", view.liveness},
+                      {"weight", view.weight},
+                      {"left_out", view.left_out}});
+    }
+    context->PrintJson({{"node", TextMember(route, "node")},
+                        {"version", NumberMember(route, "version")},
+                        {"row", RowToJson(row)},
+                        {"endpoints", std::move(list)}});
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<Verb> MakeExplainVerb() {
+  return std::make_unique<ExplainVerb>();
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/cli/tool.cc
@@ -0,0 +1,217 @@
+#include "cli/tool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <ostream>
+#include <utility>
+
+#include <fmt/format.h>
+#include <boost/program_options.hpp>
+
+#include "cli/text_table.h"
+#include "cli/tool_context.h"
+#include "cli/verb.h"
+
+namespace dragonflytack {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr double kDefaultTimeoutSeconds = 10;
+constexpr double kMaxTimeoutSeconds = 3600;
+constexpr double kMillisPerSecond = 1000;
+constexpr size_t kMaxAuthorBytes = 100;
+// Limits of the setting security.shared_key.
+constexpr size_t kMaxKeyBytes = 256;
+
+po::options_description SharedOptions() {
+  po::options_description options("Options of all verbs");
+  options.add_options()("store",
+                        po::value<std::string>()->value_name("IP:PORT"),
+                        "the object store; default: $DRAGONFLYTACK_STORE")(
+      "node", po::value<std::string>()->value_name("IP:PORT"),
+      "admin port of any node; default: $DRAGONFLYTACK_NODE")(
+      "key-file", po::value<std::string>()->value_name("FILE"),
+      "file with the mesh's shared key")(
+      "author", po::value<std::string>()->value_name("NAME"),
+      "who edits, for the history; default: $USER")("json", po::bool_switch(),
+                                                    "write JSON for programs")(
+      "timeout",
+      po::value<double>()->value_name("SECONDS")->default_value(
+          kDefaultTimeoutSeconds, "10"),
+      "longest time for the command")("help", "print this text");
+  return options;
+}
+
+std::string TextOf(const po::variables_map& values,
+                   const char* name,
+                   const std::string& otherwise) {
+  return values.contains(name) ? values[name].as<std::string>() : otherwise;
+}
+
+// Reads an address that may be empty.
+bool ParseAddress(const std::string& text, std::optional<HostPort>* address) {
+  *address = HostPort::Parse(text);
+  return text.empty() || address->has_value();
+}
+
+bool IsAuthor(const std::string& author) {
+  return author.size() <= kMaxAuthorBytes &&
+         std::none_of(author.begin(), author.end(),
+                      [](char letter) { return letter >= 0 && letter < ' '; });
+}
+
+std::optional<std::string> ReadKey(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::string key;
+  if (!std::getline(file, key) || key.empty() || key.size() > kMaxKeyBytes) {
+    return std::nullopt;
+  }
+  if (key.back() == '\r') {
+    key.pop_back();
+  }
+  return key;
+}
+
+// Returns what is wrong with the options, empty when they are valid.
+std::string ReadOptions(const po::variables_map& values,
+                        const Tool::Environment& environment,
+                        ToolOptions* options) {
+  if (!ParseAddress(TextOf(values, "store", environment("DRAGONFLYTACK_STORE")),
+                    &options->store)) {
+    return "the store's address is not IP:port";
+  }
+  if (!ParseAddress(TextOf(values, "node", environment("DRAGONFLYTACK_NODE")),
+                    &options->node)) {
+    return "the node's address is not IP:port";
+  }
+  options->author = TextOf(values, "author", environment("USER"));
+  if (options->author.empty()) {
+    options->author = "unknown";
+  }
+  if (!IsAuthor(options->author)) {
+    return "the author is longer than 100 bytes or has control characters";
+  }
+  options->json = values["json"].as<bool>();
+  const double seconds = values["timeout"].as<double>();
+  if (!(seconds > 0 && seconds <= kMaxTimeoutSeconds)) {
+    return "the timeout is not above 0 and up to 3600 seconds";
+  }
+  options->timeout =
+      Milliseconds(static_cast<int64_t>(std::ceil(seconds * kMillisPerSecond)));
+  if (values.contains("key-file")) {
+    const std::string path = values["key-file"].as<std::string>();
+    const std::optional<std::string> key = ReadKey(path);
+    if (!key) {
+      return fmt::format("the key file {} has no key of 1 to 256 bytes", path);
+    }
+    options->shared_key = *key;
+  }
+  return {};
+}
+
+}  // namespace
+
+Tool::Tool(EventLoop* loop,
+           Environment environment,
+           std::ostream* out,
+           std::ostream* err)
+    : loop_(loop), environment_(std::move(environment)), out_(out), err_(err) {}
+
+void Tool::PrintHelp() const {
+  TextTable table({"verb", "", ""});
+  for (const VerbEntry& entry : Verbs()) {
+    table.Add({std::string(entry.name), std::string(entry.arguments),
+               std::string(entry.summary)});
+  }
+  *out_ << "usage: dragonflytack VERB [ARGUMENTS] [OPTIONS]\n\n"
+        << table.ToString() << "\n"
+        << SharedOptions()
+        << "\nExit codes: 0 done, 1 failed, 2 usage or settings, 3 conflict, "
+           "4 store unreachable,\n5 timeout while waiting.\n"
+           "\"dragonflytack VERB --help\" describes a verb.\n";
+}
+
+ExitCode Tool::UsageError(const std::string& text) const {
+  *err_ << "dragonflytack: " << text << "\n"
+        << "\"dragonflytack --help\" lists the verbs\n";
+  return ExitCode::kUsage;
+}
+
+ExitCode Tool::Run(const std::vector<std::string>& arguments) {
+  if (arguments.empty()) {
+    return UsageError("the verb is missing");
+  }
+  if (arguments.front() == "--help") {
+    PrintHelp();
+    return ExitCode::kDone;
+  }
+  const auto entry = std::find_if(Verbs().begin(), Verbs().end(),
+                                  [&](const VerbEntry& candidate) {
+                                    return candidate.name == arguments.front();
+                                  });
+  if (entry == Verbs().end()) {
+    return UsageError(
+        fmt::format("there is no verb \"{}\"", arguments.front()));
+  }
+  const std::unique_ptr<Verb> verb = entry->make();
+  po::options_description own("Options");
+  verb->AddOptions(&own);
+  po::options_description hidden;
+  hidden.add_options()("argument", po::value<std::vector<std::string>>());
+  po::options_description visible;
+  if (!own.options().empty()) {
+    visible.add(own);
+  }
+  visible.add(SharedOptions());
+  po::options_description all;
+  all.add(visible).add(hidden);
+  po::positional_options_description positional;
+  positional.add("argument", -1);
+  po::variables_map values;
+  try {
+    // Without guessing, so that a new option never changes what a script means.
+    po::store(
+        po::command_line_parser(
+            std::vector<std::string>(arguments.begin() + 1, arguments.end()))
+            .options(all)
+            .positional(positional)
+            .style(po::command_line_style::default_style &
+                   ~po::command_line_style::allow_guessing)
+            .run(),
+        values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    return UsageError(error.what());
+  }
+  const std::string usage =
+      fmt::format("usage: dragonflytack {} {}", entry->name, entry->arguments);
+  if (values.contains("help")) {
+    *out_ << usage << "\n\n" << entry->summary << "\n\n" << visible;
+    if (const std::string notes = verb->Notes(); !notes.empty()) {
+      *out_ << "\n" << notes;
+    }
+    return ExitCode::kDone;
+  }
+  const Verb::Arguments own_arguments =
+      values.contains("argument")
+          ? values["argument"].as<std::vector<std::string>>()
+          : Verb::Arguments{};
+  if (own_arguments.size() < entry->min_arguments ||
+      own_arguments.size() > entry->max_arguments) {
+    return UsageError(usage);
+  }
+  ToolOptions options;
+  const std::string fault = ReadOptions(values, environment_, &options);
+  if (!fault.empty()) {
+    return UsageError(fault);
+  }
+  ToolContext context(loop_, std::move(options), out_, err_);
+  return verb->Run(own_arguments, values, &context);
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/cli/verb.cc
@@ -0,0 +1,38 @@
+#include "cli/verb.h"
+
+#include <array>
+#include <limits>
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr size_t kUnlimited = std::numeric_limits<size_t>::max();
+
+constexpr std::array<VerbEntry, 11> kVerbs = {{
+    {"import", "FILE", "make the table equal to a CSV file (- for input)", 1, 1,
+     MakeImportVerb},
+    {"export", "", "write the table as CSV", 0, 0, MakeExportVerb},
+    {"show", "[SERVICE]", "show the table or one row", 0, 1, MakeShowVerb},
+    {"set", "SERVICE COLUMN VALUE", "set one cell", 3, 3, MakeSetVerb},
+    {"add", "SERVICE [COLUMN=VALUE...]", "add a row", 1, kUnlimited,
+     MakeAddVerb},
+    {"remove", "SERVICE", "remove a row", 1, 1, MakeRemoveVerb},
+    {"history", "[SERVICE]", "show who changed what and when", 0, 1,
+     MakeHistoryVerb},
+    {"diff", "FILE", "show what an import of a CSV file would change", 1, 1,
+     MakeDiffVerb},
+    {"status", "", "show which nodes have which version in force", 0, 0,
+     MakeStatusVerb},
+    {"explain", "SERVICE", "show the endpoints of a service and their weights",
+     1, 1, MakeExplainVerb},
+    {"trace", "ID", "show the spans of a traced call", 1, 1, MakeTraceVerb},
+}};
+
+}  // namespace
+
+std::span<const VerbEntry> Verbs() {
+  return kVerbs;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/src/cli/verb.h
@@ -0,0 +1,68 @@
+#ifndef DRAGONFLYTACK_CLI_VERB_H_
+#define DRAGONFLYTACK_CLI_VERB_H_
+
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/variables_map.hpp>
+
+#include "cli/exit_code.h"
+
+namespace dragonflytack {
+
+class ToolContext;
+
+// One verb of the tool, such as "set".
+class Verb {
+ public:
+  using Arguments = std::vector<std::string>;
+
+  virtual ~Verb() = default;
+
+  // Adds the options that only this verb has.
+  virtual void AddOptions(
+      boost::program_options::options_description* /*options*/) const {}
+
+  // Text below the options of --help.
+  virtual std::string Notes() const { return {}; }
+
+  // Runs with as many arguments as the table of verbs allows.
+  virtual ExitCode Run(const Arguments& arguments,
+                       const boost::program_options::variables_map& options,
+                       ToolContext* context) const = 0;
+};
+
+// An entry of the table of verbs.
+struct VerbEntry final {
+  std::string_view name;
+  std::string_view arguments;
+  std::string_view summary;
+  size_t min_arguments = 0;
+  size_t max_arguments = 0;
+  std::unique_ptr<Verb> (*make)();
+};
+
+// Returns all verbs, in the order of the help text.
+std::span<const VerbEntry> Verbs();
+
+// The verbs, each in a file of its own.
+std::unique_ptr<Verb> MakeImportVerb();
+std::unique_ptr<Verb> MakeExportVerb();
+std::unique_ptr<Verb> MakeShowVerb();
+std::unique_ptr<Verb> MakeSetVerb();
+std::unique_ptr<Verb> MakeAddVerb();
+std::unique_ptr<Verb> MakeRemoveVerb();
+std::unique_ptr<Verb> MakeHistoryVerb();
+std::unique_ptr<Verb> MakeDiffVerb();
+std::unique_ptr<Verb> MakeStatusVerb();
+std::unique_ptr<Verb> MakeExplainVerb();
+std::unique_ptr<Verb> MakeTraceVerb();
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_CLI_VERB_H_
--- /dev/null
+++ b/src/cli/version_wait.cc
@@ -0,0 +1,129 @@
+#include "cli/version_wait.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <map>
+#include <ostream>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "cli/text_table.h"
+#include "cli/tool_context.h"
+#include "dragonflytack/base/event_loop.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr Milliseconds kPollPeriod(100);
+constexpr Milliseconds kListPeriod(1000);
+// A node that is slow to answer must not hold up the round for the others.
+constexpr Milliseconds kAnswerTimeout(1000);
+
+}  // namespace
+
+WaitOutcome WaitForVersion(TableVersion version, ToolContext* context) {
+  WaitOutcome outcome;
+  const std::optional<HostPort> node = context->Node(&outcome.failure);
+  if (!node) {
+    return outcome;
+  }
+  const Clock& clock = context->loop()->clock();
+  const TimePoint start = clock.Now();
+  const TimePoint deadline = start + context->options().timeout;
+  const bool show_progress =
+      isatty(STDERR_FILENO) == 1 && !context->options().json;
+  AdminFetcher fetcher(context->loop(), context->options().shared_key);
+  std::vector<FleetNode> expected;
+  std::set<std::string> reached;
+  std::map<std::string, NodeVersion> versions;
+  TimePoint listed;
+  while (true) {
+    const Milliseconds left = std::max(
+        Milliseconds(1),
+        std::chrono::duration_cast<Milliseconds>(deadline - clock.Now()));
+    const Milliseconds answer_timeout = std::min(left, kAnswerTimeout);
+    if (expected.empty() || clock.Now() - listed >= kListPeriod) {
+      Failure reason;
+      auto nodes = ReadNodes(&fetcher, *node, answer_timeout, &reason);
+      if (nodes) {
+        expected = *std::move(nodes);
+        std::erase_if(expected,
+                      [](const FleetNode& item) { return !item.IsExpected(); });
+        listed = clock.Now();
+      } else if (expected.empty()) {
+        outcome.failure = reason;
+      }
+    }
+    std::vector<FleetNode> asked;
+    std::vector<HostPort> addresses;
+    for (const FleetNode& item : expected) {
+      if (!reached.contains(item.id)) {
+        asked.push_back(item);
+        addresses.push_back(item.admin);
+      }
+    }
+    const std::vector<AdminAnswer> answers =
+        fetcher.FetchAll(addresses, "/status", answer_timeout);
+    outcome.missing.clear();
+    for (size_t i = 0; i < asked.size(); ++i) {
+      const NodeVersion& found = versions[asked[i].id] =
+          ReadVersion(answers[i]);
+      if (found.in_force && *found.in_force >= version) {
+        reached.insert(asked[i].id);
+      } else {
+        outcome.missing.push_back(MissingNode{asked[i], found});
+      }
+    }
+    outcome.nodes = expected.size();
+    outcome.milliseconds =
+        std::chrono::duration_cast<Milliseconds>(clock.Now() - start).count();
+    if (show_progress) {
+      context->err() << fmt::format(
+                            "\r{} of {} nodes have version {} ({:.1f} s)",
+                            expected.size() - outcome.missing.size(),
+                            expected.size(), version,
+                            static_cast<double>(outcome.milliseconds) / 1000)
+                     << std::flush;
+    }
+    const bool done = !expected.empty() && outcome.missing.empty();
+    if (done || clock.Now() + kPollPeriod >= deadline) {
+      break;
+    }
+    context->Sleep(kPollPeriod);
+  }
+  if (show_progress) {
+    context->err() << "\n";
+  }
+  if (!outcome.missing.empty()) {
+    outcome.failure = Failure{
+        FailureCode::kDeadlineExceeded, fmt::format("version {}", version),
+        fmt::format("{} of {} nodes do not have it in force",
+                    outcome.missing.size(), outcome.nodes)};
+  } else if (outcome.nodes > 0) {
+    outcome.failure = Failure{};
+  } else {
+    outcome.failure = Failure{
+        FailureCode::kDeadlineExceeded, node->ToString(),
+        outcome.failure.code == FailureCode::kNone
+            ? "it knows no nodes"
+            : "the nodes could not be listed: " + outcome.failure.ToString()};
+  }
+  return outcome;
+}
+
+void PrintMissing(const WaitOutcome& outcome, ToolContext* context) {
+  TextTable table({"node", "region", "data centre", "version", "reason"});
+  for (const MissingNode& item : outcome.missing) {
+    table.Add(
+        {item.node.id, item.node.region, item.node.data_centre,
+         item.version.in_force ? std::to_string(*item.version.in_force) : "-",
+         item.version.reason});
+  }
+  context->err() << table.ToString();
+}
+
+}  // namespace dragonflytack
