Test the command-line tool

Cause: scripts rely on exit codes, operators on texts. Change: tests of all verbs in-process against the stand-in and fake nodes. Conclusion: exit codes, waiting, stragglers, reasons and traces are pinned.

--- /dev/null
+++ b/tests/tool_test.cc
@@ -0,0 +1,282 @@
+#include "cli/tool.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "cli/span_tree.h"
+#include "dragonflytack/base/hash.h"
+#include "fake_node.h"
+#include "store_bench.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+// Returns the path of a new empty file.
+std::string TemporaryFile() {
+  std::string path = "/tmp/dragonflytack_test_XXXXXX";
+  const int file = mkstemp(path.data());
+  cr_assert_geq(file, 0);
+  close(file);
+  return path;
+}
+
+struct ToolBench final {
+  ToolBench() {
+    Run({"add", "roster", "kind=idempotent", "--author", "ana"});
+    node.answers["/nodes"] =
+        json::array({node.Record("n1", "ready", "alive"),
+                     other.Record("n2", "warming", "suspect"),
+                     other.Record("n3", "ready", "dead"),
+                     other.Record("n4", "left", "alive")});
+    SetVersion(&node, 1);
+    SetVersion(&other, 1);
+  }
+
+  static void SetVersion(FakeNode* node, int version) {
+    node->answers["/status"] = {
+        {"node", "x"}, {"version", version}, {"refused", nullptr}};
+  }
+
+  // Returns the exit code; standard output and error are in `out` and `err`.
+  int Run(std::vector<std::string> arguments) {
+    std::ostringstream out_stream;
+    std::ostringstream err_stream;
+    Tool tool(
+        store.loop.get(),
+        [&](const char* name) {
+          const std::string variable = name;
+          return variable == "DRAGONFLYTACK_STORE"
+                     ? store.standin->address().ToString()
+                 : variable == "DRAGONFLYTACK_NODE" ? node.address().ToString()
+                                                    : std::string();
+        },
+        &out_stream, &err_stream);
+    const int code = static_cast<int>(tool.Run(arguments));
+    out = out_stream.str();
+    err = err_stream.str();
+    return code;
+  }
+
+  bool Says(const std::string& text) const {
+    return out.find(text) != std::string::npos ||
+           err.find(text) != std::string::npos;
+  }
+
+  StoreBench store;
+  FakeNode node{store.loop.get()};
+  FakeNode other{store.loop.get()};
+  std::string out;
+  std::string err;
+};
+
+}  // namespace
+
+// Scripts rely on the exit codes, operators on the texts.
+Test(tool, exit_codes_and_texts) {
+  ToolBench bench;
+  struct Case {
+    std::vector<std::string> arguments;
+    int code;
+    std::string text;
+  };
+  const std::vector<Case> cases = {
+      {{}, 2, "the verb is missing"},
+      {{"frob"}, 2, "there is no verb \"frob\""},
+      {{"--help"}, 0, "Exit codes"},
+      {{"set", "--help"}, 0, "1-600000 ms"},
+      {{"set", "roster"}, 2, "usage"},
+      {{"set", "roster", "slots", "5", "--wait=x"}, 2, "wait"},
+      {{"show", "--wai"}, 2, "wai"},
+      {{"show", "--store", "localhost:1"}, 2, "store"},
+      {{"show", "--timeout", "0"}, 2, "timeout"},
+      {{"show", "--timeout", "nan"}, 2, "timeout"},
+      {{"show", "--key-file", "/nonexistent"}, 2, "key file"},
+      {{"show", "--author", "a\nb"}, 2, "author"},
+      {{"set", "roster", "colour", "1"}, 2, "the columns are service, kind"},
+      {{"set", "roster", "slots", "0"}, 2, "roster/slots: 0 is not in 1-10000"},
+      {{"set", "other", "slots", "1"}, 1, "no row"},
+      {{"set", "roster", "slots", "5", "--expect", "4"},
+       3,
+       "roster, column slots: expected \"4\", found \"12\""},
+      {{"set", "roster", "slots", "12"}, 0, "nothing to change"},
+      {{"set", "roster", "slots", "5", "--expect", "12"}, 0, "version 2"},
+      {{"add", "roster", "kind=one_time"}, 3, "already"},
+      {{"add", "b", "kind"}, 2, "COLUMN=VALUE"},
+      {{"remove", "b"}, 1, "no row"},
+      {{"import", "/nonexistent"}, 2, "cannot be read"},
+      {{"show"}, 0, "roster   idempotent"},
+      {{"show", "b"}, 1, "no row"},
+      {{"export"}, 0, "roster,idempotent,,0,64,120,5,0,1000,1\r\n"},
+      {{"history", "roster"}, 0, "unknown  roster   slots     12  5"},
+      {{"history", "b"}, 0, "time"},
+      {{"trace", "x"}, 2, "32 hexadecimal digits"},
+      {{"explain", "a b"}, 2, "SERVICE"},
+      {{"explain", "b"}, 1, "not_found"},
+      {{"show", "--store", "127.0.0.1:1", "--timeout", "0.2"},
+       4,
+       "store_unreachable"},
+      {{"status", "--node", "127.0.0.1:1"}, 1, "peer_unreachable"},
+  };
+  for (const Case& item : cases) {
+    const int code = bench.Run(item.arguments);
+    cr_assert(code == item.code && bench.Says(item.text), "%s: %d\n%s%s",
+              item.text.c_str(), code, bench.out.c_str(), bench.err.c_str());
+  }
+}
+
+// An export must import without a change, and a changed file shows its cells.
+Test(tool, import_export_and_diff_agree) {
+  ToolBench bench;
+  cr_assert_eq(bench.Run({"export"}), 0);
+  const std::string path = TemporaryFile();
+  std::ofstream(path) << bench.out;
+  cr_assert_eq(bench.Run({"diff", path}), 0);
+  cr_assert(bench.Says("no difference"));
+  std::ofstream(path) << "service,kind,slots\nbooking,one_time,3\n";
+  cr_assert_eq(bench.Run({"import", path, "--json"}), 0);
+  const json result = json::parse(bench.out);
+  cr_assert_eq(result["version"].get<int>(), 2);
+  cr_assert_eq(result["cells"].size(), 12u);
+  cr_assert_eq(bench.Run({"show", "--json"}), 0);
+  cr_assert_eq(json::parse(bench.out)["rows"][0]["slots"].get<int>(), 3);
+  std::ofstream(path) << "service,kind\nb,idempotent\nb,idempotent\n";
+  cr_assert_eq(bench.Run({"import", path}), 1);
+  cr_assert(bench.Says("line 3: there are two rows"));
+  // Only a forced import may replace a table that nobody can read.
+  std::ofstream(path) << "service,kind\nb,idempotent\n";
+  cr_assert(bench.store.Put("table", "{", 2).has_value());
+  cr_assert_eq(bench.Run({"import", path}), 1);
+  cr_assert_eq(bench.Run({"import", path, "--force"}), 0);
+  cr_assert_eq(bench.Run({"show", "b"}), 0);
+  std::remove(path.c_str());
+}
+
+// Waiting must end when all living nodes have the version, and name those that
+// have not in time. Dead nodes and those that left must not be waited for.
+Test(tool, set_waits_for_the_fleet) {
+  ToolBench bench;
+  bench.store.loop->timers().SubscribeOnce(Milliseconds(300), [&] {
+    ToolBench::SetVersion(&bench.node, 2);
+    ToolBench::SetVersion(&bench.other, 3);
+  });
+  cr_assert_eq(bench.Run({"set", "roster", "slots", "5", "--wait"}), 0, "%s",
+               bench.err.c_str());
+  cr_assert(bench.Says("in force on 2 nodes"));
+  bench.other.answers["/status"]["refused"] = {{"version", 4},
+                                               {"row", "roster"},
+                                               {"column", "slots"},
+                                               {"reason", "too many"}};
+  ToolBench::SetVersion(&bench.node, 3);
+  cr_assert_eq(bench.Run({"set", "roster", "slots", "6"}), 0);
+  cr_assert_eq(
+      bench.Run({"set", "roster", "slots", "7", "--wait", "--timeout", "0.5"}),
+      5);
+  cr_assert(bench.Says("2 of 2 nodes do not have it in force"));
+  cr_assert(bench.Says("refused version 4: roster/slots: too many"));
+  cr_assert(bench.err.find("n3") == std::string::npos);
+  cr_assert_eq(bench.Run({"set", "roster", "slots", "8", "--wait", "--node",
+                          "127.0.0.1:1", "--timeout", "0.3"}),
+               5);
+  cr_assert(bench.Says("could not be listed"));
+}
+
+Test(tool, status_names_stragglers) {
+  ToolBench bench;
+  cr_assert_eq(bench.Run({"set", "roster", "slots", "5"}), 0);
+  ToolBench::SetVersion(&bench.node, 2);
+  cr_assert_eq(bench.Run({"status"}), 0);
+  cr_assert(bench.Says("newest version 2, stored version 2"));
+  cr_assert(bench.Says("n2    north   north-1      warming  suspect         1"),
+            "%s", bench.out.c_str());
+  bench.other.answers["/status"]["in_force"] = false;
+  cr_assert_eq(bench.Run({"status"}), 0);
+  cr_assert(bench.Says("no table is in force"));
+  cr_assert_eq(bench.Run({"status", "--json"}), 0);
+  const json place = json::parse(bench.out)["places"][0];
+  cr_assert(place["nodes"] == 2 && place["newest"] == 1 &&
+            place["no_version"] == 1 && place["dead_or_left"] == 2);
+}
+
+// Each endpoint that gets no calls must be shown with the reason.
+Test(tool, explain_says_why_endpoints_are_left_out) {
+  ToolBench bench;
+  json endpoints = bench.node.answers["/nodes"];
+  endpoints[3]["state"] = "draining";
+  endpoints.push_back(endpoints[0]);
+  endpoints[4]["region"] = "south";
+  endpoints[1]["warming_since_ms"] = bench.store.clock.WallMillis() + 1'000'000;
+  bench.node.answers["/routes?service=roster"] = {
+      {"node", "n1"},
+      {"version", 7},
+      {"row",
+       {{"service", "roster"},
+        {"kind", "idempotent"},
+        {"weights", {{"south", 0}}}}},
+      {"endpoints", endpoints}};
+  cr_assert_eq(bench.Run({"explain", "roster"}), 0, "%s", bench.err.c_str());
+  cr_assert(bench.Says("the node is dead") &&
+            bench.Says("the target is draining") &&
+            bench.Says("the weight of south is 0") &&
+            bench.Says("2 of 5 endpoints get calls"));
+  cr_assert_eq(bench.Run({"explain", "roster", "--json"}), 0);
+  const json shown = json::parse(bench.out)["endpoints"];
+  cr_assert(shown[0]["weight"] == 100.0 && shown[1]["weight"] == 10.0);
+}
+
+// Spans of all nodes make one tree; requests carry the authorization.
+Test(tool, trace_gathers_spans_with_authorization) {
+  ToolBench bench;
+  const std::string id(32, 'a');
+  const auto span = [&](const std::string& span_id, const std::string& parent,
+                        const std::string& name, int start) {
+    return json{{"trace_id", id},       {"span_id", span_id},
+                {"parent_id", parent},  {"name", name},
+                {"node", "n1"},         {"start_us", start},
+                {"end_us", start + 500}};
+  };
+  bench.node.answers["/trace?id=" + id] = {
+      {"trace_id", id},
+      {"spans", json::array({span("2", "1", "attempt", 2000),
+                             span("1", "f", "entry", 1000)})}};
+  bench.other.answers["/trace?id=" + id] =
+      json::array({span("3", "2", "target", 2100)});
+  const std::string key = "a key of the mesh";
+  const std::string path = TemporaryFile();
+  std::ofstream(path) << key << "\n";
+  for (FakeNode* node : {&bench.node, &bench.other}) {
+    node->authorization = "Bearer " + ToHex(HmacSha256(key, "admin"));
+  }
+  cr_assert_eq(bench.Run({"trace", id, "--key-file", path}), 0, "%s",
+               bench.err.c_str());
+  std::remove(path.c_str());
+  const size_t entry = bench.out.find("\nentry ");
+  const size_t attempt = bench.out.find("\n  attempt ");
+  const size_t target = bench.out.find("\n    target ");
+  cr_assert(entry < attempt && attempt < target && target != std::string::npos,
+            "%s", bench.out.c_str());
+  cr_assert_eq(bench.Run({"trace", id}), 1);
+  cr_assert(bench.Says("authentication"));
+}
+
+// Guards against endless recursion on spans that name each other as parents.
+Test(span_tree, draws_cycles_and_repeated_spans_once) {
+  const Span a{.span_id = "a", .parent_id = "b", .name = "one"};
+  const Span b{.span_id = "b", .parent_id = "a", .name = "two"};
+  const std::string text = DrawSpanTree({a, b, a});
+  cr_assert(text.find("one") != std::string::npos &&
+            text.find("one") == text.rfind("one"));
+  cr_assert(text.find("two") != std::string::npos);
+}
+
+}  // namespace dragonflytack
