--- a/src/cli/text_table.cc
+++ b/src/cli/text_table.cc
@@ -22,7 +22,8 @@
 }
 
 bool IsNumber(const std::string& text) {
-  return text.find_first_not_of("0123456789.") == std::string::npos;
+  return text.find_first_not_of("0123456789.") == std::string::npos &&
+         std::count(text.begin(), text.end(), '.') <= 1;
 }
 
 }  // namespace
--- a/tests/table_editor_test.cc
+++ b/tests/table_editor_test.cc
@@ -120,7 +120,8 @@
         cr_assert_eq(history.size(), 513u);
         cr_assert(history.front().edit_id == "old0");
         cr_assert(history.back() == outcome.edit);
-        cr_assert(!outcome.merged, "%d at %d x%d", static_cast<int>(fault), step, repeats);
+        cr_assert(!outcome.merged, "%d at %d x%d", static_cast<int>(fault),
+                  step, repeats);
       }
     }
   }
