--- a/src/store/http_connection.cc
+++ b/src/store/http_connection.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr int kNoContent = 204;
+// evhttp's own default is no limit.
+constexpr ev_ssize_t kMaxHeaderBytes = 65'536;
 
 evhttp_cmd_type Command(const std::string& method) {
   static const std::map<std::string, evhttp_cmd_type> kCommands = {
@@ -87,6 +89,7 @@
   // The limit on time is the timer of Send(), which covers the whole exchange;
   // evhttp's own one starts again with each byte.
   evhttp_connection_set_timeout(connection_, std::numeric_limits<int>::max());
+  evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
   evhttp_connection_set_max_body_size(
       connection_, static_cast<ev_ssize_t>(max_answer_bytes_));
   write_counter_ = evbuffer_add_cb(
