--- a/bench/call_bench.cc
+++ b/bench/call_bench.cc
@@ -125,40 +125,44 @@
   ~Client() { close(fd_); }
   Client(const Client&) = delete;
 
-  // Returns whether the answer was "ok" with status 200.
-  bool Call() {
+  // Returns the status of the answer, 0 without one.
+  int Call() {
     static constexpr char kRequest[] = "GET /s/x HTTP/1.1\r\nHost: h\r\n\r\n";
     if (send(fd_, kRequest, sizeof(kRequest) - 1, MSG_NOSIGNAL) < 0) {
-      return false;
+      return 0;
     }
     std::string text;
     char buffer[4096];
-    while (!text.ends_with("\r\n\r\nok")) {
+    // All answers are short: "ok" or the JSON object of a refusal.
+    while (!text.ends_with("\r\n\r\nok") && !text.ends_with("}")) {
       const ssize_t size = recv(fd_, buffer, sizeof(buffer), 0);
       if (size <= 0) {
-        return false;
+        return 0;
       }
       text.append(buffer, static_cast<size_t>(size));
     }
-    return text.starts_with("HTTP/1.1 200");
+    return std::atoi(text.c_str() + sizeof("HTTP/1.1"));
   }
 
  private:
   const int fd_;
 };
 
-// A target that answers "ok" at once.
+// A target that answers "ok" after the service time.
 class Target {
  public:
-  explicit Target(const Clock* clock) : loop_(EventLoop::Make(clock)) {
+  Target(const Clock* clock, Milliseconds service_time)
+      : loop_(EventLoop::Make(clock)) {
     Failure reason;
     server_ = HttpServer::Make(
         loop_->base(), {kTargetAddress, kTargetPort},
-        [](evhttp_request* request) {
-          evbuffer* body = evbuffer_new();
-          evbuffer_add(body, "ok", 2);
-          evhttp_send_reply(request, HTTP_OK, nullptr, body);
-          evbuffer_free(body);
+        [this, service_time](evhttp_request* request) {
+          if (service_time == Milliseconds::zero()) {
+            Answer(request);
+          } else {
+            loop_->timers().SubscribeOnce(service_time,
+                                          [request] { Answer(request); });
+          }
         },
         &reason);
     if (server_ == nullptr) {
@@ -173,6 +177,13 @@
   }
 
  private:
+  static void Answer(evhttp_request* request) {
+    evbuffer* body = evbuffer_new();
+    evbuffer_add(body, "ok", 2);
+    evhttp_send_reply(request, HTTP_OK, nullptr, body);
+    evbuffer_free(body);
+  }
+
   std::unique_ptr<EventLoop> loop_;
   std::unique_ptr<HttpServer> server_;
   std::thread thread_;
@@ -224,7 +235,7 @@
 // Makes one call and returns its time in microseconds.
 int64_t TimeCall(Client* client) {
   const auto start = std::chrono::steady_clock::now();
-  if (!client->Call()) {
+  if (client->Call() != HTTP_OK) {
     fmt::print(stderr, "a call failed\n");
     std::exit(EXIT_FAILURE);
   }
@@ -271,7 +282,7 @@
     callers.emplace_back([&] {
       Client client(kEntryAddress, kCallPort);
       while (!stop) {
-        (client.Call() ? done : failed) += 1;
+        (client.Call() == HTTP_OK ? done : failed) += 1;
       }
     });
   }
@@ -293,7 +304,7 @@
 
 void MeasureCalls(int endpoints, std::string_view measure) {
   const SystemClock clock;
-  const Target target(&clock);
+  const Target target(&clock, Milliseconds::zero());
   Node entry(&clock, "entry", kEntryAddress);
   Node beside(&clock, "n0000", kTargetAddress);
   for (Node* node : {&entry, &beside}) {
@@ -310,21 +321,84 @@
   }
 }
 
+// Offers a multiple of the capacity of one target and prints how much of it is
+// done, and how quickly the rest is refused.
+void MeasureOverload(double times_capacity) {
+  constexpr int kSlots = 12;
+  constexpr Milliseconds kServiceTime(10);
+  constexpr int kCallers = 256;
+  constexpr int kSeconds = 5;
+  constexpr int kCapacity = kSlots * 1000 / kServiceTime.count();
+  const SystemClock clock;
+  const Target target(&clock, kServiceTime);
+  Node entry(&clock, "entry", kEntryAddress);
+  Node beside(&clock, "n0000", kTargetAddress);
+  for (Node* node : {&entry, &beside}) {
+    node->task()->PostRoutes(MakeRoutes(1));
+  }
+  beside.task()->PostTarget(
+      {"s", kTargetAddress, kTargetPort, TargetState::kReady, kSlots});
+  std::this_thread::sleep_for(Milliseconds(100));
+  const std::chrono::nanoseconds period(
+      static_cast<int64_t>(1e9 * kCallers / (kCapacity * times_capacity)));
+  std::atomic<int64_t> done = 0;
+  std::vector<std::vector<int64_t>> refused_us(kCallers);
+  std::vector<std::thread> callers;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      Client client(kEntryAddress, kCallPort);
+      auto next = start + period * i / kCallers;
+      while (next < start + std::chrono::seconds(kSeconds)) {
+        std::this_thread::sleep_until(next);
+        next += period;
+        const auto sent = std::chrono::steady_clock::now();
+        if (client.Call() == HTTP_OK) {
+          ++done;
+        } else {
+          refused_us[i].push_back(
+              std::chrono::duration_cast<std::chrono::microseconds>(
+                  std::chrono::steady_clock::now() - sent)
+                  .count());
+        }
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  std::vector<int64_t> refused = {0};
+  for (const std::vector<int64_t>& times : refused_us) {
+    refused.insert(refused.end(), times.begin(), times.end());
+  }
+  fmt::print(
+      R"({{"measure":"overload","times_capacity":{},"capacity_per_s":{},"done_per_s":{},"refused_per_s":{},"refused_p50_us":{},"refused_p99_us":{}}})"
+      "\n",
+      times_capacity, kCapacity, done / kSeconds,
+      (refused.size() - 1) / kSeconds, Quantile(&refused, 0.5),
+      Quantile(&refused, 0.99));
+}
+
 }  // namespace
 
 }  // namespace dragonflytack
 
-// The optional argument names one measure: router_choice, added_time or
-// saturation.
+// The optional argument names one measure: router_choice, added_time,
+// saturation or overload.
 int main(int argc, char** argv) {
   const std::string_view measure = argc > 1 ? argv[1] : "";
   for (const int endpoints : {30, 500}) {
     if (measure.empty() || measure == "router_choice") {
       dragonflytack::MeasureChoice(endpoints);
     }
-    if (measure != "router_choice") {
+    if (measure != "router_choice" && measure != "overload") {
       dragonflytack::MeasureCalls(endpoints, measure);
     }
   }
+  if (measure.empty() || measure == "overload") {
+    for (const double times_capacity : {0.9, 1.0, 2.0}) {
+      dragonflytack::MeasureOverload(times_capacity);
+    }
+  }
   return EXIT_SUCCESS;
 }
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -9,6 +9,7 @@
 class ConnectionPool;
 class DeferredDeleter;
 class EventLoop;
+class Logger;
 class Router;
 class Tracer;
 
@@ -19,6 +20,7 @@
   DeferredDeleter* deleter = nullptr;
   Router* router = nullptr;
   ConnectionPool* connections = nullptr;
+  Logger* logger = nullptr;
   CallMetrics* metrics = nullptr;
   Tracer* tracer = nullptr;
 };
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -77,17 +77,17 @@
   auto owned = std::make_unique<Call>(this, request);
   Call* call = owned.get();
   calls_.emplace(call, std::move(owned));
-  CallResult refusal = Prepare(request, call);
-  if (refusal.reason != CallReason::kNone) {
-    context_->metrics->CountRefused("entry", refusal.reason);
-    call->inbound.Reply(refusal);
+  if (const std::optional<CallResult> refusal = Prepare(request, call)) {
+    context_->metrics->CountRefused("entry", refusal->reason);
+    call->inbound.Reply(*refusal);
     Remove(call);
     return;
   }
   call->routed->Start();
 }
 
-CallResult CallEntry::Prepare(evhttp_request* request, Call* call) {
+std::optional<CallResult> CallEntry::Prepare(evhttp_request* request,
+                                             Call* call) {
   const evkeyvalq* headers = call->inbound.headers();
   if (refusing_) {
     return CallResult::Refused(CallReason::kStopping, "the node stops");
@@ -136,9 +136,7 @@
   call->routed = std::make_unique<RoutedCall>(
       context_, std::move(routed),
       [this, call](CallResult result) { OnResult(call, std::move(result)); });
-  CallResult accepted;
-  accepted.reason = CallReason::kNone;
-  return accepted;
+  return std::nullopt;
 }
 
 void CallEntry::OnResult(Call* call, CallResult result) {
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "calls/call_context.h"
@@ -39,8 +40,8 @@
  private:
   class Call;
 
-  // Returns the refusal of a call that cannot be routed, kNone otherwise.
-  CallResult Prepare(evhttp_request* request, Call* call);
+  // Returns the refusal of a call that cannot be routed, nothing otherwise.
+  std::optional<CallResult> Prepare(evhttp_request* request, Call* call);
   void OnResult(Call* call, CallResult result);
   void OnHangUp(Call* call);
   void Remove(Call* call);
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -53,7 +53,7 @@
                 incarnation ^ std::hash<std::string>()(settings.node_id)),
         connections_(loop_.get(), &deleter_),
         context_{settings.node_id, loop_.get(), &deleter_, &router_,
-                 &connections_,    &metrics_,   tracer},
+                 &connections_,    logger,      &metrics_, tracer},
         mailbox_(loop_.get(),
                  [this](Message message) { OnMessage(std::move(message)); }) {}
 
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -13,6 +14,7 @@
 #include "calls/deferred_deleter.h"
 #include "calls/http_headers.h"
 #include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/logger.h"
 
 namespace dragonflytack {
 
@@ -261,6 +263,10 @@
 void RoutedCall::EndAttempt(AttemptEnd health, std::string_view outcome) {
   span_->End(outcome);
   if (request_.pool->OnEnded(target_.get(), health, Now() - attempt_start_)) {
+    context_->logger->Warning("endpoint_ejected",
+                              {{"service", request_.route->row.service},
+                               {"target", target_->record().id},
+                               {"outcome", std::string(outcome)}});
     context_->metrics->ForService(request_.route->row.service).ejections->Add();
   }
   target_ = nullptr;
--- a/src/calls/slot_limiter.h
+++ b/src/calls/slot_limiter.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYTACK_SRC_CALLS_SLOT_LIMITER_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace dragonflytack {
 
@@ -22,6 +23,11 @@
   // Counts the time of a call that used a slot.
   void RecordTime(std::chrono::nanoseconds time);
 
+  // Average time of a call, zero before the first one ended.
+  std::chrono::nanoseconds average() const {
+    return std::chrono::nanoseconds(static_cast<int64_t>(average_ns_));
+  }
+
   // Expected time until a call would end that has `ahead` calls before it in
   // the queue while all slots are in use. Zero before the first call ended.
   std::chrono::nanoseconds ExpectedTime(int ahead) const;
--- a/src/calls/target_side.cc
+++ b/src/calls/target_side.cc
@@ -56,17 +56,17 @@
   auto owned = std::make_unique<Call>(this, request);
   Call* call = owned.get();
   calls_.emplace(call, std::move(owned));
-  CallResult refusal = Prepare(call);
-  if (refusal.reason == CallReason::kNone) {
+  std::optional<CallResult> refusal = Prepare(call);
+  if (!refusal) {
     refusal = Admit(call);
   }
-  if (refusal.reason != CallReason::kNone) {
-    Reply(call, refusal);
+  if (refusal) {
+    Reply(call, *refusal);
     Remove(call);
   }
 }
 
-CallResult TargetSide::Prepare(Call* call) {
+std::optional<CallResult> TargetSide::Prepare(Call* call) {
   const evkeyvalq* headers = call->inbound.headers();
   if (draining_ || target_.state == TargetState::kDraining ||
       target_.state == TargetState::kLeft) {
@@ -88,20 +88,16 @@
     return CallResult::Refused(CallReason::kRateLimited,
                                "the rate limit of the service is reached");
   }
-  CallResult accepted;
-  accepted.reason = CallReason::kNone;
-  return accepted;
+  return std::nullopt;
 }
 
-CallResult TargetSide::Admit(Call* call) {
-  CallResult accepted;
-  accepted.reason = CallReason::kNone;
+std::optional<CallResult> TargetSide::Admit(Call* call) {
   // A free slot is used even when the average says that the deadline cannot be
   // met: otherwise no call would ever correct the average.
   if (slots_.TryTake()) {
     call->has_slot = true;
     Run(call);
-    return accepted;
+    return std::nullopt;
   }
   if (queue_.size() >= static_cast<size_t>(route_->row.max_queue)) {
     return CallResult::Refused(CallReason::kOverloaded, "the queue is full");
@@ -117,7 +113,7 @@
   queue_.Push(call->deadline, call);
   context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
   ArmQueueTimer();
-  return accepted;
+  return std::nullopt;
 }
 
 void TargetSide::Run(Call* call) {
@@ -227,11 +223,14 @@
 
 void TargetSide::ExpireQueued() {
   const TimePoint now = context_->loop->clock().Now();
-  while (queue_.EarliestDeadline() && *queue_.EarliestDeadline() <= now) {
+  // A call that is started too late to end in time takes a slot from one that
+  // would. Under overload this keeps the useful work at the capacity.
+  const TimePoint useful = now + slots_.average();
+  while (queue_.EarliestDeadline() && *queue_.EarliestDeadline() <= useful) {
     Call* call = queue_.Pop();
     context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
     Reply(call, CallResult::Refused(CallReason::kDeadline,
-                                    "the deadline passed in the queue"));
+                                    "the wait in the queue was too long"));
     Remove(call);
   }
   ArmQueueTimer();
@@ -243,7 +242,7 @@
   queue_timer_ = 0;
   if (earliest) {
     queue_timer_ = context_->loop->timers().SubscribeOnce(
-        std::max(std::chrono::ceil<Milliseconds>(*earliest -
+        std::max(std::chrono::ceil<Milliseconds>(*earliest - slots_.average() -
                                                  context_->loop->clock().Now()),
                  Milliseconds(0)),
         [this] { ExpireQueued(); });
--- a/src/calls/target_side.h
+++ b/src/calls/target_side.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "calls/call_context.h"
@@ -50,9 +51,9 @@
  private:
   class Call;
 
-  // Returns the refusal of a call that cannot be taken, kNone otherwise.
-  CallResult Prepare(Call* call);
-  CallResult Admit(Call* call);
+  // Each returns the refusal of a call that cannot be taken, nothing otherwise.
+  std::optional<CallResult> Prepare(Call* call);
+  std::optional<CallResult> Admit(Call* call);
   void Run(Call* call);
   void OnExchangeEnd(Call* call, ExchangeEnd end, HttpRequestPtr answer);
   void RunQueued();
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -281,4 +281,47 @@
                 "dragonflytack_slots_in_use 0\n") != std::string::npos);
 }
 
+// Guards against a length of 0 in answers that have no body by their method.
+Test(call_task, head_answer_keeps_the_length_of_the_body) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& /*head*/, int /*n*/) {
+                          const std::string text =
+                              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+                          send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+                          return true;
+                        });
+  const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+  socket.Send("HEAD /s HTTP/1.1\r\nHost: h\r\n\r\n");
+  const HttpReply reply = socket.Receive(Milliseconds(300));
+  cr_expect(reply.head.starts_with("HTTP/1.1 200"));
+  ExpectEqual(reply.Header("content-length"), "5");
+  ExpectEqual(reply.body, "");
+}
+
+// Guards against a load report that does not reach the entry node: of two
+// targets the one that reports to be full must get fewer calls.
+Test(call_task, load_reports_reach_the_entry_node) {
+  CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+  const auto answer = [](const char* load) {
+    return [load](int fd, const std::string& /*head*/, int /*n*/) {
+      std::this_thread::sleep_for(Milliseconds(5));
+      const std::string text = fmt::format(
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nx-load: {}\r\n\r\n", load);
+      send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      return true;
+    };
+  };
+  ScriptedTarget full(fixture.Address(1), CallFixture::kTargetPort,
+                      answer("1.00"));
+  ScriptedTarget idle(fixture.Address(2), CallFixture::kTargetPort,
+                      answer("0.00"));
+  for (int i = 0; i < 100; ++i) {
+    cr_assert_eq(fixture.Call("1", 1000).status, 200);
+  }
+  // Of 100 calls 25 draw the full one twice; it gets little besides.
+  cr_expect(full.requests() > 5 && full.requests() < idle.requests() * 3 / 4,
+            "%d %d", full.requests(), idle.requests());
+}
+
 }  // namespace dragonflytack
