--- a/bench/call_bench.cc
+++ b/bench/call_bench.cc
@@ -328,7 +328,7 @@
   constexpr Milliseconds kServiceTime(10);
   constexpr int kCallers = 256;
   constexpr int kSeconds = 5;
-  constexpr int kCapacity = kSlots * 1000 / kServiceTime.count();
+  constexpr int64_t kCapacity = int64_t{kSlots} * 1000 / kServiceTime.count();
   const SystemClock clock;
   const Target target(&clock, kServiceTime);
   Node entry(&clock, "entry", kEntryAddress);
@@ -339,8 +339,8 @@
   beside.task()->PostTarget(
       {"s", kTargetAddress, kTargetPort, TargetState::kReady, kSlots});
   std::this_thread::sleep_for(Milliseconds(100));
-  const std::chrono::nanoseconds period(
-      static_cast<int64_t>(1e9 * kCallers / (kCapacity * times_capacity)));
+  const std::chrono::nanoseconds period(static_cast<int64_t>(
+      1e9 * kCallers / (static_cast<double>(kCapacity) * times_capacity)));
   std::atomic<int64_t> done = 0;
   std::vector<std::vector<int64_t>> refused_us(kCallers);
   std::vector<std::thread> callers;
--- a/src/calls/http_headers.cc
+++ b/src/calls/http_headers.cc
@@ -52,8 +52,9 @@
                       });
 }
 
-// Returns whether the comma-separated `list` names `name`.
-bool Names(std::string_view list, std::string_view name) {
+}  // namespace
+
+bool ListNames(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     const size_t comma = std::min(list.find(','), list.size());
     std::string_view item = list.substr(0, comma);
@@ -67,8 +68,6 @@
   return false;
 }
 
-}  // namespace
-
 std::string_view FindHeader(const evkeyvalq* headers, const char* name) {
   const char* value = evhttp_find_header(headers, name);
   return value == nullptr ? std::string_view() : std::string_view(value);
@@ -100,7 +99,7 @@
   for (const evkeyval* item = from->tqh_first; item != nullptr;
        item = item->next.tqe_next) {
     if (IsForwarded(item->key) &&
-        (connection.empty() || !Names(connection, item->key))) {
+        (connection.empty() || !ListNames(connection, item->key))) {
       evhttp_add_header(to, item->key, item->value);
     }
   }
--- a/src/calls/http_headers.h
+++ b/src/calls/http_headers.h
@@ -32,6 +32,9 @@
 // Returns the value of a header, empty when it is missing.
 std::string_view FindHeader(const evkeyvalq* headers, const char* name);
 
+// Returns whether a comma-separated list names `name`, whatever the case.
+bool ListNames(std::string_view list, std::string_view name);
+
 // Returns a header's whole value as a number from 0 up, nothing when it is
 // missing or malformed.
 std::optional<int64_t> FindNumber(const evkeyvalq* headers, const char* name);
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -40,8 +40,9 @@
 
 bool AllowsReuse(evhttp_request* answer) {
   return answer->major == 1 && answer->minor >= 1 &&
-         FindHeader(evhttp_request_get_input_headers(answer), "Connection")
-             .empty();
+         !ListNames(
+             FindHeader(evhttp_request_get_input_headers(answer), "Connection"),
+             "close");
 }
 
 }  // namespace
