Fix what the linter reports

Cause: two lint errors in the link layer and one unformatted test. Change: the size of a nonce in digits has its own constant.

--- a/src/net/link_handshake.cc
+++ b/src/net/link_handshake.cc
@@ -16,6 +16,7 @@
 
 constexpr std::string_view kProtocol = "dragonflytack-link-1";
 constexpr int kNonceBytes = 16;
+constexpr size_t kNonceDigits = 32;
 
 std::string_view RoleName(bool client) {
   return client ? "client" : "server";
@@ -57,7 +58,7 @@
   }
   const auto nonce = hello->find("nonce");
   if (nonce == hello->end() || !nonce->is_string() ||
-      nonce->get_ref<const std::string&>().size() != 2 * kNonceBytes) {
+      nonce->get_ref<const std::string&>().size() != kNonceDigits) {
     reason->detail = "nonce is missing or has another size";
     return false;
   }
--- a/src/net/websocketpp_session.cc
+++ b/src/net/websocketpp_session.cc
@@ -39,7 +39,7 @@
       websocketpp::random::random_device::int_generator<uint32_t,
                                                         concurrency_type>;
 
-  struct transport_config : public Base::transport_config {
+  struct TransportConfig : public Base::transport_config {
     using concurrency_type = websocketpp::concurrency::none;
     using alog_type = websocketpp::log::stub;
     using elog_type = websocketpp::log::stub;
@@ -47,6 +47,8 @@
     using response_type = typename Base::response_type;
     static constexpr bool enable_multithreading = false;
   };
+  // Names that websocketpp looks for.
+  using transport_config = TransportConfig;
   using transport_type =
       websocketpp::transport::iostream::endpoint<transport_config>;
 
--- a/tests/embedded_charts_test.cc
+++ b/tests/embedded_charts_test.cc
@@ -44,8 +44,9 @@
                                 kEmbeddedCharts[i].scxml, &reason) != nullptr,
               "%s", reason.ToString().c_str());
   }
-  for (const auto check : {&WebSocketLink::CheckChart, &TargetLifeCycle::CheckChart,
-                           &ObservedStore::CheckChart}) {
+  for (const auto check :
+       {&WebSocketLink::CheckChart, &TargetLifeCycle::CheckChart,
+        &ObservedStore::CheckChart}) {
     Failure reason;
     cr_expect(check(&reason), "%s", reason.ToString().c_str());
   }
