--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -16,6 +16,11 @@
 
 namespace {
 
+// At the drain timeout the call task cuts off its calls and hands over its
+// one-time records. This is the time it has for that, so that their successor
+// can still be announced; the exit code is 1 all the same.
+constexpr Milliseconds kCutOffGrace{1000};
+
 // Returns a seed that differs between nodes and between starts of a node.
 uint64_t MakeSeed(const Settings& settings, const Clock& clock) {
   return Hash64(settings.node_id, static_cast<uint64_t>(clock.WallMillis()));
@@ -185,10 +190,11 @@
     End(1);
     return;
   }
+  stop_deadline_ = clock_->Now() + Milliseconds(settings_.drain_timeout_ms);
   core_->BeginDrain();
   calls_->PostStop();
   loop_->timers().SubscribeOnce(
-      Milliseconds(settings_.drain_timeout_ms), [this] {
+      Milliseconds(settings_.drain_timeout_ms) + kCutOffGrace, [this] {
         logger_->Error("drain_timeout",
                        {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
         End(1);
@@ -196,8 +202,9 @@
 }
 
 void ControlTask::OnCallsStopped(const NodeId& successor) {
+  const int exit_code = clock_->Now() < stop_deadline_ ? 0 : 1;
   core_->AnnounceSuccessor(successor);
-  links_->Shutdown([this] { End(0); });
+  links_->Shutdown([this, exit_code] { End(exit_code); });
 }
 
 void ControlTask::End(int exit_code) {
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -79,6 +79,8 @@
   std::unique_ptr<AdminServer> admin_server_;
   std::vector<event*> signal_events_;
   bool stopping_ = false;
+  // When calls in flight are cut off.
+  TimePoint stop_deadline_;
   int exit_code_ = 0;
   // Destroyed first: its thread posts to the mailbox.
   std::unique_ptr<CallTask> calls_;
--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -22,6 +22,8 @@
 // Bytes read ahead of the parser. It bounds what one link may hold, and keeps
 // one busy link from starving the others.
 constexpr size_t kReadAheadBytes = 65'536;
+// A handshake sends less than 2 KB.
+constexpr size_t kHandshakeQueueBytes = 65'536;
 // WebSocket header of a frame from a client.
 constexpr size_t kMaxFrameHeaderBytes = 14;
 
@@ -133,6 +135,10 @@
   return machine_.state() == "up";
 }
 
+bool WebSocketLink::IsClosing() const {
+  return state() == "closing" || state() == "lingering" || machine_.is_final();
+}
+
 size_t WebSocketLink::queued_bytes() const {
   return evbuffer_get_length(bufferevent_get_output(socket_));
 }
@@ -140,10 +146,7 @@
 void WebSocketLink::OnReadable(bufferevent* socket, void* self) {
   auto* const link = static_cast<WebSocketLink*>(self);
   evbuffer* const input = bufferevent_get_input(socket);
-  const bool closing =
-      link->session_ == nullptr || link->state() == "closing" ||
-      link->state() == "lingering" || link->machine_.is_final();
-  if (closing) {
+  if (link->session_ == nullptr || link->IsClosing()) {
     evbuffer_drain(input, evbuffer_get_length(input));
     return;
   }
@@ -284,6 +287,16 @@
 }
 
 void WebSocketLink::OnWebSocketWrite(const char* data, size_t size) {
+  // Send() keeps the bound for frames. Answers to pings and to handshakes are
+  // written by the session itself, so they are bounded here.
+  const size_t limit =
+      up_reported_ ? options_.max_queue_bytes : kHandshakeQueueBytes;
+  if (queued_bytes() + size > limit) {
+    if (!failing_ && !IsClosing()) {
+      FailLater(FailureCode::kOverloaded, "the peer does not read");
+    }
+    return;
+  }
   sent_bytes_ += size;
   bufferevent_write(socket_, data, size);
 }
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -104,6 +104,7 @@
   void OnWebSocketWrite(const char* data, size_t size) override;
   void OnWebSocketEnd(End end, const std::string& detail) override;
 
+  bool IsClosing() const;
   void Fail(FailureCode code, const std::string& detail);
   void Fail(Failure reason);
   // Fails on the next turn of the loop, because the caller of Send() must not
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -109,7 +109,8 @@
 
 void WebSocketLinkLayer::Shutdown(std::function<void()> on_closed) {
   on_closed_ = std::move(on_closed);
-  evconnlistener_disable(listener_);
+  // Peers that try again are refused at once instead of waiting in the backlog.
+  evconnlistener_free(std::exchange(listener_, nullptr));
   std::vector<LinkId> ids;
   for (const auto& [id, link] : links_) {
     ids.push_back(id);
--- /dev/null
+++ b/tests/control_task_test.cc
@@ -0,0 +1,226 @@
+#include "daemon/control_task.h"
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "call_fixture.h"
+#include "dragonflytack/base/admin_authorization.h"
+#include "dragonflytack/base/logger.h"
+#include "store/store_standin.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr char kKey[] = "0123456789abcdef";
+constexpr char kTable[] =
+    R"({"rows":[{"service":"s","kind":"idempotent","deadline_ms":60000}],)"
+    R"("recent":[]})";
+constexpr Milliseconds kLimit{5000};
+
+// A store with a table, a target, and one whole node between them.
+class NodeBench {
+ public:
+  explicit NodeBench(ScriptedTarget::Script script)
+      : address_(LoopbackAddress(0)),
+        target_(address_, 7005, std::move(script)),
+        store_loop_(EventLoop::Make(&clock_)) {
+    Failure reason;
+    store_ = StoreStandin::Make(store_loop_.get(), {address_, 7006},
+                                {address_, 7007}, &reason);
+    cr_assert(store_ != nullptr, "%s", reason.ToString().c_str());
+    store_thread_ = std::thread([this] { store_loop_->Run(); });
+    Request(7006, "PUT", "/v1/objects/table", "x-if-version: 0\r\n", kTable);
+    Settings settings;
+    settings.node_id = "n1";
+    settings.region = settings.store_region = "r";
+    settings.data_centre = "d";
+    settings.address = address_;
+    settings.call_port = 7001;
+    settings.mesh_port = 7002;
+    settings.peer_port = 7003;
+    settings.admin_port = 7004;
+    settings.store = {address_, 7006};
+    settings.shared_key = kKey;
+    settings.drain_timeout_ms = 1000;
+    task_ = ControlTask::Make(settings, &clock_, &logger_, &reason);
+    cr_assert(task_ != nullptr, "%s", reason.ToString().c_str());
+    thread_ = std::thread([this] { exit_code_ = task_->Run(); });
+    cr_assert_eq(Announce("ready").status, 200);
+    WaitForRoute();
+  }
+
+  ~NodeBench() {
+    store_loop_->Stop();
+    store_thread_.join();
+  }
+
+  HttpReply Request(uint16_t port,
+                    const std::string& method,
+                    const std::string& path,
+                    const std::string& headers = "",
+                    const std::string& body = "") const {
+    const Socket socket(address_, port);
+    socket.Send(
+        fmt::format("{} {} HTTP/1.1\r\nhost: x\r\ncontent-length: "
+                    "{}\r\n{}\r\n{}",
+                    method, path, body.size(), headers, body));
+    return socket.Receive(kLimit);
+  }
+
+  HttpReply Admin(const std::string& path) const {
+    return Request(7004, "GET", path,
+                   "authorization: " + AdminAuthorization(kKey) + "\r\n");
+  }
+
+  HttpReply Announce(const std::string& state) const {
+    return Request(
+        7004, "POST", "/announce", "",
+        fmt::format(
+            R"({{"service":"s","address":"{}","port":7005,"state":"{}"}})",
+            address_, state));
+  }
+
+  // Sends a call without waiting for its answer and waits until the target has
+  // it.
+  std::unique_ptr<Socket> BeginCall() const {
+    auto socket = std::make_unique<Socket>(address_, 7001);
+    socket->Send("GET /s/x HTTP/1.1\r\nhost: x\r\n\r\n");
+    for (int i = 0; i < 1000 && target_.requests() == 0; ++i) {
+      std::this_thread::sleep_for(Milliseconds(2));
+    }
+    cr_assert_eq(target_.requests(), 1);
+    return socket;
+  }
+
+  // Waits for the end of the task and returns its exit code.
+  int Join() {
+    thread_.join();
+    task_.reset();
+    return exit_code_;
+  }
+
+  const std::string& address() const { return address_; }
+
+ private:
+  void WaitForRoute() const {
+    for (int i = 0; i < 500; ++i) {
+      const HttpReply reply = Admin("/routes?service=s");
+      if (reply.body.find("\"ready\"") != std::string::npos) {
+        return;
+      }
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+    cr_assert_fail("no route came into force");
+  }
+
+  const SystemClock clock_;
+  Logger logger_{&clock_, LogLevel::kError, ""};
+  const std::string address_;
+  ScriptedTarget target_;
+  const std::unique_ptr<EventLoop> store_loop_;
+  std::unique_ptr<StoreStandin> store_;
+  std::thread store_thread_;
+  std::unique_ptr<ControlTask> task_;
+  std::thread thread_;
+  int exit_code_ = -1;
+};
+
+bool AnswerLate(int fd, const std::string& /*head*/, int /*n*/) {
+  std::this_thread::sleep_for(Milliseconds(300));
+  return ScriptedTarget::Answer(fd, "late");
+}
+
+bool NeverAnswer(int /*fd*/, const std::string& /*head*/, int /*n*/) {
+  std::this_thread::sleep_for(Milliseconds(3000));
+  return false;
+}
+
+}  // namespace
+
+// Guards against a stop that cuts off a call in flight, or goes on taking
+// announcements.
+Test(control_task, graceful_stop_finishes_calls_and_exits_with_0) {
+  NodeBench bench(AnswerLate);
+  const std::unique_ptr<Socket> call = bench.BeginCall();
+  raise(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(100));
+  cr_expect_eq(bench.Announce("ready").status, 503);
+  const HttpReply reply = call->Receive(kLimit);
+  cr_expect(reply.status == 200 && reply.body == "late");
+  cr_expect_eq(bench.Join(), 0);
+}
+
+// Guards against a node that cannot be ended while a call hangs.
+Test(control_task, second_signal_ends_at_once_with_1) {
+  NodeBench bench(NeverAnswer);
+  const std::unique_ptr<Socket> call = bench.BeginCall();
+  const auto start = std::chrono::steady_clock::now();
+  raise(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(100));
+  raise(SIGINT);
+  cr_expect_eq(bench.Join(), 1);
+  cr_expect(std::chrono::steady_clock::now() - start < Milliseconds(900));
+}
+
+// Guards against a stop that waits for ever.
+Test(control_task, drain_timeout_ends_with_1) {
+  NodeBench bench(NeverAnswer);
+  const std::unique_ptr<Socket> call = bench.BeginCall();
+  const auto start = std::chrono::steady_clock::now();
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 1);
+  cr_expect(std::chrono::steady_clock::now() - start >= Milliseconds(1000));
+}
+
+// Guards against admin requests that end the process, and answers that lack
+// what operators and the tool read.
+Test(control_task, admin_port_survives_bad_bytes_and_shows_the_node) {
+  NodeBench bench(AnswerLate);
+  for (const std::string& bytes :
+       {std::string("\0\1\2\r\n\r\n", 7), std::string("GET /status\r\n\r\n"),
+        std::string("GET /%zz?=& HTTP/1.1\r\n\r\n"),
+        "GET / HTTP/1.1\r\nx: " + std::string(50'000, 'x') + "\r\n\r\n",
+        std::string("POST /announce HTTP/1.1\r\ncontent-length: -5\r\n\r\n"),
+        std::string("POST /announce HTTP/1.1\r\ncontent-length: 9\r\n\r\n{")}) {
+    const Socket socket(bench.address(), 7004);
+    socket.Send(bytes);
+    cr_expect_neq(socket.Receive(Milliseconds(100)).status, 200);
+  }
+  cr_expect_eq(bench.Request(7004, "PUT", "/status").status, 405);
+  cr_expect_eq(
+      bench.Request(7004, "POST", "/announce", "", std::string(5000, ' '))
+          .status,
+      413);
+  cr_expect_eq(bench.Request(7004, "GET", "/status").status, 401);
+  cr_expect_eq(bench.Request(7004, "GET", "/healthz").status, 200);
+  const auto status = nlohmann::json::parse(bench.Admin("/status").body);
+  cr_expect(
+      status["node"] == "n1" && status["in_force"] == true &&
+      status["version"] == 1 && status["refused"].is_null() &&
+      status["speaker"] == true && status["store"]["contact"] == "in_contact" &&
+      status["versions"].size() == 1 && status["record"]["state"] == "ready");
+  const auto nodes = nlohmann::json::parse(bench.Admin("/nodes").body);
+  cr_expect(nodes["nodes"].size() == 1 &&
+            nodes["nodes"][0]["liveness"] == "alive" &&
+            nodes["nodes"][0]["admin_port"] == 7004);
+  const auto table = nlohmann::json::parse(bench.Admin("/table").body);
+  cr_expect(table["rows"][0]["service"] == "s");
+  const std::string metrics = bench.Admin("/metrics").body;
+  for (const char* line :
+       {"\ndragonflytack_table_version 1\n", "\ndragonflytack_speaker 1\n",
+        "\ndragonflytack_resident_bytes ",
+        "\ndragonflytack_store_calls_total{operation=\"get\"} "}) {
+    cr_expect(metrics.find(line) != std::string::npos, "%s", line);
+  }
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
+}  // namespace dragonflytack
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -20,6 +20,10 @@
 
 namespace {
 
+constexpr char kUpgrade[] =
+    "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
+    "Upgrade\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+    "Sec-WebSocket-Version: 13\r\n\r\n";
 constexpr char kKey[] = "0123456789abcdef";
 
 // Tests run in processes of their own side by side, and other programs take
@@ -181,10 +185,7 @@
   LinkOptions options = Keyed();
   options.handshake_timeout = Milliseconds(300);
   Bench bench(Keyed(), options);
-  const std::string upgrade =
-      "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
-      "Upgrade\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
-      "Sec-WebSocket-Version: 13\r\n\r\n";
+  const std::string upgrade = kUpgrade;
   const std::string zero_mask(4, '\0');
   const auto frame = [&](char first, const std::string& payload) {
     return upgrade + first + static_cast<char>(0x80 | payload.size()) +
@@ -246,6 +247,25 @@
   cr_expect(bench.LinkUp());
 }
 
+// Guards against memory that a stranger fills with answers it never reads.
+Test(websocket_link_layer, pings_without_reading_end_the_link) {
+  Bench bench;
+  const int fd = ConnectRaw(bench.b.address, kUpgrade);
+  fcntl(fd, F_SETFL, O_NONBLOCK);
+  const int small_buffer = 4096;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof(small_buffer));
+  std::string pings;
+  for (int i = 0; i < 100; ++i) {
+    pings += "\x89\xfd" + std::string(4, '\0') + std::string(125, 'p');
+  }
+  cr_expect(bench.Run([&] {
+    [[maybe_unused]] const ssize_t sent =
+        send(fd, pings.data(), pings.size(), MSG_NOSIGNAL);
+    return bench.b.Ends("overloaded") == 1;
+  }));
+  close(fd);
+}
+
 // Guards against an authenticated peer that makes a node hold what it must not.
 Test(websocket_link_layer, oversized_frames_end_the_link) {
   LinkOptions small = Keyed();
