--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -11,6 +11,7 @@
 class ConnectionPool;
 class DeferredDeleter;
 class EventLoop;
+class Logger;
 class Router;
 class Tracer;
 
@@ -21,6 +22,7 @@
   DeferredDeleter* deleter = nullptr;
   Router* router = nullptr;
   ConnectionPool* connections = nullptr;
+  Logger* logger = nullptr;
   CallMetrics* metrics = nullptr;
   Tracer* tracer = nullptr;
   // Of one-time calls: those this node dispatches, and those it got.
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <utility>
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include "calls/call_metrics.h"
@@ -93,14 +94,13 @@
   auto owned = std::make_unique<Call>(this, request);
   Call* call = owned.get();
   calls_.emplace(call, std::move(owned));
-  CallResult refusal = Prepare(request, call);
-  if (refusal.reason != CallReason::kNone) {
-    context_->metrics->CountRefused("entry", refusal.reason);
+  if (std::optional<CallResult> refusal = Prepare(request, call)) {
+    context_->metrics->CountRefused("entry", refusal->reason);
     if (!FindHeader(call->inbound.headers(), kKeyHeader).empty()) {
       // Nothing was asked about other calls with the key.
-      refusal.scope = NotRunScope::kRequest;
+      refusal->scope = NotRunScope::kRequest;
     }
-    call->inbound.Reply(refusal);
+    call->inbound.Reply(*refusal);
     Remove(call);
     return;
   }
@@ -111,11 +111,17 @@
   }
 }
 
-CallResult CallEntry::Prepare(evhttp_request* request, Call* call) {
+std::optional<CallResult> CallEntry::Prepare(evhttp_request* request,
+                                             Call* call) {
   const evkeyvalq* headers = call->inbound.headers();
   if (refusing_) {
     return CallResult::Refused(CallReason::kStopping, "the node stops");
   }
+  if (evbuffer_get_length(evhttp_request_get_input_buffer(request)) >
+      kMaxBodyBytes) {
+    return CallResult::Refused(CallReason::kTooLarge,
+                               "the body is over the size limit");
+  }
   CallPath path = ReadPath(evhttp_request_get_uri(request),
                            FindHeader(headers, kServiceHeader));
   if (path.service.empty()) {
@@ -163,9 +169,7 @@
     call->routed =
         std::make_unique<RoutedCall>(context_, std::move(routed), on_result);
   }
-  CallResult accepted;
-  accepted.reason = CallReason::kNone;
-  return accepted;
+  return std::nullopt;
 }
 
 void CallEntry::OnResult(Call* call, CallResult result) {
--- a/src/calls/target_side.h
+++ b/src/calls/target_side.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "calls/call_context.h"
@@ -50,12 +51,11 @@
  private:
   class Call;
 
-  // Returns the refusal of a one-time attempt that must not start here, kNone
-  // otherwise.
-  CallResult AdmitAttempt(Call* call);
-  // Returns the refusal of a call that cannot be taken, kNone otherwise.
-  CallResult Prepare(Call* call);
-  CallResult Admit(Call* call);
+  // Each returns the refusal of a call that cannot be taken, nothing otherwise.
+  // The first one is for attempts of one-time calls that must not start here.
+  std::optional<CallResult> AdmitAttempt(Call* call);
+  std::optional<CallResult> Prepare(Call* call);
+  std::optional<CallResult> Admit(Call* call);
   void Run(Call* call);
   void OnExchangeEnd(Call* call, ExchangeEnd end, HttpRequestPtr answer);
   void RunQueued();
