--- a/src/calls/target_side.h
+++ b/src/calls/target_side.h
@@ -52,6 +52,8 @@
   class Call;
 
   // Each returns the refusal of a call that cannot be taken, nothing otherwise.
+  // The first one is for attempts of one-time calls that must not start here.
+  std::optional<CallResult> AdmitAttempt(Call* call);
   std::optional<CallResult> Prepare(Call* call);
   std::optional<CallResult> Admit(Call* call);
   void Run(Call* call);
