--- /dev/null
+++ b/src/distribution/link_table.h
@@ -0,0 +1,67 @@
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "distribution/link_state.h"
+#include "distribution/messages.h"
+#include "dragonflytack/distribution/traffic_counters.h"
+
+namespace dragonflytack {
+
+class Clock;
+class LinkLayer;
+
+// The links of this node, being made or up, and the bytes on them.
+class LinkTable final {
+ public:
+  LinkTable(LinkLayer* layer,
+            const Clock* clock,
+            std::string region,
+            std::string data_centre);
+  LinkTable(const LinkTable&) = delete;
+  LinkTable& operator=(const LinkTable&) = delete;
+
+  // Starts a connection. `peer` is empty when only the address is known.
+  void Dial(const HostPort& address, const NodeId& peer);
+  // Takes note that a link is up and returns it.
+  LinkState* MarkUp(LinkId id, const NodeRecord& peer, bool outgoing);
+  // Closes a link; nothing more is reported for it.
+  void Close(LinkId id);
+  // Forgets a link that the layer reported down.
+  void Remove(LinkId id) { links_.erase(id); }
+
+  void Send(LinkState* link, const Message& message);
+  // Sends one encoded frame, which may go to several links.
+  void SendFrame(LinkState* link, size_t kind, const std::string& frame);
+  void CountReceived(const LinkState& link, size_t kind, size_t bytes);
+  size_t QueuedBytes(const LinkState& link) const;
+
+  LinkState* Find(LinkId id);
+  // Returns the link to a peer that is up, null when there is none.
+  LinkState* FindUp(const NodeId& peer);
+  // Returns all links that are up. They stay valid until one is closed.
+  std::vector<LinkState*> Up();
+  bool IsDialing(const HostPort& address) const;
+  bool IsLinkedOrDialing(const HostPort& address) const;
+  // Number of connections that are being made.
+  size_t dialing() const;
+  size_t up_count() const;
+  const std::map<LinkId, LinkState>& links() const { return links_; }
+  const TrafficCounters& traffic() const { return traffic_; }
+
+ private:
+  LinkLayer* const layer_;
+  const Clock* const clock_;
+  const std::string region_;
+  const std::string data_centre_;
+  std::map<LinkId, LinkState> links_;
+  TrafficCounters traffic_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
--- /dev/null
+++ b/tests/call_task_test.cc
@@ -0,0 +1,327 @@
+#include "dragonflytack/calls/call_task.h"
+
+#include <sys/socket.h>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include "call_fixture.h"
+
+namespace dragonflytack {
+
+// Guards against answers that reach another caller or come without the outcome.
+Test(call_task, every_caller_gets_its_own_answer) {
+  CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+  ScriptedTarget first(fixture.Address(1), CallFixture::kTargetPort, AnswerOwn);
+  ScriptedTarget second(fixture.Address(2), CallFixture::kTargetPort,
+                        AnswerOwn);
+  std::atomic<int> right = 0;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 8; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; i < 50; ++i) {
+        const std::string id = fmt::format("{}-{}", caller, i);
+        const HttpReply reply = fixture.Call(id, 1000);
+        right += reply.status == 200 && reply.body == id &&
+                         reply.Header("x-outcome") == "done"
+                     ? 1
+                     : 0;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  cr_assert_eq(right, 400);
+  cr_assert(first.requests() > 0 && second.requests() > 0);
+  cr_assert_eq(first.requests() + second.requests(), 400);
+}
+
+// Guards against slots and connections that a vanished caller keeps.
+Test(call_task, hang_up_cancels_downstream_and_frees_the_slot) {
+  ServiceRow row = Row(ServiceKind::kOneTime);
+  row.slots = 1;
+  CallFixture fixture(1, row);
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& head, int n) {
+                          return n == 1 || AnswerOwn(fd, head, n);
+                        });
+  {
+    const Socket caller(fixture.Address(0), CallFixture::kCallPort);
+    caller.Send(CallFixture::Request("gone", 5000));
+    while (target.requests() == 0) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  }
+  const HttpReply reply = fixture.Call("next", 1000);
+  cr_assert_eq(reply.status, 200, "%d", reply.status);
+  cr_assert(reply.elapsed < Milliseconds(500));
+  cr_assert_eq(target.closed(), 1);
+}
+
+// Guards against a drain that cuts off calls or goes on taking them.
+Test(call_task, drain_refuses_new_calls_and_finishes_the_others) {
+  ServiceRow row = Row(ServiceKind::kOneTime);
+  row.slots = 1;
+  CallFixture fixture(1, row);
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& head, int n) {
+                          std::this_thread::sleep_for(Milliseconds(100));
+                          return AnswerOwn(fd, head, n);
+                        });
+  // One runs and one waits in the queue.
+  HttpReply replies[2];
+  std::thread callers[2];
+  for (int i = 0; i < 2; ++i) {
+    callers[i] = std::thread(
+        [&, i] { replies[i] = fixture.Call(std::to_string(i), 2000); });
+  }
+  std::this_thread::sleep_for(Milliseconds(50));
+  fixture.task(1)->PostStop();
+  std::this_thread::sleep_for(Milliseconds(20));
+  const HttpReply refused = fixture.Call("new", 1000);
+  cr_expect_eq(refused.status, 503);
+  ExpectEqual(refused.Header("x-reason"), "draining");
+  ExpectEqual(refused.Header("x-outcome"), "not-run");
+  cr_expect(!fixture.WaitUntilStopped(1, Milliseconds(0)));
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  cr_expect(fixture.WaitUntilStopped(1, Milliseconds(1000)));
+  cr_expect_eq(replies[0].status, 200);
+  cr_expect_eq(replies[1].status, 200);
+  cr_expect_eq(target.requests(), 2);
+}
+
+// Guards against a full queue that makes callers wait, and against a proof of
+// not run for a call that did run.
+Test(call_task, overload_is_refused_quickly_and_not_run) {
+  ServiceRow row = Row(ServiceKind::kOneTime);
+  row.slots = 1;
+  row.max_queue = 2;
+  row.retry_limit = 0;
+  CallFixture fixture(1, row);
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& head, int n) {
+                          std::this_thread::sleep_for(Milliseconds(200));
+                          return AnswerOwn(fd, head, n);
+                        });
+  std::atomic<int> done = 0;
+  std::atomic<int> refused = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.emplace_back([&, i] {
+      const HttpReply reply = fixture.Call(std::to_string(i), 2000);
+      done += reply.status == 200 ? 1 : 0;
+      refused += reply.status == 503 && reply.elapsed < kSlack &&
+                         reply.Header("x-outcome") == "not-run" &&
+                         reply.Header("x-reason") == "overloaded"
+                     ? 1
+                     : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  cr_assert_eq(done, 3, "%d", done.load());
+  cr_assert_eq(refused, 7, "%d", refused.load());
+  cr_assert_eq(target.requests(), 3);
+}
+
+// Guards against internal headers that callers or targets can forge, and
+// against hop-by-hop headers that are passed on.
+Test(call_task, hop_headers_are_stripped_both_ways) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  std::string seen;
+  ScriptedTarget target(
+      fixture.Address(1), CallFixture::kTargetPort,
+      [&](int fd, const std::string& head, int /*n*/) {
+        seen = head;
+        const std::string text =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nx-not-run: 1\r\n"
+            "x-outcome: not-run\r\nx-load: 0.50\r\nConnection: x-hop\r\n"
+            "x-hop: 1\r\nx-own: 1\r\n\r\nok";
+        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        return false;
+      });
+  const HttpReply reply =
+      fixture.Call("1", 1000, "Connection: x-one\r\nx-one: 1\r\nx-two: 2\r\n");
+  const HttpReply request{0, seen, "", Milliseconds(0)};
+  ExpectEqual(request.Header("x-one"), "");
+  ExpectEqual(request.Header("x-two"), "2");
+  ExpectEqual(request.Header("x-service"), "");
+  cr_expect_eq(request.Header("traceparent").size(), 55);
+  const int left = std::stoi(request.Header("x-deadline-ms"));
+  cr_expect(left > 500 && left < 1000, "%d", left);
+  ExpectEqual(reply.Header("x-outcome"), "done");
+  ExpectEqual(reply.Header("x-own"), "1");
+  for (const char* name : {"x-hop", "x-not-run", "x-load", "x-target-us"}) {
+    ExpectEqual(reply.Header(name), "", name);
+  }
+}
+
+// Guards against untyped answers to bad requests.
+Test(call_task, bad_requests_are_refused_with_a_reason) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  struct Case {
+    const char* text;
+    int status;
+    const char* reason;
+  };
+  const Case cases[] = {
+      {"GET /other/x HTTP/1.1\r\nHost: h\r\n\r\n", 404, "no_service"},
+      {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 400, "bad_request"},
+      {"GET /s HTTP/1.1\r\nHost: h\r\nx-deadline-ms: 1x\r\n\r\n", 400,
+       "bad_request"},
+      {"GET /s HTTP/1.1\r\nHost: h\r\nx-deadline-ms: 0\r\n\r\n", 503,
+       "deadline"},
+  };
+  for (const Case& bad : cases) {
+    const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+    socket.Send(bad.text);
+    const HttpReply reply = socket.Receive(Milliseconds(1000));
+    cr_expect_eq(reply.status, bad.status, "%s: %d", bad.text, reply.status);
+    ExpectEqual(reply.Header("x-reason"), bad.reason);
+    ExpectEqual(reply.Header("x-outcome"), "not-run");
+  }
+}
+
+// Guards against spans that are lost or hang together wrongly.
+Test(call_task, sampled_call_leaves_a_span_per_hop) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        AnswerOwn);
+  const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+  fixture.Call("1", 1000,
+               "traceparent: 00-" + trace + "-b7ad6b7169203331-01\r\n");
+  const std::vector<Span> near = fixture.tracer(0)->Find(trace);
+  const std::vector<Span> far = fixture.tracer(1)->Find(trace);
+  cr_assert_eq(near.size(), 2);
+  cr_assert_eq(far.size(), 1);
+  ExpectEqual(near[0].name, "attempt");
+  ExpectEqual(near[0].target, "n1");
+  ExpectEqual(near[1].name, "entry");
+  ExpectEqual(near[1].parent_id, "b7ad6b7169203331");
+  ExpectEqual(far[0].name, "target");
+  cr_expect(near[0].parent_id == near[1].span_id);
+  cr_expect(far[0].parent_id == near[0].span_id);
+}
+
+// Guards against large bodies that are cut, and against ones over the limit
+// that are passed on.
+Test(call_task, bodies_pass_whole_up_to_the_limit) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(
+      fixture.Address(1), CallFixture::kTargetPort,
+      [](int fd, const std::string& head, int /*n*/) {
+        const HttpReply request{0, head, "", Milliseconds(0)};
+        const size_t size = std::stoul(request.Header("content-length"));
+        return ScriptedTarget::Answer(fd, std::string(size, 'y'));
+      });
+  for (const size_t size :
+       {size_t{1}, size_t{100'000}, size_t{4} << 20, (size_t{4} << 20) + 1}) {
+    const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+    socket.Send(
+        fmt::format("POST /s HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                    "{}\r\n\r\n{}",
+                    size, std::string(size, 'y')));
+    const HttpReply reply = socket.Receive(Milliseconds(5000));
+    if (size <= size_t{4} << 20) {
+      cr_expect(reply.body == std::string(size, 'y'), "%zu: %d %zu", size,
+                reply.status, reply.body.size());
+    } else {
+      cr_expect_eq(reply.status, 413);
+      ExpectEqual(reply.Header("x-reason"), "too_large");
+    }
+  }
+}
+
+// Guards against answers that are lost or out of order when a caller sends the
+// next request before the answer.
+Test(call_task, pipelined_requests_are_answered_in_order) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& head, int n) {
+                          std::this_thread::sleep_for(Milliseconds(20));
+                          return AnswerOwn(fd, head, n);
+                        });
+  const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+  socket.Send(CallFixture::Request("first", 1000) +
+              CallFixture::Request("second", 1000));
+  ExpectEqual(socket.Receive(Milliseconds(1000)).body, "first");
+  ExpectEqual(socket.Receive(Milliseconds(1000)).body, "second");
+}
+
+// Guards against metrics that miss calls or their ends.
+Test(call_task, metrics_count_calls_by_service_outcome_and_reason) {
+  CallFixture fixture(1, Row(ServiceKind::kOneTime));
+  {
+    ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                          AnswerOwn);
+    fixture.Call("1", 1000);
+  }
+  fixture.Call("2", 1000);
+  const std::string text = fixture.metrics(0)->RenderText();
+  for (const char* line :
+       {"dragonflytack_calls_total{outcome=\"done\",service=\"s\"} 1\n",
+        "dragonflytack_calls_total{outcome=\"not-run\",service=\"s\"} 1\n",
+        "dragonflytack_call_seconds_count{service=\"s\"} 2\n",
+        "dragonflytack_call_added_seconds_count{service=\"s\"} 1\n",
+        "dragonflytack_refused_total{reason=\"unreachable\",side=\"entry\"} "
+        "1\n"}) {
+    cr_expect(text.find(line) != std::string::npos, "%s in\n%s", line,
+              text.c_str());
+  }
+  cr_expect(fixture.metrics(1)->RenderText().find(
+                "dragonflytack_slots_in_use 0\n") != std::string::npos);
+}
+
+// Guards against a length of 0 in answers that have no body by their method.
+Test(call_task, head_answer_keeps_the_length_of_the_body) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& /*head*/, int /*n*/) {
+                          const std::string text =
+                              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+                          send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+                          return true;
+                        });
+  const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+  socket.Send("HEAD /s HTTP/1.1\r\nHost: h\r\n\r\n");
+  const HttpReply reply = socket.Receive(Milliseconds(300));
+  cr_expect(reply.head.starts_with("HTTP/1.1 200"));
+  ExpectEqual(reply.Header("content-length"), "5");
+  ExpectEqual(reply.body, "");
+}
+
+// Guards against a load report that does not reach the entry node: of two
+// targets the one that reports to be full must get fewer calls.
+Test(call_task, load_reports_reach_the_entry_node) {
+  CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+  const auto answer = [](const char* load) {
+    return [load](int fd, const std::string& /*head*/, int /*n*/) {
+      std::this_thread::sleep_for(Milliseconds(5));
+      const std::string text = fmt::format(
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nx-load: {}\r\n\r\n", load);
+      send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      return true;
+    };
+  };
+  ScriptedTarget full(fixture.Address(1), CallFixture::kTargetPort,
+                      answer("1.00"));
+  ScriptedTarget idle(fixture.Address(2), CallFixture::kTargetPort,
+                      answer("0.00"));
+  for (int i = 0; i < 100; ++i) {
+    cr_assert_eq(fixture.Call("1", 1000).status, 200);
+  }
+  // Of 100 calls 25 draw the full one twice; it gets little besides.
+  cr_expect(full.requests() > 5 && full.requests() < idle.requests() * 3 / 4,
+            "%d %d", full.requests(), idle.requests());
+}
+
+}  // namespace dragonflytack
