Add the measurement driver for distribution and calls

Cause: the two measures of the product and the call path need figures from real daemons. Change: tools/measure with the subcommands distribution, calls and fit; the target stand-in shares its processor beyond its slots and lists its executions.

--- /dev/null
+++ b/tools/measure_driver/calls_measure.cc
@@ -0,0 +1,420 @@
+#include "measure_driver/calls_measure.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "support/http_batch.h"
+#include "support/load_generator.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr const char* kIdempotentService = "roster";
+constexpr const char* kOneTimeService = "booking";
+constexpr int kTimeoutMs = 5000;
+constexpr int kReadyTimeoutMs = 30'000;
+constexpr double kCallsPerNode = 100;
+constexpr double kAddedTargetMs = 1.6;
+constexpr double kDrainTargetSeconds = 3;
+// At twice the capacity the goodput may fall by a tenth of what it is at the
+// capacity.
+constexpr double kFlatGoodput = 0.9;
+
+void SleepMs(int milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+}  // namespace
+
+CallsMeasure::CallsMeasure(const FleetOptions& options,
+                           const std::string& phase)
+    : phase_(phase),
+      fleet_(options),
+      writer_(&fleet_, options.services),
+      report_("mesh", options.nodes) {
+  writer_.document().rows[kOneTimeService].kind = ServiceKind::kOneTime;
+  for (auto& [service, row] : writer_.document().rows) {
+    row.deadline_ms = 2000;
+  }
+}
+
+bool CallsMeasure::Run() {
+  if (!Start()) {
+    report_.Print("fleet_started", 1, "failed", 0);
+    return false;
+  }
+  static constexpr std::pair<const char*, void (CallsMeasure::*)()> kPhases[] =
+      {
+          {"latency", &CallsMeasure::MeasureLatency},
+          {"saturation", &CallsMeasure::MeasureSaturation},
+          {"overload", &CallsMeasure::MeasureOverload},
+          {"faults", &CallsMeasure::MeasureFaults},
+          {"drain", &CallsMeasure::MeasureDrain},
+          {"rolling", &CallsMeasure::MeasureRollingRestart},
+      };
+  for (const auto& [name, measure] : kPhases) {
+    if (phase_ == "all" || phase_ == name) {
+      (this->*measure)();
+    }
+  }
+  return report_.all_met();
+}
+
+bool CallsMeasure::Start() {
+  if (!fleet_.StartStore()) {
+    return false;
+  }
+  const TableWriter::Accepted first = writer_.Write();
+  if (first.version == 0 || !fleet_.StartAllNodes() ||
+      !fleet_.WaitInForce(first.version, kReadyTimeoutMs) ||
+      !fleet_.WaitMembers(fleet_.nodes().size(), kReadyTimeoutMs)) {
+    return false;
+  }
+  // Targets announce themselves every second, and the records spread.
+  SleepMs(2500);
+  return true;
+}
+
+LoadPlan CallsMeasure::MeshPlan(const std::string& service,
+                                const std::string& run) const {
+  LoadPlan plan;
+  for (size_t i = 0; i < fleet_.nodes().size(); ++i) {
+    plan.entries.push_back(fleet_.EntryOf(i));
+  }
+  plan.path = "/" + service + "/measure";
+  plan.run_id = run;
+  return plan;
+}
+
+LoadPlan CallsMeasure::DirectPlan(const std::string& service,
+                                  const std::string& run) const {
+  LoadPlan plan;
+  for (const Fleet::Node& node : fleet_.nodes()) {
+    if (node.service == service) {
+      plan.entries.push_back({node.address, Fleet::kTargetPort});
+    }
+  }
+  plan.path = "/measure";
+  plan.run_id = run;
+  return plan;
+}
+
+double CallsMeasure::CapacityPerSecond() const {
+  const double endpoints =
+      static_cast<double>(DirectPlan(kIdempotentService, "").entries.size());
+  return endpoints * fleet_.options().slots * 1000 /
+         fleet_.options().service_ms;
+}
+
+double CallsMeasure::DaemonCpuSeconds() const {
+  double seconds = 0;
+  for (const Fleet::Node& node : fleet_.nodes()) {
+    seconds += node.daemon ? node.daemon->CpuSeconds() : 0;
+  }
+  return seconds;
+}
+
+void CallsMeasure::CheckAnswers(const std::string& figure,
+                                const LoadResult& result) {
+  report_.Print(figure + "_wrong_answers",
+                static_cast<double>(result.wrong_answer), "calls", 0);
+  report_.Print(figure + "_hung", static_cast<double>(result.hung), "calls", 0);
+}
+
+void CallsMeasure::MeasureLatency() {
+  const double rate = kCallsPerNode * fleet_.options().nodes;
+  LoadPlan direct = DirectPlan(kIdempotentService, "direct");
+  direct.calls_per_second = rate;
+  direct.warm_up_seconds = 1;
+  const LoadResult base = LoadGenerator(direct).Run();
+  report_.Print("direct_p50", base.LatencyMs(0.5), "ms");
+  report_.Print("direct_p99", base.LatencyMs(0.99), "ms");
+  std::string chain;
+  for (const int depth : {1, 3, 9}) {
+    while (static_cast<int>(std::count(chain.begin(), chain.end(), 'r')) <
+           2 * (depth - 1)) {
+      chain += chain.empty() ? kIdempotentService
+                             : fmt::format(",{}", kIdempotentService);
+    }
+    LoadPlan plan =
+        MeshPlan(kIdempotentService, fmt::format("latency-{}", depth));
+    plan.calls_per_second = rate / depth;
+    plan.warm_up_seconds = 1;
+    if (!chain.empty()) {
+      plan.headers["x-chain"] = chain;
+    }
+    const LoadResult result = LoadGenerator(plan).Run();
+    const std::string figure = fmt::format("chain_{}", depth);
+    report_.Print(figure + "_added_p50",
+                  (result.LatencyMs(0.5) - depth * base.LatencyMs(0.5)) / depth,
+                  "ms per hop");
+    report_.Print(
+        figure + "_added_p99",
+        (result.LatencyMs(0.99) - depth * base.LatencyMs(0.5)) / depth,
+        "ms per hop", kAddedTargetMs);
+    report_.Print(figure + "_not_done",
+                  static_cast<double>(result.sent - result.done), "calls", 0);
+    CheckAnswers(figure, result);
+  }
+}
+
+void CallsMeasure::MeasureSaturation() {
+  for (const double rate : {2000.0, 4000.0, 8000.0}) {
+    LoadPlan plan =
+        MeshPlan(kIdempotentService, fmt::format("saturation-{:.0f}", rate));
+    plan.calls_per_second = rate;
+    plan.seconds = 3;
+    const double cpu_before = DaemonCpuSeconds();
+    const LoadResult result = LoadGenerator(plan).Run();
+    const double cpu = DaemonCpuSeconds() - cpu_before;
+    const std::string figure = fmt::format("offered_{:.0f}", rate);
+    report_.Print(figure + "_done", result.GoodputPerSecond(), "calls/s");
+    report_.Print(figure + "_p99", result.LatencyMs(0.99), "ms");
+    report_.Print(figure + "_calls_per_core",
+                  cpu > 0 ? static_cast<double>(result.done) / cpu : 0,
+                  "calls per second of processor time");
+    CheckAnswers(figure, result);
+  }
+}
+
+void CallsMeasure::MeasureOverload() {
+  const double capacity = CapacityPerSecond();
+  report_.Print("capacity", capacity, "calls/s");
+  double at_capacity = 0;
+  for (const double factor : {0.5, 1.0, 2.0, 4.0}) {
+    for (const bool mesh : {true, false}) {
+      const std::string run =
+          fmt::format("overload-{}-{}", mesh ? "mesh" : "direct", factor);
+      LoadPlan plan = mesh ? MeshPlan(kIdempotentService, run)
+                           : DirectPlan(kIdempotentService, run);
+      plan.calls_per_second = capacity * factor;
+      plan.seconds = 5;
+      plan.warm_up_seconds = 1;
+      // Without the mesh nobody enforces the deadline but the caller.
+      plan.hang_ms = mesh ? kTimeoutMs : 500;
+      plan.headers["x-deadline-ms"] = "500";
+      const LoadResult result = LoadGenerator(plan).Run();
+      const std::string figure =
+          fmt::format("{}_goodput_at_{}", mesh ? "mesh" : "baseline", factor);
+      if (!mesh) {
+        report_.Print(figure, result.GoodputPerSecond(), "calls/s");
+        continue;
+      }
+      at_capacity = factor == 1.0 ? result.GoodputPerSecond() : at_capacity;
+      report_.PrintAtLeast(figure, result.GoodputPerSecond(), "calls/s",
+                           factor > 1 ? kFlatGoodput * at_capacity
+                                      : kFlatGoodput * capacity * factor);
+      report_.Print(figure + "_p99", result.LatencyMs(0.99), "ms");
+      CheckAnswers(figure, result);
+    }
+  }
+}
+
+bool CallsMeasure::SwitchTarget(size_t index, const std::string& json) const {
+  return RunHttp({.server = {fleet_.nodes()[index].address, Fleet::kTargetPort},
+                  .path = "/standin/switch",
+                  .method = "POST",
+                  .body = json},
+                 kTimeoutMs)
+             .status == 200;
+}
+
+std::map<std::string, int> CallsMeasure::Executions() const {
+  std::map<std::string, int> executions;
+  std::vector<HttpExchange> exchanges;
+  for (const Fleet::Node& node : fleet_.nodes()) {
+    exchanges.push_back({.server = {node.address, Fleet::kTargetPort},
+                         .path = "/standin/executions"});
+  }
+  RunHttpBatch(&exchanges, kTimeoutMs);
+  for (const HttpExchange& exchange : exchanges) {
+    const nlohmann::json counts =
+        nlohmann::json::parse(exchange.answer, nullptr, false);
+    if (!counts.is_object()) {
+      continue;
+    }
+    for (const auto& [id, count] : counts.items()) {
+      executions[id] += count.get<int>();
+    }
+  }
+  return executions;
+}
+
+void CallsMeasure::CheckOneTime(const std::string& figure,
+                                const LoadResult& result) {
+  const std::map<std::string, int> executions = Executions();
+  const std::string prefix = figure + "-";
+  int twice = 0;
+  for (const auto& [id, count] : executions) {
+    twice += id.starts_with(prefix) && count > 1 ? 1 : 0;
+  }
+  int refused_but_run = 0;
+  for (const std::string& id : result.not_run_ids) {
+    refused_but_run += executions.count(id) > 0 ? 1 : 0;
+  }
+  int done_but_not_run = 0;
+  for (const std::string& id : result.done_ids) {
+    done_but_not_run += executions.count(id) == 0 ? 1 : 0;
+  }
+  report_.Print(figure + "_executed_twice", twice, "calls", 0);
+  report_.Print(figure + "_refused_but_run", refused_but_run, "calls", 0);
+  report_.Print(figure + "_done_but_not_run", done_but_not_run, "calls", 0);
+  report_.Print(figure + "_done", static_cast<double>(result.done), "calls");
+  report_.Print(figure + "_refused", static_cast<double>(result.RefusedCount()),
+                "calls");
+  for (const auto& [reason, count] : result.refused) {
+    report_.Print(figure + "_refused: " + reason, static_cast<double>(count),
+                  "calls");
+  }
+  report_.Print(figure + "_no_answer", static_cast<double>(result.no_answer),
+                "calls");
+  CheckAnswers(figure, result);
+}
+
+void CallsMeasure::MeasureFaults() {
+  // The faults hit nodes other than the first six, which are the entries. Each
+  // fault gets a run of its own.
+  struct Fault {
+    const char* name;
+    std::function<void()> begin;
+    std::function<void()> end;
+  };
+  const size_t victim = fleet_.nodes().size() - 1;
+  const size_t second = victim - 1;
+  Fleet::Node& node = fleet_.nodes()[victim];
+  const std::vector<Fault> faults = {
+      {"kill",
+       [&] {
+         node.daemon->Kill();
+         node.daemon.reset();
+       },
+       [&] { fleet_.StartNode(victim); }},
+      {"pause", [&] { node.daemon->Signal(SIGSTOP); },
+       [&] { node.daemon->Signal(SIGCONT); }},
+      {"drain", [&] { SwitchTarget(second, "{\"drain\":true}"); },
+       [&] { SwitchTarget(second, "{\"drain\":false}"); }},
+      {"truncate", [&] { SwitchTarget(second, "{\"truncate\":true}"); },
+       [&] { SwitchTarget(second, "{\"truncate\":false}"); }},
+      {"close", [&] { SwitchTarget(second, "{\"close\":true}"); },
+       [&] { SwitchTarget(second, "{\"close\":false}"); }},
+      {"store_outage", [&] { fleet_.SetStoreFault("outage=hang"); },
+       [&] { fleet_.SetStoreFault("outage=off"); }},
+  };
+  for (const Fault& fault : faults) {
+    for (const bool one_time : {true, false}) {
+      const std::string run = fmt::format("{}_{}", fault.name,
+                                          one_time ? "one_time" : "idempotent");
+      LoadPlan plan =
+          MeshPlan(one_time ? kOneTimeService : kIdempotentService, run);
+      plan.entries.resize(plan.entries.size() / 2);
+      plan.calls_per_second = 200;
+      plan.seconds = 5;
+      plan.fetch_keys = one_time;
+      LoadGenerator load(plan);
+      std::thread faulting([&fault] {
+        SleepMs(1000);
+        fault.begin();
+        SleepMs(2000);
+        fault.end();
+      });
+      const LoadResult result = load.Run();
+      faulting.join();
+      if (one_time) {
+        CheckOneTime(run, result);
+      } else {
+        report_.Print(run + "_not_done",
+                      static_cast<double>(result.sent - result.done), "calls");
+        CheckAnswers(run, result);
+      }
+      SleepMs(1500);
+    }
+  }
+}
+
+void CallsMeasure::MeasureDrain() {
+  const size_t leaving = 0;
+  LoadPlan plan = MeshPlan(kIdempotentService, "drain");
+  plan.calls_per_second = 600;
+  plan.seconds = 8;
+  LoadGenerator load(plan);
+  double last_new_call = 0;
+  std::thread watch([&] {
+    SleepMs(2000);
+    const auto total = [&] {
+      const HttpExchange exchange = RunHttp(
+          {.server = {fleet_.nodes()[leaving].address, Fleet::kTargetPort},
+           .path = "/standin/counts"},
+          kTimeoutMs);
+      return nlohmann::json::parse(exchange.answer, nullptr, false)
+          .value("total", uint64_t{0});
+    };
+    const SteadyClock::time_point start = SteadyClock::now();
+    SwitchTarget(leaving, "{\"drain\":true}");
+    uint64_t seen = total();
+    while (SteadyClock::now() - start < std::chrono::seconds(5)) {
+      const uint64_t now = total();
+      if (now != seen) {
+        const std::chrono::duration<double> since = SteadyClock::now() - start;
+        last_new_call = since.count();
+      }
+      seen = now;
+      SleepMs(10);
+    }
+  });
+  const LoadResult result = load.Run();
+  watch.join();
+  SwitchTarget(leaving, "{\"drain\":false}");
+  report_.Print("drain_last_new_call", last_new_call, "s", kDrainTargetSeconds);
+  report_.Print("drain_failed_calls",
+                static_cast<double>(result.sent - result.done), "calls", 0);
+  CheckAnswers("drain", result);
+  SleepMs(2000);
+}
+
+void CallsMeasure::MeasureRollingRestart() {
+  const size_t nodes = fleet_.nodes().size();
+  LoadPlan plan = MeshPlan(kIdempotentService, "rolling");
+  plan.calls_per_second = 300;
+  plan.seconds = 300;
+  plan.use_next_entry = true;
+  LoadGenerator load(plan);
+  int unclean_exits = 0;
+  std::thread restart([&] {
+    SleepMs(1000);
+    const uint64_t version = writer_.EditOneCell().version;
+    for (size_t i = 0; i < nodes; ++i) {
+      Fleet::Node& node = fleet_.nodes()[i];
+      node.daemon->Signal(SIGTERM);
+      const std::optional<int> code = node.daemon->WaitExit(kTimeoutMs * 2);
+      unclean_exits += code == 0 ? 0 : 1;
+      node.daemon.reset();
+      fleet_.StartNode(i);
+      fleet_.WaitInForce(version, kReadyTimeoutMs);
+      // The target announces itself to the new daemon within a second.
+      SleepMs(1500);
+    }
+    load.StopSending();
+  });
+  const LoadResult result = load.Run();
+  restart.join();
+  report_.Print("rolling_restart_calls", static_cast<double>(result.sent),
+                "calls");
+  report_.Print("rolling_restart_failed_calls",
+                static_cast<double>(result.sent - result.done), "calls", 0);
+  report_.Print("rolling_restart_second_entries",
+                static_cast<double>(result.second_entries), "calls");
+  report_.Print("rolling_restart_unclean_exits", unclean_exits, "nodes", 0);
+  CheckAnswers("rolling_restart", result);
+}
+
+}  // namespace dragonflytack
--- a/tools/measure_driver/distribution_measure.cc
+++ b/tools/measure_driver/distribution_measure.cc
@@ -238,7 +238,12 @@
 
 void DistributionMeasure::MeasureHerd() {
   std::vector<size_t> killed;
-  for (size_t i = 0; i < fleet_.nodes().size(); i += 3) {
+  for (size_t i = 0; i < fleet_.nodes().size(); ++i) {
+    // Every third node, spread over the data centres: peers of the same data
+    // centre must be left to notice a death.
+    if ((i / Fleet::kDataCentres + i) % 3 != 0) {
+      continue;
+    }
     fleet_.nodes()[i].daemon->Kill();
     fleet_.nodes()[i].daemon.reset();
     killed.push_back(i);
@@ -267,10 +272,10 @@
       fleet_.WaitMembers(fleet_.nodes().size(), kRecoveryTimeoutMs);
   report_.Print("herd_restart_in_force",
                 back_s ? 3 + *back_s : kRecoveryTimeoutSeconds, "s");
-  report_.Print("herd_restart_all_known",
-                back_s && members_s ? 3 + *back_s + *members_s
-                                    : kRecoveryTimeoutSeconds,
-                "s");
+  report_.Print(
+      "herd_restart_all_known",
+      back_s && members_s ? 3 + *back_s + *members_s : kRecoveryTimeoutSeconds,
+      "s");
   report_.Print("herd_restart_store_calls_peak", peak, "calls/s", 2000);
 }
 
--- a/tools/measure_driver/fleet.cc
+++ b/tools/measure_driver/fleet.cc
@@ -18,7 +18,8 @@
 namespace {
 
 constexpr std::array<const char*, 3> kRegions = {"kigali", "musanze", "rubavu"};
-constexpr int kDataCentresPerRegion = 2;
+constexpr int kDataCentresPerRegion =
+    Fleet::kDataCentres / static_cast<int>(kRegions.size());
 constexpr std::array<const char*, 4> kServices = {"roster", "booking",
                                                   "payroll", "cancellation"};
 constexpr const char* kSharedKey = "measurement-shared-key";
@@ -57,8 +58,6 @@
 Fleet::Fleet(const FleetOptions& options)
     : options_(options),
       admin_headers_({{"authorization", AdminAuthorization(kSharedKey)}}) {
-  constexpr int kDataCentres =
-      static_cast<int>(kRegions.size()) * kDataCentresPerRegion;
   for (int i = 0; i < options.nodes; ++i) {
     const int data_centre = i % kDataCentres;
     const int position = i / kDataCentres;
--- a/tools/measure_driver/fleet.h
+++ b/tools/measure_driver/fleet.h
@@ -21,6 +21,7 @@
 // over three regions with two data centres each, as the users run them today.
 class Fleet final {
  public:
+  static constexpr int kDataCentres = 6;
   static constexpr uint16_t kStorePort = 7000;
   static constexpr uint16_t kCallPort = 7001;
   static constexpr uint16_t kMeshPort = 7002;
@@ -90,6 +91,7 @@
                           const std::string& label = {});
 
   std::vector<Node>& nodes() { return nodes_; }
+  const std::vector<Node>& nodes() const { return nodes_; }
   HostPort store() const;
   HostPort EntryOf(size_t index) const;
   size_t RunningCount() const;
--- a/tools/measure_driver/main.cc
+++ b/tools/measure_driver/main.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <boost/program_options.hpp>
 
+#include "measure_driver/calls_measure.h"
 #include "measure_driver/distribution_measure.h"
 #include "measure_driver/linear_fit.h"
 
@@ -27,6 +28,7 @@
   std::string build_dir;
   std::string log_dir;
   std::vector<int> sizes;
+  std::vector<std::string> phases;
   bool no_baseline = false;
 };
 
@@ -62,13 +64,37 @@
   return met;
 }
 
+bool MeasureCalls(const Arguments& arguments) {
+  bool met = true;
+  int network = 60;
+  for (const int nodes : arguments.sizes) {
+    // Quick targets for the latency and cost of the mesh itself.
+    FleetOptions quick = MakeOptions(arguments, nodes, "calls", network++);
+    quick.targets = true;
+    quick.services = 2;
+    quick.service_ms = 2;
+    // Slow targets, so that one machine can offer several times their capacity.
+    FleetOptions slow = MakeOptions(arguments, nodes, "overload", network++);
+    slow.targets = true;
+    slow.services = 2;
+    slow.service_ms = 40;
+    slow.slots = 4;
+    for (const std::string& phase : arguments.phases) {
+      const bool overload = phase == "overload";
+      met = CallsMeasure(overload ? slow : quick, phase).Run() && met;
+    }
+  }
+  return met;
+}
+
 int Main(int argc, char** argv) {
   Arguments arguments;
   options::options_description description("tools/measure options");
   description.add_options()("help", "print this text")(
       "measure", options::value(&arguments.measure)->required(),
       "distribution: convergence, control bytes, memory, processor time and "
-      "store calls; fit: reads JSON lines and prints the fit at 5,300 nodes")(
+      "store calls; calls: latency, overload, faults, drain and rolling "
+      "restart; fit: reads JSON lines and prints the fit at 5,300 nodes")(
       "build-dir", options::value(&arguments.build_dir)->default_value("build"),
       "folder with the programs")(
       "log-dir",
@@ -76,6 +102,9 @@
       "folder for settings and logs of the fleets")(
       "nodes", options::value(&arguments.sizes)->multitoken(),
       "sizes of the fleets; default 24")(
+      "phase", options::value(&arguments.phases)->multitoken(),
+      "parts of the calls measurement: latency, saturation, overload, faults, "
+      "drain, rolling; default all")(
       "no-baseline", options::bool_switch(&arguments.no_baseline),
       "leave out the comparison run");
   options::positional_options_description positional;
@@ -97,7 +126,11 @@
     return kExitUsage;
   }
   if (arguments.sizes.empty()) {
-    arguments.sizes = {24};
+    arguments.sizes = {arguments.measure == "calls" ? 12 : 24};
+  }
+  if (arguments.phases.empty()) {
+    arguments.phases = {"latency", "saturation", "overload",
+                        "faults",  "drain",      "rolling"};
   }
   for (const int nodes : arguments.sizes) {
     if (nodes < 1 || nodes > kMaxNodes) {
@@ -112,6 +145,9 @@
   if (arguments.measure == "distribution") {
     return MeasureDistribution(arguments) ? EXIT_SUCCESS : EXIT_FAILURE;
   }
+  if (arguments.measure == "calls") {
+    return MeasureCalls(arguments) ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
   fmt::print(stderr, "measure: no measurement \"{}\"\n", arguments.measure);
   return kExitUsage;
 }
--- a/tools/support/load_generator.cc
+++ b/tools/support/load_generator.cc
@@ -56,6 +56,7 @@
         evhttp_connection_free(connection);
       }
     }
+    FreeDoomed(-1, 0, this);
     event_base_free(base_);
   }
 
@@ -83,6 +84,7 @@
     SteadyClock::time_point sent;
     bool counted;
     bool fetching_key;
+    bool second_entry = false;
   };
 
   static void OnTick(int /*fd*/, short /*what*/, void* self) {
@@ -169,12 +171,25 @@
       Send(call, EVHTTP_REQ_GET, plan_.path, KeyOf(BodyOf(request)));
       return;
     }
+    if (plan_.use_next_entry && !call->second_entry && status != kHttpOk) {
+      UseNextEntry(call, status != 0);
+      return;
+    }
     if (call->counted) {
       Judge(request, status, *call);
     }
     EndCall(call, status != 0);
   }
 
+  void UseNextEntry(Call* call, bool reusable) {
+    call->second_entry = true;
+    ++result_.second_entries;
+    ReleaseConnection(call, reusable);
+    call->entry = (call->entry + 1) % plan_.entries.size();
+    call->connection = TakeConnection(call->entry);
+    Send(call, EVHTTP_REQ_GET, plan_.path, {});
+  }
+
   // The body is {"key":"...","expires_ms":...}; the key has no character that
   // JSON escapes.
   static std::string KeyOf(const std::string& body) {
@@ -216,16 +231,18 @@
 
   void EndCall(Call* call, bool reusable) {
     --open_calls_;
+    ReleaseConnection(call, reusable);
+    delete call;
+  }
+
+  void ReleaseConnection(Call* call, bool reusable) {
     if (reusable && idle_[call->entry].size() < kMaxIdlePerEntry) {
       idle_[call->entry].push_back(call->connection);
-    } else if (reusable) {
-      // The connection cannot be freed within its own callback.
-      evhttp_connection_free_on_completion(call->connection);
-    } else {
-      doomed_.push_back(call->connection);
+      return;
     }
-    delete call;
-    if (doomed_.size() > kMaxIdlePerEntry) {
+    // A connection cannot be freed within its own callback.
+    doomed_.push_back(call->connection);
+    if (doomed_.size() == 1) {
       const timeval now{0, 0};
       event_base_once(base_, -1, EV_TIMEOUT, &Impl::FreeDoomed, this, &now);
     }
--- a/tools/support/load_result.h
+++ b/tools/support/load_result.h
@@ -19,6 +19,8 @@
   uint64_t hung = 0;
   // The connection failed or closed without an answer.
   uint64_t no_answer = 0;
+  // Calls that went to a second entry.
+  uint64_t second_entries = 0;
   // Answers other than 200, by "status reason".
   std::map<std::string, uint64_t> refused;
   // Request ids of calls that were answered as done, and as not run.
--- a/tools/target_standin/execution_counts.cc
+++ b/tools/target_standin/execution_counts.cc
@@ -62,4 +62,8 @@
       .dump();
 }
 
+std::string ExecutionCounts::RequestsToJson() const {
+  return nlohmann::json(requests_.counts).dump();
+}
+
 }  // namespace dragonflytack
--- a/tools/target_standin/execution_counts.h
+++ b/tools/target_standin/execution_counts.h
@@ -28,6 +28,9 @@
   // that was executed more than once to its count.
   std::string ToJson() const;
 
+  // Returns the number of executions by request id.
+  std::string RequestsToJson() const;
+
  private:
   struct Names {
     void Record(std::string_view name);
--- a/tools/target_standin/target_standin.cc
+++ b/tools/target_standin/target_standin.cc
@@ -124,6 +124,11 @@
     Remove(call);
     return;
   }
+  if (uri == "/standin/executions") {
+    ReplyText(&call->inbound, 200, counts_.RequestsToJson());
+    Remove(call);
+    return;
+  }
   const evkeyvalq* headers = call->inbound.headers();
   call->request_id = FindHeader(headers, kRequestIdHeader);
   call->start = loop_->clock().Now();
@@ -131,9 +136,13 @@
   if (switches_.hang) {
     return;  // Held until the other side closes.
   }
-  const int service_ms =
-      options_.service_ms * (switches_.slow_start ? kSlowStartFactor : 1) +
-      switches_.delay_ms;
+  // Beyond its slots a target shares its processor: each call takes longer.
+  const int active = static_cast<int>(calls_.size());
+  const int crowding =
+      std::max(1, (active + options_.slots - 1) / options_.slots);
+  const int service_ms = options_.service_ms * crowding *
+                             (switches_.slow_start ? kSlowStartFactor : 1) +
+                         switches_.delay_ms;
   if (service_ms == 0) {
     OnServed(call);
     return;
--- a/tools/target_standin/target_standin.h
+++ b/tools/target_standin/target_standin.h
@@ -21,8 +21,8 @@
 // A target for tests and measurements. Answers every call after the service
 // time with a JSON body {"target", "service", "request_id", "chain"}; the
 // header x-chain: a,b makes it call service a with x-chain: b first and put
-// that answer under "chain". GET /standin/counts and POST /standin/switch are
-// for the test that runs it.
+// that answer under "chain". GET /standin/counts, GET /standin/executions and
+// POST /standin/switch are for the test that runs it.
 class TargetStandin final {
  public:
   // Returns nothing when the address cannot be bound. `loop` must outlive it.
