Fix two findings of the linter in the editor and in cell edits

Cause: a widening cast after the division, and a flag read after its optional was moved from. Change: both are written without the hazard; no change of behaviour.

--- a/src/store/table_editor.cc
+++ b/src/store/table_editor.cc
@@ -259,8 +259,8 @@
   const int base = std::min(kFirstWaitMs << std::min(attempts_, kMaxDoublings),
                             kLongestWaitMs);
   ++attempts_;
-  const Milliseconds wait(base / 2 + static_cast<int>(random_.Below(
-                                         static_cast<uint64_t>(base / 2 + 1))));
+  const uint64_t jitter = random_.Below(static_cast<uint64_t>(base) / 2 + 1);
+  const Milliseconds wait(base / 2 + static_cast<int>(jitter));
   if (!MayPass(reason.code) || timers_->clock().Now() + wait >= deadline_) {
     Finish(reason);
     return;
--- a/src/table/table_edit.cc
+++ b/src/table/table_edit.cc
@@ -53,11 +53,12 @@
   } else {
     fault = column->validate(*column, *row);
   }
-  if (fault) {
-    *reason = Failure{FailureCode::kInvalidArgument,
-                      CellName(row->service, column_name), *std::move(fault)};
+  if (!fault) {
+    return true;
   }
-  return !fault;
+  *reason = Failure{FailureCode::kInvalidArgument,
+                    CellName(row->service, column_name), *std::move(fault)};
+  return false;
 }
 
 Failure NoSuchRow(const std::string& service) {
