--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -239,7 +239,7 @@
     status.table_digest = table_.in_force()->digest();
   }
   status.held = table_.newest() != table_.in_force() ? table_.held() : 0;
-  status.refused = table_.refused();
+  status.refused = table_.last_refused();
   status.refusal = table_.refusal();
   const TimePoint now = timers_->clock().Now();
   for (const auto& [id, link] : links_.links()) {
--- a/src/distribution/peer_link.h
+++ b/src/distribution/peer_link.h
@@ -37,6 +37,8 @@
   TableVersion offered = 0;
   TimePoint offered_at;
   TimePoint requested_at;
+  // Version whose whole table from this peer was refused.
+  TableVersion refused = 0;
   // Heartbeats in a row whose registry digest differed.
   int mismatches = 0;
   TimePoint repaired_at;
--- a/src/distribution/table_sync.cc
+++ b/src/distribution/table_sync.cc
@@ -38,7 +38,7 @@
     table = Table::Make(object.version, std::move(document->rows), &reason);
   }
   if (table == nullptr) {
-    Refuse(object.version, reason, "store");
+    Refuse(object.version, reason, nullptr);
     return;
   }
   Adopt(std::move(table), true, nullptr);
@@ -86,15 +86,9 @@
   Failure reason;
   std::shared_ptr<const Table> table = delta.ApplyTo(*base, &reason);
   if (table == nullptr) {
-    if (reason.code == FailureCode::kInvalidTable) {
-      Refuse(delta.to, reason, link->peer);
-    } else {
-      logger_->Warning("delta_refused", {{"peer", link->peer},
-                                         {"version", delta.to},
-                                         {"reason", reason.ToString()}});
-      // Only the whole table can tell a damaged delta from a bad version.
-      Request(link, true);
-    }
+    Refuse(delta.to, reason, link);
+    // Only the whole table can tell a damaged delta from a bad version.
+    Request(link, true);
     return;
   }
   Adopt(std::move(table), false, link);
@@ -119,7 +113,8 @@
                      "the digest does not match the rows"};
   }
   if (table == nullptr) {
-    Refuse(message.version, reason, link->peer);
+    link->refused = message.version;
+    Refuse(message.version, reason, link);
     return;
   }
   Adopt(std::move(table), false, link);
@@ -204,14 +199,18 @@
 
 void TableSync::Refuse(TableVersion version,
                        const Failure& reason,
-                       const NodeId& from) {
-  refused_ = std::max(refused_, version);
+                       PeerLink* source) {
+  last_refused_ = version;
   refusal_ = reason;
-  floor_.Refuse(version);
-  logger_->Error("table_refused", {{"version", version},
-                                   {"from", from},
-                                   {"subject", reason.subject},
-                                   {"reason", reason.ToString()}});
+  if (source == nullptr) {
+    refused_ = std::max(refused_, version);
+    floor_.Refuse(version);
+  }
+  logger_->Error("table_refused",
+                 {{"version", version},
+                  {"from", source == nullptr ? "store" : source->peer},
+                  {"subject", reason.subject},
+                  {"reason", reason.ToString()}});
 }
 
 bool TableSync::EnoughHolders() const {
@@ -266,7 +265,8 @@
 
 void TableSync::Request(PeerLink* link, bool whole) {
   const TimePoint now = clock_->Now();
-  if (now - link->requested_at < kRepeat && !whole) {
+  if ((now - link->requested_at < kRepeat && !whole) ||
+      (link->refused != 0 && link->version <= link->refused)) {
     return;
   }
   link->requested_at = now;
--- a/src/distribution/table_sync.h
+++ b/src/distribution/table_sync.h
@@ -72,7 +72,10 @@
   const std::shared_ptr<const Table>& newest() const { return newest_; }
   // Version of newest(), 0 without one.
   TableVersion held() const;
+  // Highest version of the store that is invalid; 0 for none.
   TableVersion refused() const { return refused_; }
+  // Last version that was refused, from the store or a peer, and why.
+  TableVersion last_refused() const { return last_refused_; }
   const Failure& refusal() const { return refusal_; }
   const std::deque<std::pair<TableVersion, int64_t>>& in_force_since() const {
     return in_force_since_;
@@ -82,7 +85,10 @@
   void Adopt(std::shared_ptr<const Table> table,
              bool from_store,
              PeerLink* source);
-  void Refuse(TableVersion version, const Failure& reason, const NodeId& from);
+  // Remembers and logs a refusal. `source` is null for the store. What a peer
+  // sent is refused from that peer only: the peer has the version in force, so
+  // the copy was damaged or its program differs.
+  void Refuse(TableVersion version, const Failure& reason, PeerLink* source);
   bool EnoughHolders() const;
   void Push(PeerLink* link);
   void Request(PeerLink* link, bool whole);
@@ -101,6 +107,7 @@
   bool needs_holders_ = false;
   TableHistory history_;
   TableVersion refused_ = 0;
+  TableVersion last_refused_ = 0;
   Failure refusal_;
   std::deque<std::pair<TableVersion, int64_t>> in_force_since_;
   // The last encoded delta, which mostly goes to many links.
--- a/tests/distribution_version_test.cc
+++ b/tests/distribution_version_test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include "core_fleet.h"
+#include "distribution/message_codec.h"
 
 namespace dragonflytack {
 
@@ -148,6 +149,38 @@
   cr_assert(fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(next); }));
 }
 
+// Guards against a peer's damaged copy that is put in force, or that stops the
+// node from ever taking the version.
+Test(distribution_version, damaged_delta_and_table_from_a_peer) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 4);
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(4); }));
+  const TableVersion first = fleet.WriteTable({"roster"});
+  cr_assert(fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(first); }));
+  CoreFleet::Node& node = fleet.nodes["north1-0"];
+  const LinkId link = node.core->Status().links.at(0).link;
+  TableDelta delta{first, first + 5, {}, {}, 1234};
+  delta.changed.push_back(ServiceRow{"booking"});
+  Table::Rows bad_rows;
+  bad_rows["booking"] = ServiceRow{"booking"};
+  bad_rows["booking"].slots = -1;
+  const Message damaged[] = {DeltaMessage{delta},
+                             TableMessage{first + 5, 1234, {}},
+                             TableMessage{first + 5, 0, bad_rows}};
+  for (const Message& message : damaged) {
+    node.core->OnFrame(link, MessageCodec::Encode(message));
+    cr_assert_eq(node.version(), first);
+    cr_assert_eq(node.core->Status().refused, first + 5);
+  }
+  const uint64_t requests = fleet.Frames("table_request");
+  fleet.Run(10 * kSecond);
+  cr_assert_leq(fleet.Frames("table_request"), requests + 1);
+  while (fleet.WriteTable({"roster", "booking"}) < first + 5) {
+  }
+  cr_assert(
+      fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(first + 5); }));
+}
+
 // Guards against a storm on the store during an outage and at its end (6.9),
 // and against calls that grow with the number of nodes.
 Test(distribution_version, store_outage_and_return_without_storm) {
@@ -200,7 +233,7 @@
 // itself, under the same seeded operations and faults. Both must end with the
 // store's table on every node; the harness checks that no version ever falls.
 Test(distribution_version, differential_against_naive_model, .timeout = 300) {
-  for (uint64_t seed = 1; seed <= 6; ++seed) {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
     std::vector<Table::Rows> results;
     for (const bool baseline : {true, false}) {
       CoreFleet fleet(seed);
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -83,8 +83,9 @@
     void Get(const std::string& key, ObjectCallback callback) override {
       ++store_->calls["get " + key];
       if (store_->mode != Mode::kUp) {
-        store_->Answer(
-            [this, callback] { callback(std::nullopt, store_->Fault()); });
+        store_->Answer([store = store_, callback] {
+          callback(std::nullopt, store->Fault());
+        });
         return;
       }
       store_->Answer([callback, object = store_->Read(key)] {
@@ -120,8 +121,9 @@
                VersionCallback callback) override {
       ++store_->calls["watch " + key];
       if (store_->mode != Mode::kUp) {
-        store_->Answer(
-            [this, callback] { callback(std::nullopt, store_->Fault()); });
+        store_->Answer([store = store_, callback] {
+          callback(std::nullopt, store->Fault());
+        });
         return;
       }
       store_->watches_.push_back(FakeStore::Watch{
