Test lost gateways and split data centres; name the history of deltas

Change: two tests; TableHistory is now DeltaHistory. Conclusion: regions stay linked when both gateways of one are lost.

--- a/src/distribution/table_history.cc
+++ b/src/distribution/delta_history.cc
@@ -1,4 +1,4 @@
-#include "distribution/table_history.h"
+#include "distribution/delta_history.h"
 
 #include <algorithm>
 #include <map>
@@ -9,7 +9,7 @@
 
 namespace dragonflytack {
 
-void TableHistory::Append(std::shared_ptr<const Table> table) {
+void DeltaHistory::Append(std::shared_ptr<const Table> table) {
   if (newest_ != nullptr) {
     steps_.push_back(TableDelta::Between(*newest_, *table));
     if (steps_.size() > kMaxVersions) {
@@ -19,7 +19,7 @@
   newest_ = std::move(table);
 }
 
-std::optional<TableDelta> TableHistory::DeltaFrom(TableVersion version) const {
+std::optional<TableDelta> DeltaHistory::DeltaFrom(TableVersion version) const {
   const auto first = std::find_if(
       steps_.begin(), steps_.end(),
       [&](const TableDelta& step) { return step.from == version; });
--- a/src/distribution/table_history.h
+++ b/src/distribution/delta_history.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_TABLE_HISTORY_H_
-#define DRAGONFLYTACK_SRC_DISTRIBUTION_TABLE_HISTORY_H_
+#ifndef DRAGONFLYTACK_SRC_DISTRIBUTION_DELTA_HISTORY_H_
+#define DRAGONFLYTACK_SRC_DISTRIBUTION_DELTA_HISTORY_H_
 
 #include <cstddef>
 #include <deque>
@@ -16,7 +16,7 @@
 // The steps between the last versions this node held. Deltas are kept rather
 // than tables: 64 tables of 1,000 rows would take more than the whole memory
 // budget.
-class TableHistory final {
+class DeltaHistory final {
  public:
   static constexpr size_t kMaxVersions = 64;
 
@@ -34,4 +34,4 @@
 
 }  // namespace dragonflytack
 
-#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_TABLE_HISTORY_H_
+#endif  // DRAGONFLYTACK_SRC_DISTRIBUTION_DELTA_HISTORY_H_
--- a/src/distribution/table_sync.h
+++ b/src/distribution/table_sync.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <utility>
 
+#include "distribution/delta_history.h"
 #include "distribution/messages.h"
-#include "distribution/table_history.h"
 #include "distribution/version_floor.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/failure.h"
@@ -105,7 +105,7 @@
   std::shared_ptr<const Table> newest_;
   // newest_ was read from the store and no peer has sent it yet.
   bool needs_holders_ = false;
-  TableHistory history_;
+  DeltaHistory history_;
   TableVersion refused_ = 0;
   TableVersion last_refused_ = 0;
   Failure refusal_;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -187,6 +187,66 @@
   cr_assert_gt(fleet.Frames("bucket_hashes"), 0);
 }
 
+// Guards against regions that lose each other because both gateways were in a
+// data centre that is gone whole, where nobody declares them dead.
+Test(membership, regions_stay_linked_without_their_gateways) {
+  int lost_both = 0;
+  for (int round = 0; round < 6; ++round) {
+    CoreFleet fleet;
+    for (const char* name : {"north1", "north2", "south1"}) {
+      for (int i = 0; i < 3; ++i) {
+        fleet.Start(std::to_string(round * 3 + i) + "." + name, name);
+      }
+    }
+    fleet.WriteTable({"roster"});
+    cr_assert(fleet.RunUntil(60 * kSecond, [&] { return fleet.AllKnow(9); }));
+    fleet.Run(15 * kSecond);
+    Registry registry(&fleet.clock);
+    for (const auto& [id, node] : fleet.nodes) {
+      registry.Merge(node.core->self(), Liveness::kAlive, 0);
+    }
+    const auto ranks =
+        Overlay::Of(registry, fleet.nodes.begin()->first).region_ranks["north"];
+    const std::string lost = fleet.nodes[ranks[0]].settings.data_centre;
+    lost_both += fleet.nodes[ranks[1]].settings.data_centre == lost ? 1 : 0;
+    NodeId left;
+    for (const auto& [id, node] : fleet.nodes) {
+      if (node.settings.data_centre == lost) {
+        fleet.Crash(id, true);
+      } else if (node.settings.region == "north") {
+        left = id;
+      }
+    }
+    fleet.Run(20 * kSecond);
+    fleet.nodes[left].core->SetTarget("roster", TargetState::kReady, 0);
+    cr_assert(fleet.RunUntil(2 * kSecond,
+                             [&] {
+                               return fleet.nodes.rbegin()
+                                          ->second.routes->Find("roster")
+                                          ->endpoints.size() == 1;
+                             }),
+              "round %d", round);
+  }
+  cr_assert_gt(lost_both, 0);
+}
+
+// Guards against two halves of a data centre that declared each other dead and
+// never meet again while the store is down.
+Test(membership, split_data_centre_meets_again) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 8);
+  cr_assert(fleet.RunUntil(60 * kSecond, [&] { return fleet.AllKnow(8); }));
+  fleet.Run(10 * kSecond);
+  fleet.store.mode = FakeStore::Mode::kUnreachable;
+  fleet.network.cut = [](const HostPort& a, const HostPort& b) {
+    return a.port % 2 != b.port % 2;
+  };
+  fleet.Run(40 * kSecond);
+  cr_assert(fleet.AllKnow(4, Liveness::kDead));
+  fleet.network.cut = [](const HostPort&, const HostPort&) { return false; };
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(8); }));
+}
+
 // Guards against a leaving node that still gets work (I7), a target that
 // returns after its planned stop, and a lost successor.
 Test(membership, drain_and_successor_reach_all) {
