--- a/bench/distribution_bench.cc
+++ b/bench/distribution_bench.cc
@@ -116,7 +116,7 @@
   Print(nodes, "registry_memory", "bytes",
         static_cast<double>(heap_registry - heap_before));
   for (int i = 0; i < kLinks; ++i) {
-    links.MarkUp(static_cast<LinkId>(i + 1),
+    links.MarkUp(static_cast<LinkId>(i) + 1,
                  MakeRecord(static_cast<size_t>(i) * kDataCentres + 11, nodes),
                  true);
   }
@@ -161,7 +161,7 @@
         Measure(5'000, [&](int round) {
           NodeRecord record =
               MakeRecord(1 + static_cast<size_t>(round) % (nodes - 1), nodes);
-          record.sequence = static_cast<uint64_t>(100 + round);
+          record.sequence = static_cast<uint64_t>(round) + 100;
           const auto received = MessageCodec::Decode(
               MessageCodec::Encode(RecordsMessage{{{record}}, {}}), &reason);
           records.OnRecords(link, std::get<RecordsMessage>(*received));
@@ -179,7 +179,7 @@
         }));
   Print(nodes, "routes_one_service", "cpu_us", Measure(500, [&](int round) {
           NodeRecord record = MakeRecord(1, nodes);
-          record.sequence = static_cast<uint64_t>(100'000 + round);
+          record.sequence = static_cast<uint64_t>(round) + 100'000;
           registry.Merge(record, Liveness::kAlive, 0);
           snapshot = routes.Build(table);
         }));
