--- a/bench/link_bench.cc
+++ b/bench/link_bench.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr int kLinks = 200;
+// Ends of the links that are made after the first measurement.
+constexpr int kLinkEnds = 2 * (kLinks - 1);
 constexpr int kFrames = 100'000;
 // A delta of one row.
 constexpr size_t kFrameBytes = 300;
@@ -75,7 +77,7 @@
   RunUntil(loop.get(), [&] { return a.up == kLinks && b.up == kLinks; });
   const int64_t grown = ProcessUsage::Read().resident_bytes - before;
   fmt::print("{{\"idle_links\":{},\"bytes_per_link_end\":{}}}\n", kLinks,
-             grown / (2 * (kLinks - 1)));
+             grown / kLinkEnds);
 
   const std::string frame(kFrameBytes, 'x');
   const int64_t processor = ProcessUsage::Read().processor_millis;
