--- a/bench/distribution_bench.cc
+++ b/bench/distribution_bench.cc
@@ -137,7 +137,7 @@
       MessageCodec::Encode(DeltaMessage{TableDelta::Between(*table, *next)});
   Print(nodes, "delta_size", "bytes", static_cast<double>(delta_frame.size()));
   layer.bytes = 0;
-  PeerLink* link = links.Find(1);
+  LinkState* link = links.Find(1);
   links.Send(link, TableMessage{7, table->digest(), table->rows()});
   Print(nodes, "snapshot_table_size", "bytes",
         static_cast<double>(layer.bytes));
@@ -149,7 +149,7 @@
           const Message message =
               HeartbeatMessage{true, 7, registry.digests().whole()};
           const std::string sent = MessageCodec::Encode(message);
-          for (PeerLink* peer : links.Up()) {
+          for (LinkState* peer : links.Up()) {
             links.SendFrame(peer, message.index(), sent);
             const auto received = MessageCodec::Decode(frame, &reason);
             records.OnDigest(peer, std::get<HeartbeatMessage>(*received).digest,
