Measure faults with callers that know a second entry

Cause: a caller whose node dies presents its key at another node; the first version of the measurement never did that and its faults hit few calls in flight. Change: the load generator sends a call that failed once more to the next entry with the same key; more faults (killed and paused entries, hang, a kill within a store outage) of 4 s each at 400 calls/s; a one-time load during the rolling restart.

--- a/tools/measure_driver/calls_measure.cc
+++ b/tools/measure_driver/calls_measure.cc
@@ -23,6 +23,8 @@
 constexpr const char* kOneTimeService = "booking";
 constexpr int kTimeoutMs = 5000;
 constexpr int kReadyTimeoutMs = 30'000;
+// Longer than the deadline of the calls.
+constexpr int kFaultMs = 4000;
 constexpr double kCallsPerNode = 100;
 constexpr double kAddedTargetMs = 1.6;
 constexpr double kDrainTargetSeconds = 3;
@@ -250,6 +252,16 @@
   return executions;
 }
 
+void CallsMeasure::PrintFailures(const std::string& figure,
+                                 const LoadResult& result) {
+  for (const auto& [reason, count] : result.refused) {
+    report_.Print(figure + "_refused: " + reason, static_cast<double>(count),
+                  "calls");
+  }
+  report_.Print(figure + "_no_answer", static_cast<double>(result.no_answer),
+                "calls");
+}
+
 void CallsMeasure::CheckOneTime(const std::string& figure,
                                 const LoadResult& result) {
   const std::map<std::string, int> executions = Executions();
@@ -272,18 +284,14 @@
   report_.Print(figure + "_done", static_cast<double>(result.done), "calls");
   report_.Print(figure + "_refused", static_cast<double>(result.RefusedCount()),
                 "calls");
-  for (const auto& [reason, count] : result.refused) {
-    report_.Print(figure + "_refused: " + reason, static_cast<double>(count),
-                  "calls");
-  }
-  report_.Print(figure + "_no_answer", static_cast<double>(result.no_answer),
-                "calls");
+  PrintFailures(figure, result);
   CheckAnswers(figure, result);
 }
 
 void CallsMeasure::MeasureFaults() {
-  // The faults hit nodes other than the first six, which are the entries. Each
-  // fault gets a run of its own.
+  // Each fault gets a run of its own. "victim" has a target of the one-time
+  // service; the first node is an entry and the home of the keys that it hands
+  // out.
   struct Fault {
     const char* name;
     std::function<void()> begin;
@@ -292,15 +300,32 @@
   const size_t victim = fleet_.nodes().size() - 1;
   const size_t second = victim - 1;
   Fleet::Node& node = fleet_.nodes()[victim];
+  Fleet::Node& entry = fleet_.nodes()[0];
+  const auto kill = [](Fleet::Node* killed) {
+    killed->daemon->Kill();
+    killed->daemon.reset();
+  };
   const std::vector<Fault> faults = {
-      {"kill",
+      {"kill", [&] { kill(&node); }, [&] { fleet_.StartNode(victim); }},
+      {"kill_entry", [&] { kill(&entry); }, [&] { fleet_.StartNode(0); }},
+      {"kill_in_outage",
        [&] {
-         node.daemon->Kill();
-         node.daemon.reset();
+         fleet_.SetStoreFault("outage=hang");
+         kill(&node);
+         kill(&entry);
        },
-       [&] { fleet_.StartNode(victim); }},
+       [&] {
+         fleet_.StartNode(victim);
+         fleet_.StartNode(0);
+         SleepMs(1000);
+         fleet_.SetStoreFault("outage=off");
+       }},
+      {"pause_entry", [&] { entry.daemon->Signal(SIGSTOP); },
+       [&] { entry.daemon->Signal(SIGCONT); }},
       {"pause", [&] { node.daemon->Signal(SIGSTOP); },
        [&] { node.daemon->Signal(SIGCONT); }},
+      {"hang", [&] { SwitchTarget(second, "{\"hang\":true}"); },
+       [&] { SwitchTarget(second, "{\"hang\":false}"); }},
       {"drain", [&] { SwitchTarget(second, "{\"drain\":true}"); },
        [&] { SwitchTarget(second, "{\"drain\":false}"); }},
       {"truncate", [&] { SwitchTarget(second, "{\"truncate\":true}"); },
@@ -317,14 +342,15 @@
       LoadPlan plan =
           MeshPlan(one_time ? kOneTimeService : kIdempotentService, run);
       plan.entries.resize(plan.entries.size() / 2);
-      plan.calls_per_second = 200;
-      plan.seconds = 5;
+      plan.calls_per_second = 400;
+      plan.seconds = 7;
       plan.fetch_keys = one_time;
+      plan.use_next_entry = true;
       LoadGenerator load(plan);
       std::thread faulting([&fault] {
         SleepMs(1000);
         fault.begin();
-        SleepMs(2000);
+        SleepMs(kFaultMs);
         fault.end();
       });
       const LoadResult result = load.Run();
@@ -334,6 +360,7 @@
       } else {
         report_.Print(run + "_not_done",
                       static_cast<double>(result.sent - result.done), "calls");
+        PrintFailures(run, result);
         CheckAnswers(run, result);
       }
       SleepMs(1500);
@@ -388,6 +415,14 @@
   plan.seconds = 300;
   plan.use_next_entry = true;
   LoadGenerator load(plan);
+  LoadPlan one_time = MeshPlan(kOneTimeService, "rolling_one_time");
+  one_time.calls_per_second = 100;
+  one_time.seconds = plan.seconds;
+  one_time.use_next_entry = true;
+  one_time.fetch_keys = true;
+  LoadGenerator one_time_load(one_time);
+  LoadResult one_time_result;
+  std::thread one_time_thread([&] { one_time_result = one_time_load.Run(); });
   int unclean_exits = 0;
   std::thread restart([&] {
     SleepMs(1000);
@@ -404,15 +439,25 @@
       SleepMs(1500);
     }
     load.StopSending();
+    one_time_load.StopSending();
   });
   const LoadResult result = load.Run();
   restart.join();
+  one_time_thread.join();
   report_.Print("rolling_restart_calls", static_cast<double>(result.sent),
                 "calls");
   report_.Print("rolling_restart_failed_calls",
                 static_cast<double>(result.sent - result.done), "calls", 0);
   report_.Print("rolling_restart_second_entries",
                 static_cast<double>(result.second_entries), "calls");
+  PrintFailures("rolling_restart", result);
+  report_.Print("rolling_restart_one_time_calls",
+                static_cast<double>(one_time_result.sent), "calls");
+  report_.Print(
+      "rolling_restart_one_time_failed_calls",
+      static_cast<double>(one_time_result.sent - one_time_result.done), "calls",
+      0);
+  CheckOneTime("rolling_one_time", one_time_result);
   report_.Print("rolling_restart_unclean_exits", unclean_exits, "nodes", 0);
   CheckAnswers("rolling_restart", result);
 }
--- a/tools/measure_driver/calls_measure.h
+++ b/tools/measure_driver/calls_measure.h
@@ -44,6 +44,7 @@
   // Executions of each request id, summed over all targets.
   std::map<std::string, int> Executions() const;
   void CheckAnswers(const std::string& figure, const LoadResult& result);
+  void PrintFailures(const std::string& figure, const LoadResult& result);
   void CheckOneTime(const std::string& figure, const LoadResult& result);
 
   const std::string phase_;
--- a/tools/support/load_generator.cc
+++ b/tools/support/load_generator.cc
@@ -85,6 +85,7 @@
     bool counted;
     bool fetching_key;
     bool second_entry = false;
+    std::string key = {};
   };
 
   static void OnTick(int /*fd*/, short /*what*/, void* self) {
@@ -168,7 +169,8 @@
     if (call->fetching_key && status == kHttpOk) {
       call->fetching_key = false;
       call->sent = SteadyClock::now();
-      Send(call, EVHTTP_REQ_GET, plan_.path, KeyOf(BodyOf(request)));
+      call->key = KeyOf(BodyOf(request));
+      Send(call, EVHTTP_REQ_GET, plan_.path, call->key);
       return;
     }
     if (plan_.use_next_entry && !call->second_entry && status != kHttpOk) {
@@ -181,13 +183,18 @@
     EndCall(call, status != 0);
   }
 
+  // The same key is presented again, so a one-time call cannot run twice.
   void UseNextEntry(Call* call, bool reusable) {
     call->second_entry = true;
     ++result_.second_entries;
     ReleaseConnection(call, reusable);
     call->entry = (call->entry + 1) % plan_.entries.size();
     call->connection = TakeConnection(call->entry);
-    Send(call, EVHTTP_REQ_GET, plan_.path, {});
+    if (call->fetching_key) {
+      Send(call, EVHTTP_REQ_POST, "/-/keys", {});
+    } else {
+      Send(call, EVHTTP_REQ_GET, plan_.path, call->key);
+    }
   }
 
   // The body is {"key":"...","expires_ms":...}; the key has no character that
--- a/tools/support/load_plan.h
+++ b/tools/support/load_plan.h
@@ -25,9 +25,9 @@
   // Sends each call with a fresh key in `idempotency-key`, handed out by the
   // entry (true) or without one (false).
   bool fetch_keys = false;
-  // Sends a call that was refused as not run, or got no connection or answer,
-  // once more to the next entry, as a caller that knows several nodes would.
-  // Only for idempotent calls.
+  // Sends a call that was not answered with 200 once more to the next entry, as
+  // a caller that knows several nodes would. One-time calls present their key
+  // again.
   bool use_next_entry = false;
   // Distinguishes the request ids of runs.
   std::string run_id = "run";
