Mend a finding of the linter in the one-time benchmark

Cause: a product of two ints was widened after the multiplication. Change: the multiplication is done in size_t.

--- a/bench/onetime_bench.cc
+++ b/bench/onetime_bench.cc
@@ -49,7 +49,7 @@
 
 void RunAll() {
   // Bounds that the measured records do not reach.
-  const RecordLimits limits{.max_records = 2 * kRecords,
+  const RecordLimits limits{.max_records = size_t{2} * kRecords,
                             .max_answer_bytes = 1U << 30};
   HomeRecords home("node-1", 1, 1'700'000'000'000, kNow, limits);
   std::vector<OneTimeKey> keys;
