Let a stopping node serve its callers until their connections are closed

Cause: in a rolling restart of 12 nodes 1 or 2 of 7,200 idempotent calls were cut off and 33 of 2,400 one-time calls ended as unknown: calls met connections that the stopping node was closing; a fresh node handed out keys before it had a table; a call forwarded to a restarted process, or routed before the news of the successor, was answered as unknown at once. Change: for 1 s (at most a quarter of the drain timeout) a stopping node still serves its call port and closes each connection with an answer; keys are refused until a table is in force; an entry asks again for up to 1 s when a home seems gone.

--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -1,5 +1,6 @@
 #include "dragonflytack/calls/call_task.h"
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <optional>
@@ -28,6 +29,12 @@
 
 namespace {
 
+// A stopping node still serves calls on its call port for this long while it
+// closes each connection with an answer. Without it a caller's next call could
+// meet a connection that closes at that moment, which cut off 1 or 2 of 7,200
+// calls in a rolling restart of 12 nodes.
+constexpr Milliseconds kEntryGrace{1000};
+
 struct StopMessage {};
 using Message = std::
     variant<std::shared_ptr<const RouteSnapshot>, LocalTarget, StopMessage>;
@@ -129,7 +136,16 @@
       return;
     }
     target_side_->Drain();
-    one_time_->BeginDrain();
+    one_time_->RefuseKeys();
+    call_server_->CloseAfterAnswers();
+    // It is a part of the time that the whole stop may take.
+    const Milliseconds grace =
+        std::min(kEntryGrace, Milliseconds(settings_.drain_timeout_ms / 4));
+    loop_->timers().SubscribeOnce(grace, [this] {
+      entry_grace_over_ = true;
+      one_time_->BeginDrain();
+      CheckStopped();
+    });
     logger_->Info(
         "call_drain_started",
         {{"entry_calls", static_cast<uint64_t>(entry_->calls_in_progress())},
@@ -145,11 +161,12 @@
   }
 
   void CheckStopped() {
-    if (!stopping_ || target_side_->calls_in_progress() > 0) {
+    if (!entry_grace_over_ || target_side_->calls_in_progress() > 0) {
       return;
     }
     // Until now the target may have needed the call port for its last calls.
     entry_->RefuseNewCalls();
+    call_server_->StopListening();
     // Calls at the entry may wait for the handover, so it does not wait for
     // them.
     if (one_time_->calls_in_progress() == 0) {
@@ -206,6 +223,7 @@
   std::unique_ptr<HttpServer> call_server_;
   std::unique_ptr<HttpServer> mesh_server_;
   bool stopping_ = false;
+  bool entry_grace_over_ = false;
   bool drain_timed_out_ = false;
   bool handing_over_ = false;
   // Set when the handover has ended; empty when nobody took the records.
--- a/src/calls/home_calls.h
+++ b/src/calls/home_calls.h
@@ -34,6 +34,11 @@
   HomeCalls(const HomeCalls&) = delete;
   HomeCalls& operator=(const HomeCalls&) = delete;
 
+  // Whether this process has the records of the key's home, or handed them on.
+  bool Knows(const OneTimeKey& key) const {
+    return records_->Knows({key.home, key.incarnation});
+  }
+
   // Returns the result if it is there at once; otherwise sets `ticket` and
   // reports the result to `callback` later.
   std::optional<CallResult> Handle(const OneTimeKey& key,
--- a/src/calls/home_side.cc
+++ b/src/calls/home_side.cc
@@ -68,6 +68,10 @@
   if (context_->router->routes() != nullptr) {
     pool = context_->router->Find(service);
   }
+  if (!calls_->Knows(*key)) {
+    return CallResult::Unknown(CallReason::kHomeGone,
+                               "this process does not have the key's records");
+  }
   if (pool == nullptr) {
     // There may be a record from before the row was removed.
     return CallResult::Unknown(CallReason::kNoService,
--- a/src/calls/http_server.cc
+++ b/src/calls/http_server.cc
@@ -53,12 +53,15 @@
   setsockopt(evconnlistener_get_fd(listener), IPPROTO_TCP, TCP_NODELAY, &on,
              sizeof(on));
   evhttp* http = evhttp_new(base);
-  evhttp_bind_listener(http, listener);
-  return std::unique_ptr<HttpServer>(new HttpServer(http, std::move(handler)));
+  evhttp_bound_socket* socket = evhttp_bind_listener(http, listener);
+  return std::unique_ptr<HttpServer>(
+      new HttpServer(http, socket, std::move(handler)));
 }
 
-HttpServer::HttpServer(evhttp* http, Handler handler)
-    : http_(http), handler_(std::move(handler)) {
+HttpServer::HttpServer(evhttp* http,
+                       evhttp_bound_socket* socket,
+                       Handler handler)
+    : http_(http), socket_(socket), handler_(std::move(handler)) {
   evhttp_set_max_body_size(http_, 2 * kMaxBodyBytes);
   evhttp_set_max_headers_size(http_, kMaxHeaderBytes);
   evhttp_set_timeout(http_, kSilenceSeconds);
@@ -74,8 +77,19 @@
   evhttp_free(http_);
 }
 
+void HttpServer::StopListening() {
+  if (socket_ != nullptr) {
+    evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
+  }
+}
+
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
-  static_cast<HttpServer*>(self)->handler_(request);
+  auto* server = static_cast<HttpServer*>(self);
+  if (server->close_after_answers_) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+  }
+  server->handler_(request);
 }
 
 }  // namespace dragonflytack
--- a/src/calls/http_server.h
+++ b/src/calls/http_server.h
@@ -9,6 +9,7 @@
 
 struct event_base;
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_request;
 
 namespace dragonflytack {
@@ -30,12 +31,21 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Answers from now on with "Connection: close", so that callers use other
+  // nodes for their next calls and no call meets a connection that just closed.
+  void CloseAfterAnswers() { close_after_answers_ = true; }
+
+  // Refuses new connections; calls on open ones are still handled.
+  void StopListening();
+
  private:
-  HttpServer(evhttp* http, Handler handler);
+  HttpServer(evhttp* http, evhttp_bound_socket* socket, Handler handler);
   static void OnRequest(evhttp_request* request, void* self);
 
   evhttp* const http_;
+  evhttp_bound_socket* socket_;
   const Handler handler_;
+  bool close_after_answers_ = false;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/keyed_call.cc
+++ b/src/calls/keyed_call.cc
@@ -22,6 +22,10 @@
 constexpr Milliseconds kClaimLifetime = std::chrono::hours(1);
 // Handovers take a few messages of about 1 ms each.
 constexpr Milliseconds kRouteDelay{20};
+// A restarted node's record can arrive before the news of who took over its
+// records. Answering "unknown" at once did so for 14 of 2,400 calls in a
+// rolling restart.
+constexpr Milliseconds kSuccessorGrace{1000};
 // Taken off the deadline for the home, so that its definite answer arrives
 // before this node gives up.
 constexpr Milliseconds kHopMargin{4};
@@ -179,7 +183,7 @@
     }
   } else if (location.kind == KeyLocation::Kind::kNode) {
     Forward(location.node);
-  } else if (!moved_to_.empty()) {
+  } else if (!moved_to_.empty() || MayHearOfSuccessor()) {
     RouteLater();
   } else {
     FinishLater(CallResult::Unknown(CallReason::kHomeGone,
@@ -277,9 +281,11 @@
   const bool here_draining = result.outcome == CallOutcome::kNotRun &&
                              result.scope == NotRunScope::kRequest &&
                              result.reason == CallReason::kDraining;
+  // A node that restarted may be asked for its earlier process, and a successor
+  // before its set is complete.
   const bool successor_not_ready = result.outcome == CallOutcome::kUnknown &&
                                    result.reason == CallReason::kHomeGone &&
-                                   !moved_to_.empty();
+                                   (!moved_to_.empty() || MayHearOfSuccessor());
   if (!result.moved_to.empty()) {
     moved_to_ = result.moved_to;
     RouteLater();
@@ -293,6 +299,10 @@
   }
 }
 
+bool KeyedCall::MayHearOfSuccessor() const {
+  return Now() - request_.start < kSuccessorGrace;
+}
+
 void KeyedCall::RouteLater() {
   next_timer_ =
       context_->loop->timers().SubscribeOnce(kRouteDelay, [this] { Route(); });
--- a/src/calls/keyed_call.h
+++ b/src/calls/keyed_call.h
@@ -57,6 +57,8 @@
   CallResult ReadAnswer(HttpRequestPtr answer);
   void OnHomeResult(CallResult result);
   void OnDeadline();
+  // Whether a home that seems gone may still turn out to have a successor.
+  bool MayHearOfSuccessor() const;
   // Asks for the home again a little later, as it is changing.
   void RouteLater();
   void FinishLater(CallResult result);
--- a/src/calls/one_time.cc
+++ b/src/calls/one_time.cc
@@ -119,10 +119,15 @@
     ReplyJson(request, kMethodNotAllowed, R"({"error":"bad_request"})");
     return;
   }
-  if (records_.draining()) {
+  if (refusing_keys_ || records_.draining()) {
     ReplyJson(request, kUnavailable, R"({"error":"stopping"})");
     return;
   }
+  if (context_->router->routes() == nullptr) {
+    // A call with the key could only be answered as unknown.
+    ReplyJson(request, kUnavailable, R"({"error":"no_table"})");
+    return;
+  }
   const OneTimeKey key =
       records_.NewKey(context_->loop->clock().Now(), kKeyLifetime);
   ReplyJson(request, kOk,
--- a/src/calls/one_time.h
+++ b/src/calls/one_time.h
@@ -54,7 +54,9 @@
   // The snapshot in force has changed.
   void OnRoutes();
 
-  // Refuses new keys.
+  // Refuses new keys; calls with keys of this process are still taken.
+  void RefuseKeys() { refusing_keys_ = true; }
+  // Refuses new keys, and new calls with keys of this process.
   void BeginDrain() { records_.BeginDrain(); }
   size_t calls_in_progress() const {
     return calls_.calls_in_progress() + side_.calls_in_progress();
@@ -88,6 +90,7 @@
   ClaimBudget claim_budget_;
   ClaimSweep claim_sweep_;
   std::unique_ptr<HandoverRunner> handover_;
+  bool refusing_keys_ = false;
   TimerId sweep_timer_;
   TimerId claim_sweep_timer_;
 };
--- a/tools/support/load_generator.cc
+++ b/tools/support/load_generator.cc
@@ -86,6 +86,7 @@
     bool fetching_key;
     bool second_entry = false;
     std::string key = {};
+    std::string first_failure = {};
   };
 
   static void OnTick(int /*fd*/, short /*what*/, void* self) {
@@ -174,6 +175,8 @@
       return;
     }
     if (plan_.use_next_entry && !call->second_entry && status != kHttpOk) {
+      call->first_failure =
+          status == 0 ? "no answer" : HeaderOf(request, "x-reason");
       UseNextEntry(call, status != 0);
       return;
     }
@@ -214,6 +217,10 @@
     if (status == 0) {
       const bool hung = seconds * 1000 >= plan_.hang_ms;
       ++(hung ? result_.hung : result_.no_answer);
+      if (call.second_entry) {
+        ++result_.refused[fmt::format("no answer after {} at the first entry",
+                                      call.first_failure)];
+      }
       return;
     }
     if (status != kHttpOk) {
