Document metrics and log events; show ejections; export spans

Operators had no page of metrics or log events, could not see from outside that an endpoint is ejected, and trace.collector had no effect.

docs/metrics.md and docs/logs.md name every metric and event; a test compares names, types and levels with the sources and rejects logger calls that use a secret. New metrics: convergence time on nodes that read the store, refused versions, dead nodes, held version, store contact and failures, ejected endpoints, one-time records. New events: node_found, node_back, node_left, endpoint_back, one_time_unknown, records_inherited; link events of the transport are named connection_up and connection_down, since two parts logged link_up.

The call task reports ejections to the control task, and /routes gives them as left_out. The control task makes the span exporter when a collector is set.

--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -4,14 +4,15 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
+#include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/failure.h"
 #include "dragonflytack/calls/local_target.h"
 #include "dragonflytack/registry/node_id.h"
 
 namespace dragonflytack {
 
-class Clock;
 class Logger;
 class MetricsRegistry;
 class Tracer;
@@ -31,6 +32,12 @@
     std::function<void(const NodeId& successor)> on_stopped;
     // This node now answers for the one-time records of (home, incarnation).
     std::function<void(const NodeId& home, uint64_t incarnation)> on_inherited;
+    // After failures the endpoint of `service` on the node `target` is left out
+    // for `period`.
+    std::function<void(const std::string& service,
+                       const NodeId& target,
+                       Milliseconds period)>
+        on_ejected;
   };
 
   // Binds the ports and starts the thread. Returns nothing when a port cannot
--- a/include/dragonflytack/distribution/distribution_status.h
+++ b/include/dragonflytack/distribution/distribution_status.h
@@ -41,6 +41,11 @@
   // and column.
   TableVersion refused = 0;
   Failure refusal;
+  // Number of refusals since the start.
+  uint64_t refusals = 0;
+  // Wall time in milliseconds of the last edit in the newest version by the
+  // editor's clock; 0 when this node did not read that version from the store.
+  int64_t edit_ms = 0;
   std::vector<Link> links;
   size_t nodes = 0;
   size_t suspects = 0;
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -1,6 +1,10 @@
 #ifndef DRAGONFLYTACK_SRC_CALLS_CALL_CONTEXT_H_
 #define DRAGONFLYTACK_SRC_CALLS_CALL_CONTEXT_H_
 
+#include <functional>
+#include <string>
+
+#include "dragonflytack/base/clock.h"
 #include "dragonflytack/registry/node_id.h"
 
 namespace dragonflytack {
@@ -28,6 +32,11 @@
   // Of one-time calls: those this node dispatches, and those it got.
   AttemptNumbers* attempts = nullptr;
   AttemptGuard* guard = nullptr;
+  // Reports an endpoint that is left out for `period`. May be empty.
+  std::function<void(const std::string& service,
+                     const NodeId& target,
+                     Milliseconds period)>
+      on_ejected;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -17,6 +17,7 @@
 #include "calls/one_time.h"
 #include "calls/routed_call.h"
 #include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/logger.h"
 #include "dragonflytack/observe/tracer.h"
 #include "routing/router.h"
 
@@ -187,6 +188,16 @@
     call->span->End(CallOutcomeName(result.outcome));
   } else {
     context_->metrics->CountRefused("entry", result.reason);
+    if (result.outcome == CallOutcome::kUnknown &&
+        request.route->row.kind == ServiceKind::kOneTime) {
+      // The key is left out: who has it can ask for the recorded answer.
+      context_->logger->Warning(
+          "one_time_unknown",
+          {{"service", request.route->row.service},
+           {"cause", std::string(CallReasonName(result.reason))},
+           {"keyed", call->keyed != nullptr},
+           {"detail", result.detail}});
+    }
     call->span->End(CallReasonName(result.reason));
   }
   call->inbound.Reply(result);
--- a/src/calls/call_metrics.cc
+++ b/src/calls/call_metrics.cc
@@ -10,7 +10,10 @@
           registry->GetGauge("dragonflytack_queue_length",
                              "Calls that wait for a slot of the local target")),
       slots_in_use_(registry->GetGauge("dragonflytack_slots_in_use",
-                                       "Calls that the local target runs")) {}
+                                       "Calls that the local target runs")),
+      one_time_records_(
+          registry->GetGauge("dragonflytack_one_time_records",
+                             "One-time records that this node keeps")) {}
 
 CallMetrics::Service& CallMetrics::ForService(const std::string& service) {
   const auto [found, added] = services_.try_emplace(service);
--- a/src/calls/call_metrics.h
+++ b/src/calls/call_metrics.h
@@ -39,12 +39,14 @@
 
   Gauge* queue_length() { return queue_length_; }
   Gauge* slots_in_use() { return slots_in_use_; }
+  Gauge* one_time_records() { return one_time_records_; }
 
  private:
   MetricsRegistry* const registry_;
   std::unordered_map<std::string, Service> services_;
   Gauge* const queue_length_;
   Gauge* const slots_in_use_;
+  Gauge* const one_time_records_;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -58,9 +58,15 @@
                  &connections_,    logger,      &metrics_, tracer},
         mailbox_(loop_.get(),
                  [this](Message message) { OnMessage(std::move(message)); }) {
+    context_.on_ejected = events_.on_ejected;
     one_time_ = std::make_unique<OneTime>(
         settings_, incarnation, &context_, logger_,
         OneTime::Events{[this](const HomeIncarnation& home) {
+                          logger_->Info(
+                              "records_inherited",
+                              {{"home", home.first},
+                               {"incarnation", home.second},
+                               {"cause", "handover at a planned stop"}});
                           if (events_.on_inherited) {
                             events_.on_inherited(home.first, home.second);
                           }
--- a/src/calls/one_time.cc
+++ b/src/calls/one_time.cc
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
+#include "calls/call_metrics.h"
 #include "calls/http_headers.h"
 #include "calls/inbound_call.h"
 #include "dragonflytack/base/event_loop.h"
@@ -143,6 +144,8 @@
   records_.Sweep(now);
   receiver_.Sweep(now);
   guard_.Sweep(now);
+  context_->metrics->one_time_records()->Set(
+      static_cast<int64_t>(records_.records()));
 }
 
 void OneTime::SweepClaims() {
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -270,12 +270,24 @@
 
 void RoutedCall::EndAttempt(AttemptEnd health, std::string_view outcome) {
   span_->End(outcome);
+  const std::string& service = request_.route->row.service;
+  const NodeId& target = target_->record().id;
+  const bool was_on_probation = target_->ejection().is_on_probation();
   if (request_.pool->OnEnded(target_.get(), health, Now() - attempt_start_)) {
+    const Milliseconds period = target_->ejection().Remaining(Now());
     context_->logger->Warning("endpoint_ejected",
-                              {{"service", request_.route->row.service},
-                               {"target", target_->record().id},
-                               {"outcome", std::string(outcome)}});
-    context_->metrics->ForService(request_.route->row.service).ejections->Add();
+                              {{"service", service},
+                               {"target", target},
+                               {"outcome", std::string(outcome)},
+                               {"period_ms", int64_t{period.count()}}});
+    context_->metrics->ForService(service).ejections->Add();
+    if (context_->on_ejected) {
+      context_->on_ejected(service, target, period);
+    }
+  } else if (was_on_probation && !target_->ejection().is_on_probation()) {
+    context_->logger->Info("endpoint_back", {{"service", service},
+                                             {"target", target},
+                                             {"cause", "a call succeeded"}});
   }
   target_ = nullptr;
 }
--- a/src/cli/tool.cc
+++ b/src/cli/tool.cc
@@ -201,9 +201,13 @@
       values.contains("argument")
           ? values["argument"].as<std::vector<std::string>>()
           : Verb::Arguments{};
-  if (own_arguments.size() < entry->min_arguments ||
-      own_arguments.size() > entry->max_arguments) {
-    return UsageError(usage);
+  if (own_arguments.size() < entry->min_arguments) {
+    return UsageError(fmt::format("{} needs {}\n{}", entry->name,
+                                  entry->arguments, usage));
+  }
+  if (own_arguments.size() > entry->max_arguments) {
+    return UsageError(fmt::format("unexpected argument \"{}\"\n{}",
+                                  own_arguments[entry->max_arguments], usage));
   }
   ToolOptions options;
   const std::string fault = ReadOptions(values, environment_, &options);
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -107,8 +107,11 @@
       &loop_->timers(),
       [this](const LocalTarget& target) { OnTarget(target); });
   report_ = std::make_unique<FleetReport>(
-      FleetReport::Parts{core, links_.get(), store_.get(), &metrics_, &tracer_},
+      FleetReport::Parts{core, links_.get(), store_.get(), &metrics_, &tracer_,
+                         clock_},
       [this](const LocalTarget& target) { return TakeAnnouncement(target); });
+  exporter_ =
+      OtlpExporter::Make(settings_, loop_.get(), &tracer_, &metrics_, logger_);
   admin_api_ = std::make_unique<AdminApi>(settings_.shared_key,
                                           settings_.address, report_.get());
   admin_server_ =
@@ -127,6 +130,12 @@
       core_->AnnounceInheritance(home, incarnation);
     });
   };
+  events.on_ejected = [this](const std::string& service, const NodeId& target,
+                             Milliseconds period) {
+    mailbox_.Post([this, service, target, period] {
+      report_->ejected().Note(service, target, period);
+    });
+  };
   calls_ = CallTask::Make(settings_, core_->self().incarnation, clock_, logger_,
                           &metrics_, &tracer_, std::move(events), reason);
   return calls_ != nullptr;
@@ -164,10 +173,12 @@
 }
 
 void ControlTask::OnTarget(const LocalTarget& target) {
-  logger_->Info("target",
-                {{"service", target.service},
-                 {"state", std::string(TargetStateName(target.state))},
-                 {"port", int64_t{target.port}}});
+  logger_->Info(
+      "target",
+      {{"service", target.service},
+       {"state", std::string(TargetStateName(target.state))},
+       {"port", int64_t{target.port}},
+       {"cause", announcing_ ? "announcement" : "no announcement for 15 s"}});
   if (stopping_) {
     // The record stays `draining` until the end.
     return;
@@ -180,7 +191,9 @@
   if (stopping_) {
     return {FailureCode::kDraining, settings_.node_id, "the node is stopping"};
   }
+  announcing_ = true;
   target_->Announce(target);
+  announcing_ = false;
   return {};
 }
 
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -15,6 +15,7 @@
 #include "dragonflytack/calls/call_task.h"
 #include "dragonflytack/distribution/distribution_core.h"
 #include "dragonflytack/observe/metrics_registry.h"
+#include "dragonflytack/observe/otlp_exporter.h"
 #include "dragonflytack/observe/tracer.h"
 #include "net/websocket_link_layer.h"
 
@@ -77,8 +78,12 @@
   std::unique_ptr<FleetReport> report_;
   std::unique_ptr<AdminApi> admin_api_;
   std::unique_ptr<AdminServer> admin_server_;
+  // Null when the settings name no collector.
+  std::unique_ptr<OtlpExporter> exporter_;
   std::vector<event*> signal_events_;
   bool stopping_ = false;
+  // Whether an announcement of the target is being taken.
+  bool announcing_ = false;
   // When calls in flight are cut off.
   TimePoint stop_deadline_;
   int exit_code_ = 0;
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -1,5 +1,6 @@
 #include "daemon/fleet_report.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <utility>
@@ -82,10 +83,27 @@
 }  // namespace
 
 FleetReport::FleetReport(const Parts& parts, AnnounceCallback on_announce)
-    : parts_(parts), on_announce_(std::move(on_announce)) {}
+    : parts_(parts),
+      on_announce_(std::move(on_announce)),
+      ejected_(parts.clock) {}
 
 void FleetReport::NoteRoutes(std::shared_ptr<const RouteSnapshot> routes) {
+  const bool is_newer =
+      routes != nullptr &&
+      (routes_ == nullptr || routes->version > routes_->version);
   routes_ = std::move(routes);
+  const DistributionStatus status =
+      is_newer ? parts_.core->Status() : DistributionStatus{};
+  if (status.edit_ms > 0) {
+    // The editor's clock may be ahead of this host's.
+    parts_.metrics
+        ->GetHistogram("dragonflytack_convergence_seconds",
+                       "Time from an edit to its version in force here, on "
+                       "nodes that read it from the store.")
+        ->Record(std::max(
+            Milliseconds::zero(),
+            Milliseconds(parts_.clock->WallMillis() - status.edit_ms)));
+  }
 }
 
 json FleetReport::Status() {
@@ -166,7 +184,9 @@
   }
   json endpoints = json::array();
   for (const Endpoint& endpoint : route->endpoints) {
-    endpoints.push_back(EndpointToJson(endpoint));
+    json object = EndpointToJson(endpoint);
+    object["left_out"] = ejected_.LeftOut(service, endpoint.record.id);
+    endpoints.push_back(std::move(object));
   }
   return json{{"node", parts_.core->self().id},
               {"version", routes_->version},
@@ -222,6 +242,14 @@
       ->GetGauge("dragonflytack_table_version",
                  "Version of the table that is in force.")
       ->Set(static_cast<int64_t>(status.version));
+  int64_t dead = 0;
+  for (const Endpoint& node : parts_.core->KnownNodes()) {
+    dead += node.liveness == Liveness::kDead ? 1 : 0;
+  }
+  Counter* const refused =
+      metrics->GetCounter("dragonflytack_refused_tables_total",
+                          "Versions of the table that were refused.");
+  refused->Add(status.refusals - refused->value());
   const struct {
     const char* name;
     const char* help;
@@ -236,6 +264,16 @@
        static_cast<int64_t>(status.suspects)},
       {"dragonflytack_speaker", "1 when this node watches the store.",
        status.speaker ? 1 : 0},
+      {"dragonflytack_dead_nodes", "Nodes that are dead.", dead},
+      {"dragonflytack_held_table_version",
+       "Version that waits for peers to acknowledge it, 0 for none.",
+       static_cast<int64_t>(status.held)},
+      {"dragonflytack_store_contact",
+       "1 when the last call to the store was answered.",
+       parts_.store->contact() == "in_contact" ? 1 : 0},
+      {"dragonflytack_ejected_endpoints",
+       "Endpoints that this node leaves out after failures.",
+       static_cast<int64_t>(ejected_.Count())},
       {"dragonflytack_snapshots_served", "Snapshots that are being served.",
        static_cast<int64_t>(status.snapshots_served)},
   };
--- a/src/daemon/fleet_report.h
+++ b/src/daemon/fleet_report.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "daemon/admin_source.h"
+#include "daemon/ejected_endpoints.h"
 
 namespace dragonflytack {
 
@@ -30,6 +31,7 @@
     const ObservedStore* store;
     MetricsRegistry* metrics;
     const Tracer* tracer;
+    const Clock* clock;
   };
 
   // The parts must outlive the object. `on_announce` takes announcements.
@@ -38,6 +40,8 @@
   // Notes a snapshot that has been put in force.
   void NoteRoutes(std::shared_ptr<const RouteSnapshot> routes);
 
+  EjectedEndpoints& ejected() { return ejected_; }
+
   nlohmann::json Status() override;
   nlohmann::json Nodes() override;
   std::optional<nlohmann::json> Routes(const std::string& service) override;
@@ -55,6 +59,7 @@
   const Parts parts_;
   const AnnounceCallback on_announce_;
   std::shared_ptr<const RouteSnapshot> routes_;
+  EjectedEndpoints ejected_;
 };
 
 }  // namespace dragonflytack
--- a/src/daemon/observed_store.cc
+++ b/src/daemon/observed_store.cc
@@ -8,6 +8,15 @@
 
 namespace dragonflytack {
 
+namespace {
+
+bool IsNoAnswer(const Failure& reason) {
+  return reason.code == FailureCode::kStoreUnreachable ||
+         reason.code == FailureCode::kStoreTimeout;
+}
+
+}  // namespace
+
 std::span<const ChartAction<ObservedStore>> ObservedStore::Actions() {
   static constexpr ChartAction<ObservedStore> actions[] = {
       {"RecordContact", &ObservedStore::RecordContact},
@@ -40,8 +49,15 @@
                    "Calls of this node to the store.",
                    {{"operation", operation}})
       ->Add();
-  return [this, callback = std::move(callback)](Result result,
-                                                const Failure& reason) {
+  Counter* const failures = metrics_->GetCounter(
+      "dragonflytack_store_failures_total",
+      "Calls of this node to the store that got no answer.",
+      {{"operation", operation}});
+  return [this, failures, callback = std::move(callback)](
+             Result result, const Failure& reason) {
+    if (!result && IsNoAnswer(reason)) {
+      failures->Add();
+    }
     Note(result ? Failure{} : reason);
     callback(std::move(result), reason);
   };
@@ -81,8 +97,7 @@
 
 void ObservedStore::Note(const Failure& reason) {
   // A refusal is an answer, too: the store is there.
-  const bool answered = reason.code != FailureCode::kStoreUnreachable &&
-                        reason.code != FailureCode::kStoreTimeout;
+  const bool answered = !IsNoAnswer(reason);
   if (answered) {
     last_answer_ms_ = clock_->WallMillis();
   } else {
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -242,6 +242,8 @@
   status.held = table_.newest() != table_.in_force() ? table_.held() : 0;
   status.refused = table_.last_refused();
   status.refusal = table_.refusal();
+  status.refusals = table_.refusals();
+  status.edit_ms = table_.edit_ms();
   const TimePoint now = timers_->clock().Now();
   for (const auto& [id, link] : links_.links()) {
     if (link.up) {
--- a/src/distribution/registry_sync.cc
+++ b/src/distribution/registry_sync.cc
@@ -67,7 +67,11 @@
   }
   const Suspicion suspicion{id, entry->incarnation, entry->sequence};
   if (detector_.Suspect(suspicion)) {
-    logger_->Warning("node_suspected", {{"peer", id}});
+    logger_->Warning(
+        "node_suspected",
+        {{"peer", id},
+         {"from", self_.id},
+         {"cause", "its link is silent and a new connection fails"}});
     FloodSuspicion(suspicion, nullptr);
     on_change_();
   }
@@ -75,7 +79,9 @@
 
 void RegistrySync::Expire() {
   for (const Suspicion& dead : detector_.Expire(links_->up_count() == 0)) {
-    logger_->Warning("node_dead", {{"peer", dead.id}});
+    logger_->Warning("node_dead",
+                     {{"peer", dead.id},
+                      {"cause", "the suspicion was not refuted in time"}});
     on_change_();
   }
 }
@@ -103,6 +109,10 @@
   }
   const Succession* before =
       registry_->FindSuccession(record.id, record.incarnation);
+  const RegistryEntry* const known = registry_->Find(record.id);
+  const bool is_new = known == nullptr;
+  const bool was_lost = !is_new && known->liveness != Liveness::kAlive;
+  const bool had_left = !is_new && known->state == TargetState::kLeft;
   const MergeOutcome outcome = registry_->Merge(
       record, update.liveness, static_cast<int64_t>(update.ended_ago_s) * 1000);
   if (outcome == MergeOutcome::kOlder) {
@@ -114,6 +124,17 @@
   }
   from->pending_records.erase(record.id);
   if (outcome == MergeOutcome::kNewer) {
+    if (record.state == TargetState::kLeft) {
+      if (!had_left) {
+        logger_->Info("node_left",
+                      {{"peer", record.id}, {"cause", "planned stop"}});
+      }
+    } else if (is_new && update.liveness == Liveness::kAlive) {
+      logger_->Info("node_found", {{"peer", record.id}, {"from", from->peer}});
+    } else if (was_lost && update.liveness == Liveness::kAlive) {
+      logger_->Info("node_back",
+                    {{"peer", record.id}, {"cause", "a newer record"}});
+    }
     FloodRecord(record.id, from);
     on_change_();
     const Succession* after =
@@ -172,6 +193,9 @@
       continue;
     }
     if (detector_.Suspect(suspicion)) {
+      logger_->Warning("node_suspected", {{"peer", suspicion.id},
+                                          {"from", from->peer},
+                                          {"cause", "a peer suspects it"}});
       FloodSuspicion(suspicion, from);
       on_change_();
     } else if (std::tie(suspicion.incarnation, suspicion.sequence) <
--- a/src/distribution/table_sync.cc
+++ b/src/distribution/table_sync.cc
@@ -34,14 +34,18 @@
   std::optional<TableDocument> document =
       TableDocument::Parse(object.value, &reason);
   std::shared_ptr<const Table> table;
+  int64_t edit_ms = 0;
   if (document.has_value()) {
+    if (!document->recent.empty()) {
+      edit_ms = document->recent.back().time_ms;
+    }
     table = Table::Make(object.version, std::move(document->rows), &reason);
   }
   if (table == nullptr) {
     Refuse(object.version, reason, nullptr);
     return;
   }
-  Adopt(std::move(table), true, nullptr);
+  Adopt(std::move(table), true, nullptr, edit_ms);
 }
 
 void TableSync::OnNoTable() {
@@ -176,7 +180,8 @@
   if (in_force_since_.size() > kConvergenceVersions) {
     in_force_since_.pop_front();
   }
-  logger_->Info("table_in_force", {{"version", held()}});
+  logger_->Info("table_in_force",
+                {{"version", held()}, {"from", newest_from_}});
   if (on_in_force_) {
     on_in_force_();
   }
@@ -184,8 +189,11 @@
 
 void TableSync::Adopt(std::shared_ptr<const Table> table,
                       bool from_store,
-                      LinkState* source) {
+                      LinkState* source,
+                      int64_t edit_ms) {
   newest_ = std::move(table);
+  newest_from_ = source == nullptr ? "store" : source->peer;
+  edit_ms_ = edit_ms;
   needs_holders_ = from_store;
   history_.Append(newest_);
   if (source != nullptr) {
@@ -202,6 +210,7 @@
                        LinkState* source) {
   last_refused_ = version;
   refusal_ = reason;
+  ++refusals_;
   if (source == nullptr) {
     refused_ = std::max(refused_, version);
     floor_.Refuse(version);
--- a/src/distribution/table_sync.h
+++ b/src/distribution/table_sync.h
@@ -77,6 +77,11 @@
   // Last version that was refused, from the store or a peer, and why.
   TableVersion last_refused() const { return last_refused_; }
   const Failure& refusal() const { return refusal_; }
+  // Number of refusals since the start.
+  uint64_t refusals() const { return refusals_; }
+  // Time of the last edit in newest() by the editor's clock, 0 when newest()
+  // did not come from the store.
+  int64_t edit_ms() const { return edit_ms_; }
   const std::deque<std::pair<TableVersion, int64_t>>& in_force_since() const {
     return in_force_since_;
   }
@@ -84,7 +89,8 @@
  private:
   void Adopt(std::shared_ptr<const Table> table,
              bool from_store,
-             LinkState* source);
+             LinkState* source,
+             int64_t edit_ms = 0);
   // Remembers and logs a refusal. `source` is null for the store. What a peer
   // sent is refused from that peer only: the peer has the version in force, so
   // the copy was damaged or its program differs.
@@ -105,10 +111,14 @@
   std::shared_ptr<const Table> newest_;
   // newest_ was read from the store and no peer has sent it yet.
   bool needs_holders_ = false;
+  // "store" or the peer that sent newest_.
+  std::string newest_from_;
+  int64_t edit_ms_ = 0;
   DeltaHistory history_;
   TableVersion refused_ = 0;
   TableVersion last_refused_ = 0;
   Failure refusal_;
+  uint64_t refusals_ = 0;
   std::deque<std::pair<TableVersion, int64_t>> in_force_since_;
   // The last encoded delta, which mostly goes to many links.
   std::pair<TableVersion, TableVersion> frame_range_;
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -189,10 +189,11 @@
 }
 
 void WebSocketLinkLayer::OnUp(WebSocketLink* link) {
-  logger_->Info("link_up", {{"link", link->id()},
-                            {"peer", link->peer().id},
-                            {"address", link->remote().ToString()},
-                            {"outgoing", link->outgoing()}});
+  logger_->Log(LogLevel::kDebug, "connection_up",
+               {{"link", link->id()},
+                {"peer", link->peer().id},
+                {"address", link->remote().ToString()},
+                {"outgoing", link->outgoing()}});
   events_.on_up(link->id(), link->peer(), link->outgoing());
 }
 
@@ -204,11 +205,14 @@
 void WebSocketLinkLayer::OnDown(WebSocketLink* link,
                                 const Failure& reason,
                                 bool was_up) {
-  logger_->Info("link_down", {{"link", link->id()},
-                              {"address", link->remote().ToString()},
-                              {"outgoing", link->outgoing()},
-                              {"was_up", was_up},
-                              {"reason", reason.ToString()}});
+  // A connection that failed before its link was up tells of wrong keys and
+  // unreachable peers; a link that ends is logged as link_down.
+  logger_->Log(was_up ? LogLevel::kDebug : LogLevel::kInfo, "connection_down",
+               {{"link", link->id()},
+                {"address", link->remote().ToString()},
+                {"outgoing", link->outgoing()},
+                {"was_up", was_up},
+                {"reason", reason.ToString()}});
   ++end_counts_[std::string(FailureCodeName(reason.code))];
   // Nobody knows of an accepted link before its handshake has passed.
   if (link->outgoing() || was_up) {
--- a/src/routing/ejection.cc
+++ b/src/routing/ejection.cc
@@ -15,6 +15,7 @@
   }
   if (end == AttemptEnd::kSuccess) {
     failures_in_row_ = 0;
+    on_probation_ = false;
     if (++successes_in_row_ >= kSuccessesToForget) {
       next_period_ = kFirstPeriod;
     }
@@ -27,7 +28,13 @@
          (attempts_ >= kMinAttempts && 2 * timeouts_ > attempts_);
 }
 
+Milliseconds Ejection::Remaining(TimePoint now) const {
+  return IsEjected(now) ? std::chrono::ceil<Milliseconds>(until_ - now)
+                        : Milliseconds::zero();
+}
+
 void Ejection::Eject(TimePoint now) {
+  on_probation_ = true;
   until_ = now + next_period_;
   next_period_ = std::min(2 * next_period_, kLongestPeriod);
   failures_in_row_ = kFailuresToEject - 1;
--- a/src/routing/ejection.h
+++ b/src/routing/ejection.h
@@ -30,6 +30,12 @@
 
   bool IsEjected(TimePoint now) const { return now < until_; }
 
+  // Time until the ejection ends, zero when there is none.
+  Milliseconds Remaining(TimePoint now) const;
+
+  // Whether no attempt has succeeded since the last ejection.
+  bool is_on_probation() const { return on_probation_; }
+
  private:
   int failures_in_row_ = 0;
   int successes_in_row_ = 0;
@@ -37,6 +43,7 @@
   int timeouts_ = 0;
   Milliseconds next_period_ = kFirstPeriod;
   TimePoint until_{};
+  bool on_probation_ = false;
 };
 
 }  // namespace dragonflytack
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -220,6 +220,13 @@
     events.on_stopped = [flag = &node->stopped](const NodeId&) {
       *flag = true;
     };
+    events.on_ejected = [to = node.get()](const std::string& service,
+                                          const NodeId& target,
+                                          Milliseconds period) {
+      cr_expect(period > Milliseconds(0));
+      const std::lock_guard<std::mutex> lock(to->mutex);
+      to->ejected.push_back(service + "/" + target);
+    };
     Failure reason;
     node->task =
         CallTask::Make(settings, 1, &node->clock, &node->logger, &node->metrics,
@@ -235,6 +242,11 @@
   std::this_thread::sleep_for(Milliseconds(20));
 }
 
+std::vector<std::string> CallFixture::Ejected(int node) {
+  const std::lock_guard<std::mutex> lock(nodes_[node]->mutex);
+  return nodes_[node]->ejected;
+}
+
 void CallFixture::Publish(const ServiceRow& row) {
   auto route = std::make_shared<ServiceRoute>();
   route->row = row;
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -109,6 +109,8 @@
   CallTask* task(int node) { return nodes_[node]->task.get(); }
   MetricsRegistry* metrics(int node) { return &nodes_[node]->metrics; }
   Tracer* tracer(int node) { return &nodes_[node]->tracer; }
+  // Ejections that a node reported, as "service/target", in order.
+  std::vector<std::string> Ejected(int node);
   // Ends a node as a crash would.
   void Kill(int node) { nodes_[node]->task.reset(); }
   bool WaitUntilStopped(int node, Milliseconds limit);
@@ -132,6 +134,8 @@
     MetricsRegistry metrics;
     Tracer tracer;
     std::atomic<bool> stopped = false;
+    std::mutex mutex;
+    std::vector<std::string> ejected;
     std::unique_ptr<CallTask> task;
   };
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/tests/call_task_faults_test.cc
+++ b/tests/call_task_faults_test.cc
@@ -140,6 +140,20 @@
   }
 }
 
+// Guards against an ejection that the control task does not learn of, so that
+// operators see no reason why an endpoint gets no calls.
+Test(call_task, reports_an_ejected_endpoint) {
+  CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+  ScriptedTarget good(fixture.Address(1), CallFixture::kTargetPort, AnswerOwn);
+  ScriptedTarget bad(fixture.Address(2), CallFixture::kTargetPort, CloseAtOnce);
+  for (int i = 0; i < 60 && fixture.Ejected(0).empty(); ++i) {
+    fixture.Call(std::to_string(i), kDeadlineMs);
+  }
+  const std::vector<std::string> ejected = fixture.Ejected(0);
+  cr_assert(!ejected.empty());
+  ExpectEqual(ejected.front(), "s/n2");
+}
+
 // Regression: in a rush in mid April roster lookups hung. Targets that hold
 // calls for good must cost each caller at most its deadline, and the slots must
 // be free again afterwards.
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -12,6 +12,7 @@
 #include "call_fixture.h"
 #include "dragonflytack/base/admin_authorization.h"
 #include "dragonflytack/base/logger.h"
+#include "raw_server.h"
 #include "store/store_standin.h"
 
 namespace dragonflytack {
@@ -35,6 +36,9 @@
     store_ = StoreStandin::Make(store_loop_.get(), {address_, 7006},
                                 {address_, 7007}, &reason);
     cr_assert(store_ != nullptr, "%s", reason.ToString().c_str());
+    collector_ = std::make_unique<RawServer>(
+        store_loop_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        false);
     store_thread_ = std::thread([this] { store_loop_->Run(); });
     Request(7006, "PUT", "/v1/objects/table", "x-if-version: 0\r\n", kTable);
     Settings settings;
@@ -49,6 +53,8 @@
     settings.store = {address_, 7006};
     settings.shared_key = kKey;
     settings.drain_timeout_ms = 1000;
+    settings.trace_sample = 1;
+    settings.trace_collector = collector_->address();
     task_ = ControlTask::Make(settings, &clock_, &logger_, &reason);
     cr_assert(task_ != nullptr, "%s", reason.ToString().c_str());
     thread_ = std::thread([this] { exit_code_ = task_->Run(); });
@@ -126,6 +132,7 @@
   ScriptedTarget target_;
   const std::unique_ptr<EventLoop> store_loop_;
   std::unique_ptr<StoreStandin> store_;
+  std::unique_ptr<RawServer> collector_;
   std::thread store_thread_;
   std::unique_ptr<ControlTask> task_;
   std::thread thread_;
@@ -223,4 +230,23 @@
   cr_expect_eq(bench.Join(), 0);
 }
 
+// Guards against a daemon that ignores the collector of its settings.
+Test(control_task, exports_spans_to_the_collector) {
+  NodeBench bench(AnswerLate);
+  cr_expect_eq(bench.BeginCall()->Receive(kLimit).status, 200);
+  std::string metrics;
+  bool exported = false;
+  for (int i = 0; i < 100 && !exported; ++i) {
+    std::this_thread::sleep_for(Milliseconds(50));
+    metrics = bench.Admin("/metrics").body;
+    const size_t at = metrics.find("\ndragonflytack_spans_exported_total ");
+    exported = at != std::string::npos &&
+               metrics.find("\ndragonflytack_spans_exported_total 0\n") ==
+                   std::string::npos;
+  }
+  cr_expect(exported, "%s", metrics.c_str());
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
 }  // namespace dragonflytack
--- /dev/null
+++ b/tests/ejected_endpoints_test.cc
@@ -0,0 +1,31 @@
+#include "daemon/ejected_endpoints.h"
+
+#include <criterion/criterion.h>
+
+#include "dragonflytack/base/manual_clock.h"
+
+namespace dragonflytack {
+
+// Guards against endpoints that are shown as ejected after the period, for
+// another service, or not at all.
+Test(ejected_endpoints, shows_an_endpoint_until_its_period_ends) {
+  ManualClock clock;
+  EjectedEndpoints ejected(&clock);
+  cr_expect(ejected.LeftOut("s", "n1").empty());
+  ejected.Note("s", "n1", Milliseconds(1000));
+  clock.Advance(Milliseconds(400));
+  cr_expect(ejected.LeftOut("s", "n1") ==
+            "ejected after failed calls, 600 ms left");
+  cr_expect(ejected.LeftOut("t", "n1").empty());
+  cr_expect(ejected.LeftOut("s", "n2").empty());
+  cr_expect_eq(ejected.Count(), 1);
+  // A second ejection counts from its own time.
+  ejected.Note("s", "n1", Milliseconds(2000));
+  clock.Advance(Milliseconds(1999));
+  cr_expect(!ejected.LeftOut("s", "n1").empty());
+  clock.Advance(Milliseconds(1));
+  cr_expect(ejected.LeftOut("s", "n1").empty());
+  cr_expect_eq(ejected.Count(), 0);
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/tests/metrics_page_test.cc
@@ -0,0 +1,145 @@
+// Checks docs/metrics.md and docs/logs.md against the sources. The tests run
+// in the root of the source tree.
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <regex>
+#include <set>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace dragonflytack {
+
+namespace {
+
+using Names = std::set<std::string>;
+using NamesWithKind = std::map<std::string, Names>;
+
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string ReadSources() {
+  std::string all;
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator("src")) {
+    if (entry.path().extension() == ".cc" || entry.path().extension() == ".h") {
+      all += ReadFile(entry.path());
+    }
+  }
+  return all;
+}
+
+// Calls `take` for each match.
+template <typename Take>
+void ForEachMatch(const std::string& text, const char* pattern, Take take) {
+  const std::regex regex(pattern);
+  for (std::sregex_iterator it(text.begin(), text.end(), regex), end; it != end;
+       ++it) {
+    take(*it);
+  }
+}
+
+// Returns the first two columns of the page's tables: names in back quotes and
+// the words of the second column.
+NamesWithKind ReadPage(const char* path) {
+  NamesWithKind rows;
+  ForEachMatch(ReadFile(path), R"(\n\| `([a-z_]+)` \| ([a-z, ]+) \|)",
+               [&](const std::smatch& row) {
+                 cr_expect(!rows.contains(row[1]), "%s is there twice",
+                           row[1].str().c_str());
+                 ForEachMatch(row[2], "[a-z]+", [&](const std::smatch& word) {
+                   rows[row[1]].insert(word[0]);
+                 });
+               });
+  return rows;
+}
+
+void ExpectSame(const NamesWithKind& sources, const NamesWithKind& page) {
+  cr_expect(!sources.empty());
+  for (const auto& [name, kinds] : sources) {
+    cr_expect(page.contains(name), "the page lacks %s", name.c_str());
+    if (page.contains(name)) {
+      cr_expect(page.at(name) == kinds, "%s has another type or level",
+                name.c_str());
+    }
+  }
+  for (const auto& [name, kinds] : page) {
+    cr_expect(sources.contains(name), "no source has %s", name.c_str());
+  }
+}
+
+}  // namespace
+
+// Guards against metrics that the page lacks, names that no source has, and
+// wrong types. Names in a table of gauges stand apart from the call that makes
+// them.
+Test(pages, metrics_page_names_every_metric) {
+  const std::string sources = ReadSources();
+  NamesWithKind found;
+  ForEachMatch(sources, R"re("(dragonflytack_[a-z_]+)")re",
+               [&](const std::smatch& name) { found[name[1]]; });
+  ForEachMatch(
+      sources,
+      R"re(Get(Counter|Gauge|Histogram)\(\s*"(dragonflytack_[a-z_]+)")re",
+      [&](const std::smatch& call) {
+        std::string type = call[1];
+        type[0] = static_cast<char>(std::tolower(type[0]));
+        found[call[2]].insert(type);
+      });
+  for (auto& [name, types] : found) {
+    if (types.empty()) {
+      types.insert("gauge");
+    }
+  }
+  ExpectSame(found, ReadPage("docs/metrics.md"));
+}
+
+// Guards against events that the page lacks, events that no source has, and
+// wrong levels.
+Test(pages, logs_page_names_every_event) {
+  const std::string sources = ReadSources();
+  NamesWithKind found;
+  const char* const calls =
+      R"re(logger_?(?:\.|->)(Info|Warning|Error|Log)\(([^"]*)"([a-z_]+)")re";
+  ForEachMatch(sources, calls, [&](const std::smatch& call) {
+    if (call[1] != "Log") {
+      std::string level = call[1];
+      level[0] = static_cast<char>(std::tolower(level[0]));
+      found[call[3]].insert(level);
+      return;
+    }
+    ForEachMatch(call[2], "LogLevel::k([A-Z][a-z]+)",
+                 [&](const std::smatch& word) {
+                   std::string level = word[1];
+                   level[0] = static_cast<char>(std::tolower(level[0]));
+                   found[call[3]].insert(level);
+                 });
+  });
+  ExpectSame(found, ReadPage("docs/logs.md"));
+}
+
+// Guards against keys and authorization headers in logs: no logger call may
+// use a value that holds one.
+Test(pages, logger_calls_use_no_secrets) {
+  int calls = 0;
+  ForEachMatch(ReadSources(),
+               R"re(logger_?(?:\.|->)(?:Info|Warning|Error|Log)\([^;]*;)re",
+               [&](const std::smatch& call) {
+                 ++calls;
+                 const std::string code = std::regex_replace(
+                     call[0].str(), std::regex(R"re("[^"]*")re"), "");
+                 cr_expect(!std::regex_search(
+                               code, std::regex("secret|shared_key|ToText|"
+                                                "[Aa]uthorization|kKeyHeader|"
+                                                "one_time_key")),
+                           "%s", call[0].str().c_str());
+               });
+  cr_expect_gt(calls, 20);
+}
+
+}  // namespace dragonflytack
