Name what is wrong with arguments; see the store's return at once

In a trial fleet a speaker's store contact stayed lost for more than 11 s after the outage, because the watch after it waits for a change for up to 30 s. A watch after an unanswered one no longer waits; a test takes the store away and brings it back.

The tool printed only the usage line for missing and extra arguments, took an option before the verb for a verb, and printed an empty table for a service without edits. Each now says what is wrong and which help to read.

--- a/src/cli/history_verb.cc
+++ b/src/cli/history_verb.cc
@@ -55,6 +55,11 @@
       context->PrintJson({{"edits", list}});
     } else {
       context->out() << table.ToString();
+      if (table.rows() == 0) {
+        context->out() << "no edits"
+                       << (arguments.empty() ? "" : " of " + arguments[0])
+                       << "\n";
+      }
     }
     return ExitCode::kDone;
   }
--- a/src/cli/tool.cc
+++ b/src/cli/tool.cc
@@ -136,9 +136,15 @@
            "\"dragonflytack VERB --help\" describes a verb.\n";
 }
 
-ExitCode Tool::UsageError(const std::string& text) const {
+ExitCode Tool::UsageError(const std::string& text,
+                          std::string_view verb) const {
   *err_ << "dragonflytack: " << text << "\n"
-        << "\"dragonflytack --help\" lists the verbs\n";
+        << (verb.empty()
+                ? std::string("\"dragonflytack --help\" lists the verbs")
+                : fmt::format("\"dragonflytack {} --help\" describes "
+                              "its arguments and options",
+                              verb))
+        << "\n";
   return ExitCode::kUsage;
 }
 
@@ -154,6 +160,9 @@
                                   [&](const VerbEntry& candidate) {
                                     return candidate.name == arguments.front();
                                   });
+  if (entry == Verbs().end() && arguments.front().starts_with('-')) {
+    return UsageError("the verb is missing: options come after it");
+  }
   if (entry == Verbs().end()) {
     return UsageError(
         fmt::format("there is no verb \"{}\"", arguments.front()));
@@ -186,7 +195,7 @@
         values);
     po::notify(values);
   } catch (const po::error& error) {
-    return UsageError(error.what());
+    return UsageError(error.what(), entry->name);
   }
   const std::string usage =
       fmt::format("usage: dragonflytack {} {}", entry->name, entry->arguments);
@@ -202,17 +211,19 @@
           ? values["argument"].as<std::vector<std::string>>()
           : Verb::Arguments{};
   if (own_arguments.size() < entry->min_arguments) {
-    return UsageError(fmt::format("{} needs {}\n{}", entry->name,
-                                  entry->arguments, usage));
+    return UsageError(
+        fmt::format("{} needs {}\n{}", entry->name, entry->arguments, usage),
+        entry->name);
   }
   if (own_arguments.size() > entry->max_arguments) {
     return UsageError(fmt::format("unexpected argument \"{}\"\n{}",
-                                  own_arguments[entry->max_arguments], usage));
+                                  own_arguments[entry->max_arguments], usage),
+                      entry->name);
   }
   ToolOptions options;
   const std::string fault = ReadOptions(values, environment_, &options);
   if (!fault.empty()) {
-    return UsageError(fault);
+    return UsageError(fault, entry->name);
   }
   ToolContext context(loop_, std::move(options), out_, err_);
   return verb->Run(own_arguments, values, &context);
--- a/src/cli/tool.h
+++ b/src/cli/tool.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <iosfwd>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cli/exit_code.h"
@@ -29,7 +30,9 @@
 
  private:
   void PrintHelp() const;
-  ExitCode UsageError(const std::string& text) const;
+  // `verb` is empty when it is not known.
+  ExitCode UsageError(const std::string& text,
+                      std::string_view verb = {}) const;
 
   EventLoop* const loop_;
   const Environment environment_;
--- a/src/cli/verb.cc
+++ b/src/cli/verb.cc
@@ -24,8 +24,9 @@
      MakeDiffVerb},
     {"status", "", "show which nodes have which version in force", 0, 0,
      MakeStatusVerb},
-    {"explain", "SERVICE", "show the endpoints of a service and their weights",
-     1, 1, MakeExplainVerb},
+    {"explain", "SERVICE",
+     "show why each endpoint of a service gets calls or not", 1, 1,
+     MakeExplainVerb},
     {"trace", "ID", "show the spans of a traced call", 1, 1, MakeTraceVerb},
 }};
 
--- a/src/distribution/table_watcher.cc
+++ b/src/distribution/table_watcher.cc
@@ -77,7 +77,7 @@
   }
   const TimePoint asked = timers_->clock().Now();
   const bool made = store_->Watch(
-      kTableKey, named_, kWatchTimeout,
+      kTableKey, named_, unanswered_ ? Milliseconds(0) : kWatchTimeout,
       [this, generation = generation_, asked](
           std::optional<StoreVersion> version, const Failure&) {
         OnWatch(generation, version.has_value(), version.value_or(0), asked);
@@ -94,6 +94,7 @@
   if (generation != generation_) {
     return;
   }
+  unanswered_ = !answered;
   if (!answered || version < named_) {
     After(&watch_timer_, watch_backoff_.Next(random_),
           [this] { StartWatch(); });
--- a/src/distribution/table_watcher.h
+++ b/src/distribution/table_watcher.h
@@ -62,6 +62,9 @@
   const VersionCallback on_version_;
   const ObjectCallback on_object_;
   bool probed_ = false;
+  // The last watch got no answer. The next one does not wait for a change, so
+  // that the return of the store shows at once.
+  bool unanswered_ = false;
   bool active_ = false;
   bool fetching_ = false;
   Milliseconds fetch_delay_{0};
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -249,4 +249,27 @@
   cr_expect_eq(bench.Join(), 0);
 }
 
+// Guards against a store that counts as lost long after it is back: a waiting
+// watch answers only after 30 s when nothing changes.
+Test(control_task, sees_the_store_lost_and_back) {
+  NodeBench bench(AnswerLate);
+  const auto wait_for = [&](const char* contact) {
+    for (int i = 0; i < 400; ++i) {
+      const auto status = nlohmann::json::parse(bench.Admin("/status").body);
+      if (status["store"]["contact"] == contact) {
+        return true;
+      }
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    return false;
+  };
+  cr_assert(wait_for("in_contact"));
+  bench.Request(7007, "POST", "/admin/faults?outage=refuse");
+  cr_assert(wait_for("out_of_contact"));
+  bench.Request(7007, "POST", "/admin/faults?outage=off");
+  cr_expect(wait_for("in_contact"));
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
 }  // namespace dragonflytack
