Add the operators' guide by symptom

Operators had no page that leads from a symptom to what to do.

docs/operators.md covers planned work (first start, hosts, rolling restart, undo of an edit, key rotation, the store's rates), each failure of the design, refusals and unknown outcomes.

A test checks that the metrics it names exist.

--- a/tests/metrics_page_test.cc
+++ b/tests/metrics_page_test.cc
@@ -1,4 +1,4 @@
-// Checks docs/metrics.md and docs/logs.md against the sources. The tests run
+// Checks the pages for operators against the sources. The tests run
 // in the root of the source tree.
 
 #include <filesystem>
@@ -99,6 +99,19 @@
   ExpectSame(found, ReadPage("docs/metrics.md"));
 }
 
+// Guards against a guide that sends operators to metrics that do not exist.
+Test(pages, operators_guide_names_known_metrics) {
+  const NamesWithKind known = ReadPage("docs/metrics.md");
+  int named = 0;
+  ForEachMatch(ReadFile("docs/operators.md"), "dragonflytack_[a-z_]+",
+               [&](const std::smatch& name) {
+                 ++named;
+                 cr_expect(known.contains(name[0]), "%s",
+                           name[0].str().c_str());
+               });
+  cr_expect_gt(named, 0);
+}
+
 // Guards against events that the page lacks, events that no source has, and
 // wrong levels.
 Test(pages, logs_page_names_every_event) {
