Test the metrics of convergence and refusals

The new metrics had no test against a running node. One edit and one bad version are written past the tool; the count, the measured time and the refusals are compared.

--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -272,4 +272,46 @@
   cr_expect_eq(bench.Join(), 0);
 }
 
+// Guards against edits whose convergence is not measured, refusals that are not
+// counted, and routes that lack the reason an endpoint gets no calls.
+Test(control_task, measures_convergence_and_refusals) {
+  NodeBench bench(AnswerLate);
+  const auto wait_for_metric = [&](const char* line) {
+    for (int i = 0; i < 250; ++i) {
+      if (bench.Admin("/metrics").body.find(line) != std::string::npos) {
+        return true;
+      }
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    return false;
+  };
+  const int64_t edit_ms = SystemClock().WallMillis() - 3000;
+  bench.Request(
+      7006, "PUT", "/v1/objects/table", "x-if-version: 1\r\n",
+      fmt::format(R"({{"rows":[{{"service":"s","kind":"idempotent"}}],)"
+                  R"("recent":[{{"edit_id":"{}","author":"a",)"
+                  R"("time_ms":{},"cells":[]}}]}})",
+                  std::string(32, 'a'), edit_ms));
+  cr_assert(wait_for_metric("\ndragonflytack_convergence_seconds_count 1\n"));
+  const std::string metrics = bench.Admin("/metrics").body;
+  const std::string sum = "\ndragonflytack_convergence_seconds_sum ";
+  const double seconds =
+      std::stod(metrics.substr(metrics.find(sum) + sum.size()));
+  cr_expect(seconds >= 3 && seconds < 8, "%f", seconds);
+  cr_expect(metrics.find("\ndragonflytack_refused_tables_total 0\n") !=
+            std::string::npos);
+  const std::string routes = bench.Admin("/routes?service=s").body;
+  const auto endpoint = nlohmann::json::parse(routes)["endpoints"][0];
+  cr_expect(endpoint["left_out"] == "");
+  // The store numbers all writes, those of the seeds included.
+  const std::string version =
+      bench.Request(7006, "GET", "/v1/objects/table").Header("x-version");
+  bench.Request(7006, "PUT", "/v1/objects/table",
+                "x-if-version: " + version + "\r\n", R"({"rows":[{}]})");
+  cr_expect(wait_for_metric("\ndragonflytack_refused_tables_total 1\n"));
+  cr_expect(wait_for_metric("\ndragonflytack_convergence_seconds_count 1\n"));
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
 }  // namespace dragonflytack
