--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -12,6 +12,7 @@
 #include "call_fixture.h"
 #include "dragonflytack/base/admin_authorization.h"
 #include "dragonflytack/base/logger.h"
+#include "raw_server.h"
 #include "store/store_standin.h"
 
 namespace dragonflytack {
@@ -35,6 +36,9 @@
     store_ = StoreStandin::Make(store_loop_.get(), {address_, 7006},
                                 {address_, 7007}, &reason);
     cr_assert(store_ != nullptr, "%s", reason.ToString().c_str());
+    collector_ = std::make_unique<RawServer>(
+        store_loop_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        false);
     store_thread_ = std::thread([this] { store_loop_->Run(); });
     Request(7006, "PUT", "/v1/objects/table", "x-if-version: 0\r\n", kTable);
     Settings settings;
@@ -49,6 +53,8 @@
     settings.store = {address_, 7006};
     settings.shared_key = kKey;
     settings.drain_timeout_ms = 1000;
+    settings.trace_sample = 1;
+    settings.trace_collector = collector_->address();
     task_ = ControlTask::Make(settings, &clock_, &logger_, &reason);
     cr_assert(task_ != nullptr, "%s", reason.ToString().c_str());
     thread_ = std::thread([this] { exit_code_ = task_->Run(); });
@@ -126,6 +132,7 @@
   ScriptedTarget target_;
   const std::unique_ptr<EventLoop> store_loop_;
   std::unique_ptr<StoreStandin> store_;
+  std::unique_ptr<RawServer> collector_;
   std::thread store_thread_;
   std::unique_ptr<ControlTask> task_;
   std::thread thread_;
@@ -223,4 +230,88 @@
   cr_expect_eq(bench.Join(), 0);
 }
 
+// Guards against a daemon that ignores the collector of its settings.
+Test(control_task, exports_spans_to_the_collector) {
+  NodeBench bench(AnswerLate);
+  cr_expect_eq(bench.BeginCall()->Receive(kLimit).status, 200);
+  std::string metrics;
+  bool exported = false;
+  for (int i = 0; i < 100 && !exported; ++i) {
+    std::this_thread::sleep_for(Milliseconds(50));
+    metrics = bench.Admin("/metrics").body;
+    const size_t at = metrics.find("\ndragonflytack_spans_exported_total ");
+    exported = at != std::string::npos &&
+               metrics.find("\ndragonflytack_spans_exported_total 0\n") ==
+                   std::string::npos;
+  }
+  cr_expect(exported, "%s", metrics.c_str());
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
+// Guards against a store that counts as lost long after it is back: a waiting
+// watch answers only after 30 s when nothing changes.
+Test(control_task, sees_the_store_lost_and_back) {
+  NodeBench bench(AnswerLate);
+  const auto wait_for = [&](const char* contact) {
+    for (int i = 0; i < 400; ++i) {
+      const auto status = nlohmann::json::parse(bench.Admin("/status").body);
+      if (status["store"]["contact"] == contact) {
+        return true;
+      }
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    return false;
+  };
+  cr_assert(wait_for("in_contact"));
+  bench.Request(7007, "POST", "/admin/faults?outage=refuse");
+  cr_assert(wait_for("out_of_contact"));
+  bench.Request(7007, "POST", "/admin/faults?outage=off");
+  cr_expect(wait_for("in_contact"));
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
+// Guards against edits whose convergence is not measured, refusals that are not
+// counted, and routes that lack the reason an endpoint gets no calls.
+Test(control_task, measures_convergence_and_refusals) {
+  NodeBench bench(AnswerLate);
+  const auto wait_for_metric = [&](const char* line) {
+    for (int i = 0; i < 250; ++i) {
+      if (bench.Admin("/metrics").body.find(line) != std::string::npos) {
+        return true;
+      }
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    return false;
+  };
+  const int64_t edit_ms = SystemClock().WallMillis() - 3000;
+  bench.Request(
+      7006, "PUT", "/v1/objects/table", "x-if-version: 1\r\n",
+      fmt::format(R"({{"rows":[{{"service":"s","kind":"idempotent"}}],)"
+                  R"("recent":[{{"edit_id":"{}","author":"a",)"
+                  R"("time_ms":{},"cells":[]}}]}})",
+                  std::string(32, 'a'), edit_ms));
+  cr_assert(wait_for_metric("\ndragonflytack_convergence_seconds_count 1\n"));
+  const std::string metrics = bench.Admin("/metrics").body;
+  const std::string sum = "\ndragonflytack_convergence_seconds_sum ";
+  const double seconds =
+      std::stod(metrics.substr(metrics.find(sum) + sum.size()));
+  cr_expect(seconds >= 3 && seconds < 8, "%f", seconds);
+  cr_expect(metrics.find("\ndragonflytack_refused_tables_total 0\n") !=
+            std::string::npos);
+  const std::string routes = bench.Admin("/routes?service=s").body;
+  const auto endpoint = nlohmann::json::parse(routes)["endpoints"][0];
+  cr_expect(endpoint["left_out"] == "");
+  // The store numbers all writes, those of the seeds included.
+  const std::string version =
+      bench.Request(7006, "GET", "/v1/objects/table").Header("x-version");
+  bench.Request(7006, "PUT", "/v1/objects/table",
+                "x-if-version: " + version + "\r\n", R"({"rows":[{}]})");
+  cr_expect(wait_for_metric("\ndragonflytack_refused_tables_total 1\n"));
+  cr_expect(wait_for_metric("\ndragonflytack_convergence_seconds_count 1\n"));
+  raise(SIGTERM);
+  cr_expect_eq(bench.Join(), 0);
+}
+
 }  // namespace dragonflytack
