--- a/tools/measure_driver/main.cc
+++ b/tools/measure_driver/main.cc
@@ -1,5 +1,6 @@
 // Measures fleets of real daemons on this machine; see tools/measure --help.
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -12,6 +13,7 @@
 #include "measure_driver/calls_measure.h"
 #include "measure_driver/distribution_measure.h"
 #include "measure_driver/linear_fit.h"
+#include "measure_driver/scale_measure.h"
 
 namespace dragonflytack {
 
@@ -22,12 +24,16 @@
 constexpr int kExitUsage = 2;
 constexpr int kTwoYearNodes = 5300;
 constexpr int kMaxNodes = 240;
+constexpr int kMaxRecords = 10'600;
+// Records above those of the real daemons and the emulator's gateways.
+constexpr int kMinSyntheticRecords = 26;
 
 struct Arguments {
   std::string measure;
   std::string build_dir;
   std::string log_dir;
   std::vector<int> sizes;
+  std::vector<int> records;
   std::vector<std::string> phases;
   bool no_baseline = false;
 };
@@ -87,6 +93,22 @@
   return met;
 }
 
+bool MeasureScale(const Arguments& arguments) {
+  bool met = true;
+  int network = 100;
+  for (const int nodes : arguments.sizes) {
+    for (const int records : arguments.records) {
+      met =
+          ScaleMeasure(MakeOptions(arguments, nodes,
+                                   fmt::format("scale-{}", records), network++),
+                       records)
+              .Run() &&
+          met;
+    }
+  }
+  return met;
+}
+
 int Main(int argc, char** argv) {
   Arguments arguments;
   options::options_description description("tools/measure options");
@@ -94,14 +116,19 @@
       "measure", options::value(&arguments.measure)->required(),
       "distribution: convergence, control bytes, memory, processor time and "
       "store calls; calls: latency, overload, faults, drain and rolling "
-      "restart; fit: reads JSON lines and prints the fit at 5,300 nodes")(
-      "build-dir", options::value(&arguments.build_dir)->default_value("build"),
-      "folder with the programs")(
+      "restart; scale: needs of a daemon with many records of "
+      "emulated nodes; fit: reads JSON lines and prints the fit at 5,300 "
+      "nodes")("build-dir",
+               options::value(&arguments.build_dir)->default_value("build"),
+               "folder with the programs")(
       "log-dir",
       options::value(&arguments.log_dir)->default_value("build/measure-logs"),
       "folder for settings and logs of the fleets")(
       "nodes", options::value(&arguments.sizes)->multitoken(),
       "sizes of the fleets; default 24")(
+      "records", options::value(&arguments.records)->multitoken(),
+      "numbers of records of the scale measurement; default 500 1000 2000 "
+      "5300")(
       "phase", options::value(&arguments.phases)->multitoken(),
       "parts of the calls measurement: latency, saturation, overload, faults, "
       "drain, rolling; default all")(
@@ -128,6 +155,9 @@
   if (arguments.sizes.empty()) {
     arguments.sizes = {arguments.measure == "calls" ? 12 : 24};
   }
+  if (arguments.records.empty()) {
+    arguments.records = {500, 1000, 2000, kTwoYearNodes};
+  }
   if (arguments.phases.empty()) {
     arguments.phases = {"latency", "saturation", "overload",
                         "faults",  "drain",      "rolling"};
@@ -138,6 +168,15 @@
       return kExitUsage;
     }
   }
+  const auto [fewest, most] =
+      std::minmax_element(arguments.records.begin(), arguments.records.end());
+  const int min_records = arguments.sizes.front() + kMinSyntheticRecords;
+  if (arguments.measure == "scale" &&
+      (*fewest < min_records || *most > kMaxRecords)) {
+    fmt::print(stderr, "measure: --records takes {} to {}\n", min_records,
+               kMaxRecords);
+    return kExitUsage;
+  }
   if (arguments.measure == "fit") {
     PrintFits(std::cin, kTwoYearNodes);
     return EXIT_SUCCESS;
@@ -145,6 +184,9 @@
   if (arguments.measure == "distribution") {
     return MeasureDistribution(arguments) ? EXIT_SUCCESS : EXIT_FAILURE;
   }
+  if (arguments.measure == "scale") {
+    return MeasureScale(arguments) ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
   if (arguments.measure == "calls") {
     return MeasureCalls(arguments) ? EXIT_SUCCESS : EXIT_FAILURE;
   }
