--- a/include/dragonflytack/distribution/distribution_status.h
+++ b/include/dragonflytack/distribution/distribution_status.h
@@ -43,6 +43,10 @@
   Failure refusal;
   std::vector<Link> links;
   size_t nodes = 0;
+  // Nodes by liveness; their sum is `nodes`.
+  size_t alive_nodes = 0;
+  size_t suspect_nodes = 0;
+  size_t dead_nodes = 0;
   size_t suspects = 0;
   bool speaker = false;
   // Wall time in milliseconds of the last answer from the store, 0 for never.
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -90,10 +90,6 @@
 
 json FleetReport::Status() {
   const DistributionStatus status = parts_.core->Status();
-  std::map<Liveness, int> counts;
-  for (const Endpoint& node : parts_.core->KnownNodes()) {
-    ++counts[node.liveness];
-  }
   json versions = json::array();
   for (const auto& [version, time_ms] : status.in_force_since) {
     versions.push_back({{"version", version}, {"time_ms", time_ms}});
@@ -118,9 +114,9 @@
                                  : json(failure.ToString())}}},
           {"registry",
            {{"nodes", status.nodes},
-            {"alive", counts[Liveness::kAlive]},
-            {"suspect", counts[Liveness::kSuspect]},
-            {"dead", counts[Liveness::kDead]}}},
+            {"alive", status.alive_nodes},
+            {"suspect", status.suspect_nodes},
+            {"dead", status.dead_nodes}}},
           {"snapshots_served", status.snapshots_served},
           {"versions", std::move(versions)}};
 }
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -252,6 +252,11 @@
     }
   }
   status.nodes = registry_.entries().size();
+  for (const auto& [id, entry] : registry_.entries()) {
+    status.alive_nodes += entry->liveness == Liveness::kAlive ? 1 : 0;
+    status.suspect_nodes += entry->liveness == Liveness::kSuspect ? 1 : 0;
+    status.dead_nodes += entry->liveness == Liveness::kDead ? 1 : 0;
+  }
   status.suspects = records_.suspects();
   status.speaker = joined() && IsSpeaker();
   status.last_store_contact_ms = store_.last_contact_ms();
