--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <event2/event.h>
+#include <malloc.h>
 
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/base/logger.h"
@@ -21,6 +22,11 @@
 // can still be announced; the exit code is 1 all the same.
 constexpr Milliseconds kCutOffGrace{1000};
 
+// The C library returns freed memory to the system only from the end of the
+// heap. A snapshot and each rebuild of the routes free blocks in its middle:
+// more than 3 MB at 5,300 nodes.
+constexpr Milliseconds kTrimPeriod{10'000};
+
 // Returns a seed that differs between nodes and between starts of a node.
 uint64_t MakeSeed(const Settings& settings, const Clock& clock) {
   return Hash64(settings.node_id, static_cast<uint64_t>(clock.WallMillis()));
@@ -147,6 +153,7 @@
                             {"data_centre", settings_.data_centre},
                             {"region", settings_.region}});
   core_->Start();
+  loop_->timers().SubscribeEvery(kTrimPeriod, [] { malloc_trim(0); });
   loop_->Run();
   logger_->Info("ended", {{"exit_code", int64_t{exit_code_}}});
   return exit_code_;
