--- a/bench/distribution_bench.cc
+++ b/bench/distribution_bench.cc
@@ -189,6 +189,13 @@
           registry.Merge(record, Liveness::kAlive, 0);
           snapshot = routes.Build(table);
         }));
+  // What a trim frees and takes is the cost of the daemon's periodic trim.
+  Print(nodes, "trim_after_routes_whole", "cpu_us", Measure(20, [&](int) {
+          RouteBuilder fresh(&registry);
+          fresh.Build(table);
+          malloc_trim(0);
+        }));
+  Print(nodes, "trim", "cpu_us", Measure(20, [](int) { malloc_trim(0); }));
   Print(nodes, "overlay", "cpu_us",
         Measure(50, [&](int) { Overlay::Of(registry, "host-00000"); }));
 }
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -59,6 +59,26 @@
   cr_assert((Overlay::Offsets(480) == std::set<size_t>{1, 2, 22, 240}));
 }
 
+// Guards against a status whose counts of alive, suspected and dead nodes
+// differ from the registry.
+Test(membership, status_counts_nodes_by_liveness) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 5);
+  cr_assert(fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(5); }));
+  fleet.Run(10 * kSecond);
+  fleet.Crash("north1-1", true);
+  DistributionCore* const core = fleet.nodes["north1-0"].core.get();
+  cr_assert(fleet.RunUntil(10 * kSecond,
+                           [&] { return core->Status().suspect_nodes == 1; }));
+  cr_assert_eq(core->Status().alive_nodes, 4);
+  cr_assert_eq(core->Status().dead_nodes, 0);
+  cr_assert(fleet.RunUntil(10 * kSecond,
+                           [&] { return core->Status().dead_nodes == 1; }));
+  cr_assert_eq(core->Status().alive_nodes, 4);
+  cr_assert_eq(core->Status().suspect_nodes, 0);
+  cr_assert_eq(core->Status().nodes, 5);
+}
+
 // Guards against a dead node that keeps getting calls, and against deaths in a
 // data centre that is only cut off (7.2).
 Test(membership, crash_is_noticed_but_lost_region_is_not_dead) {
