Bound CBOR input before the recursive parser reads it

Cause: nlohmann's CBOR parser calls itself for each nested string of indefinite length without telling the SAX handler, so the depth checks never saw it. A frame of 50,000 bytes 0x7f ended the process with a stack overflow at the usual 8 MB stack; so did 0x5f. The handover decoder had no depth check at all: 500,000 bytes 0x81 overflowed the stack, and an array that claims 2^64 - 16 elements let an out_of_range exception out although exceptions were not allowed.

Change: IsBoundedCbor() walks the bytes without recursion and refuses depth, indefinite lengths, tags, and lengths beyond the input. Our encoders write definite lengths only.

Conclusion: no input reaches the parser that can make it recurse beyond the depth of a valid message.

--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_bounds.h"
 #include "distribution/cbor_reader.h"
 #include "distribution/record_codec.h"
 
@@ -294,38 +295,6 @@
     ReadWant,
 };
 
-// Walks a document without building it and stops at a nesting that no message
-// has. The parser recurses for each nested array, so a frame of a million
-// opening bytes would overflow the stack.
-class DepthCheck final : public nlohmann::json_sax<json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return false; }
-  bool key(string_t&) override { return false; }
-  bool end_object() override { return false; }
-  bool start_array(std::size_t) override {
-    return ++depth_ <= MessageCodec::kMaxDepth;
-  }
-  bool end_array() override {
-    --depth_;
-    return true;
-  }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  int depth_ = 0;
-};
-
 }  // namespace
 
 std::string MessageCodec::Encode(const Message& message) {
@@ -343,13 +312,14 @@
                "longer than the limit for frames"};
     return std::nullopt;
   }
-  DepthCheck depth;
-  if (!json::sax_parse(frame, &depth, json::input_format_t::cbor)) {
+  const json array = IsBoundedCbor(frame, kMaxDepth)
+                         ? json::from_cbor(frame, true, false)
+                         : json(json::value_t::discarded);
+  if (!array.is_array()) {
     *reason = {FailureCode::kInvalidMessage, "frame",
                "not one CBOR array of a known shape"};
     return std::nullopt;
   }
-  const json array = json::from_cbor(frame, true, false);
   CborReader reader(array);
   const uint64_t kind = reader.Unsigned(kReaders.size() - 1);
   if (!reader.ok()) {
--- a/src/onetime/handover_message.cc
+++ b/src/onetime/handover_message.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_bounds.h"
 #include "dragonflytack/base/hash.h"
 #include "onetime/recorded_answer.h"
 
@@ -14,6 +15,8 @@
 using Json = nlohmann::json;
 
 constexpr size_t kCodeBytes = 32;
+// Message, records, record, headers of its answer.
+constexpr int kMaxDepth = 4;
 // Separates these codes from others under the same shared key.
 constexpr std::string_view kLabel = "dragonflytack handover 1\n";
 
@@ -161,8 +164,11 @@
     return std::nullopt;
   }
   const std::string_view body = bytes.substr(kCodeBytes);
-  const Json json = Json::from_cbor(body.begin(), body.end(), /*strict=*/true,
-                                    /*allow_exceptions=*/false);
+  const Json json = IsBoundedCbor(body, kMaxDepth)
+                        ? Json::from_cbor(body.begin(), body.end(),
+                                          /*strict=*/true,
+                                          /*allow_exceptions=*/false)
+                        : Json(Json::value_t::discarded);
   HandoverMessage message;
   if (json.is_discarded() || !ReadMessage(json, &message)) {
     *reason = {FailureCode::kInvalidMessage, "handover", "malformed message"};
