Bound node records alike in handshakes and link frames

Cause: the handshake accepted times up to 2^64, slots up to 2^31 and empty regions, data centres and addresses, while the record codec refuses these. A record that a handshake let in was passed on to the fleet, and each receiver closed its link to the sender, which was in the right. The difference of such times also overflowed a signed number.

Change: the bounds stand once, in NodeRecord, and both decoders use them. The codec also accepts the difference at the end of the range, and refuses times that become negative or exceed the range. The test's record had an incarnation of 2^64 - 1, which is refused now; it has the largest one that is allowed.

--- a/include/dragonflytack/registry/node_record.h
+++ b/include/dragonflytack/registry/node_record.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYTACK_REGISTRY_NODE_RECORD_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -16,6 +17,12 @@
 // node itself changes the fields, and each change raises `sequence`; a restart
 // raises `incarnation`.
 struct NodeRecord final {
+  // Bounds that every decoder of records enforces alike: a record that one of
+  // them let in and another refuses would be passed on and close links.
+  static constexpr size_t kMaxTextBytes = 63;
+  static constexpr uint64_t kMaxNumber = uint64_t{1} << 52;
+  static constexpr int kMaxSlots = 1'000'000;
+
   NodeId id;
   // Start time of the process in milliseconds since the Unix epoch, or higher.
   uint64_t incarnation = 0;
--- a/src/distribution/record_codec.cc
+++ b/src/distribution/record_codec.cc
@@ -78,7 +78,7 @@
     return static_cast<uint16_t>(
         reader.Unsigned(std::numeric_limits<uint16_t>::max()));
   };
-  constexpr int64_t kMaxTime = int64_t{1} << 52;
+  constexpr int64_t kMaxTime = NodeRecord::kMaxNumber;
   RecordUpdate update;
   NodeRecord& record = update.record;
   record.id = reader.Text(RecordCodec::kMaxTextBytes);
@@ -96,13 +96,16 @@
         reader.Unsigned(static_cast<uint64_t>(TargetState::kLeft)));
   }
   if (reader.ok() && !reader.AtEnd()) {
-    const int64_t warming = reader.Signed(-kMaxTime, kMaxTime);
+    const int64_t warming = reader.Signed(-kMaxTime, kMaxTime + 1);
     record.warming_since_ms =
         warming == 0 ? 0
                      : warming + static_cast<int64_t>(record.incarnation) - 1;
+    if (record.warming_since_ms < 0 || record.warming_since_ms > kMaxTime) {
+      reader.Fail();
+    }
   }
   if (reader.ok() && !reader.AtEnd()) {
-    record.slots = static_cast<int>(reader.Signed(0, 1'000'000));
+    record.slots = static_cast<int>(reader.Signed(0, NodeRecord::kMaxSlots));
   }
   if (reader.ok() && !reader.AtEnd()) {
     record.successor = reader.Text(RecordCodec::kMaxTextBytes);
--- a/src/distribution/record_codec.h
+++ b/src/distribution/record_codec.h
@@ -18,7 +18,7 @@
 class RecordCodec final {
  public:
   // Longest id, region, data centre, service or address.
-  static constexpr size_t kMaxTextBytes = 63;
+  static constexpr size_t kMaxTextBytes = NodeRecord::kMaxTextBytes;
 
   // Appends the elements to the array of a message.
   static void Append(const RecordsMessage& message, nlohmann::json* array);
--- a/src/net/record_json.cc
+++ b/src/net/record_json.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 
 namespace dragonflytack {
 
@@ -12,8 +13,6 @@
 constexpr std::array<std::string_view, 5> kStateNames = {
     "starting", "warming", "ready", "draining", "left"};
 
-constexpr size_t kMaxNameLength = 63;
-
 // Reads the fields of one object and remembers the first bad one.
 class FieldReader {
  public:
@@ -22,7 +21,8 @@
   void Read(const char* name, std::string* value) {
     const json* field = Find(name);
     if (field == nullptr || !field->is_string() ||
-        field->get_ref<const std::string&>().size() > kMaxNameLength) {
+        field->get_ref<const std::string&>().size() >
+            NodeRecord::kMaxTextBytes) {
       Reject(name);
       return;
     }
@@ -96,8 +96,8 @@
   FieldReader reader(object);
   std::string state;
   reader.Read("id", &record.id);
-  reader.Read("incarnation", &record.incarnation, UINT64_MAX);
-  reader.Read("sequence", &record.sequence, UINT64_MAX);
+  reader.Read("incarnation", &record.incarnation, NodeRecord::kMaxNumber);
+  reader.Read("sequence", &record.sequence, NodeRecord::kMaxNumber);
   reader.Read("region", &record.region);
   reader.Read("data_centre", &record.data_centre);
   reader.Read("address", &record.address);
@@ -106,15 +106,23 @@
   reader.Read("admin_port", &record.admin_port, UINT16_MAX);
   reader.Read("service", &record.service);
   reader.Read("state", &state);
-  reader.Read("warming_since_ms", &record.warming_since_ms, INT64_MAX);
-  reader.Read("slots", &record.slots, INT32_MAX);
+  reader.Read("warming_since_ms", &record.warming_since_ms,
+              NodeRecord::kMaxNumber);
+  reader.Read("slots", &record.slots, NodeRecord::kMaxSlots);
   reader.Read("successor", &record.successor);
   const std::optional<TargetState> parsed_state = ParseTargetState(state);
   if (!parsed_state) {
     reader.Reject("state");
   }
-  if (record.id.empty()) {
-    reader.Reject("id");
+  const std::pair<const char*, const std::string&> required[] = {
+      {"id", record.id},
+      {"region", record.region},
+      {"data_centre", record.data_centre},
+      {"address", record.address}};
+  for (const auto& [name, text] : required) {
+    if (text.empty()) {
+      reader.Reject(name);
+    }
   }
   if (!reader.bad().empty()) {
     *reason = {FailureCode::kInvalidMessage, "node record",
