Refuse IP numbers with text behind a NUL

Cause: inet_pton() stops at a NUL, so "127.0.0.1", NUL, "x" passed as an IP number and as a loopback address, and the whole text was kept. JSON can carry a NUL in the address of an announcement or a seed.

Change: the three checks of IP numbers refuse a NUL.

--- a/src/base/host_port.cc
+++ b/src/base/host_port.cc
@@ -9,9 +9,11 @@
 
 namespace {
 
+// A text with a NUL is refused: inet_pton() would read the part before it only.
 bool IsIpNumber(const std::string& address, int family) {
   unsigned char bytes[sizeof(in6_addr)];
-  return inet_pton(family, address.c_str(), bytes) == 1;
+  return address.find('\0') == std::string::npos &&
+         inet_pton(family, address.c_str(), bytes) == 1;
 }
 
 std::optional<uint16_t> ParsePort(std::string_view text) {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -45,10 +45,12 @@
   return IsName(text, "-");
 }
 
+// A text with a NUL is refused: inet_pton() would read the part before it only.
 bool IsIpNumber(const std::string& text) {
   unsigned char bytes[sizeof(in6_addr)];
-  return inet_pton(AF_INET, text.c_str(), bytes) == 1 ||
-         inet_pton(AF_INET6, text.c_str(), bytes) == 1;
+  return text.find('\0') == std::string::npos &&
+         (inet_pton(AF_INET, text.c_str(), bytes) == 1 ||
+          inet_pton(AF_INET6, text.c_str(), bytes) == 1);
 }
 
 bool IsSharedKey(const std::string& text) {
--- a/src/net/loopback.cc
+++ b/src/net/loopback.cc
@@ -7,6 +7,10 @@
 bool IsLoopback(const std::string& address) {
   constexpr uint32_t kLoopbackNet = 127;
   constexpr int kNetShift = 24;
+  // inet_pton() would read the part before a NUL only.
+  if (address.find('\0') != std::string::npos) {
+    return false;
+  }
   in_addr v4;
   if (inet_pton(AF_INET, address.c_str(), &v4) == 1) {
     return ntohl(v4.s_addr) >> kNetShift == kLoopbackNet;
