Write seed lists with names that are not UTF-8

Cause: link frames carry texts that are not checked for UTF-8, and the JSON writer throws on them by default. A speaker that put such a region or data centre into the seed list would have ended by an uncaught exception.

Change: bytes that are not UTF-8 are replaced, as in the other JSON writers.

Measured: the new test fails with type_error.316 without the change.

--- a/src/distribution/seed_list.cc
+++ b/src/distribution/seed_list.cc
@@ -53,7 +53,9 @@
     }
     value[name] = {{"region", data_centre.region}, {"peers", peers}};
   }
-  return value.dump();
+  // A faulty peer's record may name a data centre or region that is not UTF-8;
+  // replaced rather than thrown on.
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 }  // namespace dragonflytack
