Refuse edit times above the range of int64_t

Cause: an unsigned time_ms above 2^63 - 1 in the table object turned negative.

Change: it is refused as a malformed edit.

Measured: the new case fails without the change.

--- a/src/table/table_json.cc
+++ b/src/table/table_json.cc
@@ -105,9 +105,12 @@
   std::optional<std::string> author = StringMember(value, "author");
   const auto time_ms = value.find("time_ms");
   const auto cells = value.find("cells");
+  // An unsigned value above the range of int64_t would turn negative.
   if (!edit_id || !author || time_ms == value.end() ||
-      !time_ms->is_number_integer() || cells == value.end() ||
-      !cells->is_array()) {
+      !time_ms->is_number_integer() ||
+      (time_ms->is_number_unsigned() &&
+       !std::in_range<int64_t>(time_ms->get<uint64_t>())) ||
+      cells == value.end() || !cells->is_array()) {
     return std::nullopt;
   }
   EditRecord edit{
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -190,6 +190,9 @@
        R"({"service":"a","kind":"one_time"}],"recent":[]})",
        "a/service"},
       {R"({"rows":[],"recent":[{"edit_id":"x"}]})", "recent"},
+      {R"({"rows":[],"recent":[{"edit_id":"x","author":"a",)"
+       R"("time_ms":18446744073709551615,"cells":[]}]})",
+       "recent"},
       {std::string(200'000, '['), "table"},
   };
   Failure reason;
