Refuse handover numbers that do not fit

Cause: nlohmann's get() cuts a number off. A record state of 2^32 + 1 was read as done, and a chunk number of 2^32 as chunk 0.

Change: each number is checked against the range of its field.

--- a/src/onetime/handover_message.cc
+++ b/src/onetime/handover_message.cc
@@ -1,6 +1,7 @@
 #include "onetime/handover_message.h"
 
 #include <memory>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -46,11 +47,16 @@
   return json;
 }
 
+// Json::get() cuts off a number that does not fit.
 bool ReadInteger(const Json& json, auto* number) {
-  if (!json.is_number_integer()) {
+  using Number = std::remove_pointer_t<decltype(number)>;
+  if (!json.is_number_integer() ||
+      (json.is_number_unsigned()
+           ? !std::in_range<Number>(json.get<uint64_t>())
+           : !std::in_range<Number>(json.get<int64_t>()))) {
     return false;
   }
-  *number = json.get<std::remove_pointer_t<decltype(number)>>();
+  *number = json.get<Number>();
   return true;
 }
 
