Give the records of the link tests an address

Cause: a handshake refuses a record without an address since the bounds of records are the same everywhere. The records of these tests and of the link benchmark had none, so 7 tests of websocket_link_layer failed. A daemon always has an address, which its settings require.

Change: the test records name the address that the end listens on. No check of a test changes.

Measured: all 183 tests pass. The benchmark was built, not run.

--- a/bench/link_bench.cc
+++ b/bench/link_bench.cc
@@ -30,6 +30,7 @@
     self.id = address.ToString();
     self.region = "r";
     self.data_centre = "d";
+    self.address = address.address;
     LinkOptions options;
     options.shared_key = "0123456789abcdef";
     Failure reason;
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -42,6 +42,7 @@
     self.id = "n" + std::to_string(index);
     self.region = "r";
     self.data_centre = "d" + std::to_string(index);
+    self.address = address.address;
     Failure reason;
     layer = WebSocketLinkLayer::Make(loop, address, std::move(options), logger,
                                      &reason);
