Compare admin answers before they are destroyed

Cause: two expectations passed a pointer into a temporary string to a macro that uses it after the end of the expression (stack-use-after-scope, address sanitizer).

Change: the strings are compared as they are; the expected texts are the same.

--- a/tests/admin_api_test.cc
+++ b/tests/admin_api_test.cc
@@ -175,11 +175,11 @@
   cr_expect_eq(api.Handle(own).status, 503);
   AdminRequest routes = Get("/routes");
   routes.query["service"] = "roster";
-  cr_expect_str_eq(api.Handle(routes).body.c_str(), "{\"version\":1}");
+  cr_expect(api.Handle(routes).body == "{\"version\":1}");
   AdminRequest trace = Get("/trace");
   trace.query["id"] = std::string(32, 'a');
   cr_expect(api.Handle(trace).body.find("\"spans\":[{") != std::string::npos);
-  cr_expect_str_eq(api.Handle(Get("/metrics")).body.c_str(), "a 1\n");
+  cr_expect(api.Handle(Get("/metrics")).body == "a 1\n");
   cr_expect_eq(api.Handle(Get("/nodes")).status, 200);
 }
 
