--- a/src/onetime/handover_message.cc
+++ b/src/onetime/handover_message.cc
@@ -1,9 +1,11 @@
 #include "onetime/handover_message.h"
 
 #include <memory>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_bounds.h"
 #include "dragonflytack/base/hash.h"
 #include "onetime/recorded_answer.h"
 
@@ -14,6 +16,8 @@
 using Json = nlohmann::json;
 
 constexpr size_t kCodeBytes = 32;
+// Message, records, record, headers of its answer.
+constexpr int kMaxDepth = 4;
 // Separates these codes from others under the same shared key.
 constexpr std::string_view kLabel = "dragonflytack handover 1\n";
 
@@ -43,11 +47,16 @@
   return json;
 }
 
+// Json::get() cuts off a number that does not fit.
 bool ReadInteger(const Json& json, auto* number) {
-  if (!json.is_number_integer()) {
+  using Number = std::remove_pointer_t<decltype(number)>;
+  if (!json.is_number_integer() ||
+      (json.is_number_unsigned()
+           ? !std::in_range<Number>(json.get<uint64_t>())
+           : !std::in_range<Number>(json.get<int64_t>()))) {
     return false;
   }
-  *number = json.get<std::remove_pointer_t<decltype(number)>>();
+  *number = json.get<Number>();
   return true;
 }
 
@@ -161,8 +170,11 @@
     return std::nullopt;
   }
   const std::string_view body = bytes.substr(kCodeBytes);
-  const Json json = Json::from_cbor(body.begin(), body.end(), /*strict=*/true,
-                                    /*allow_exceptions=*/false);
+  const Json json = IsBoundedCbor(body, kMaxDepth)
+                        ? Json::from_cbor(body.begin(), body.end(),
+                                          /*strict=*/true,
+                                          /*allow_exceptions=*/false)
+                        : Json(Json::value_t::discarded);
   HandoverMessage message;
   if (json.is_discarded() || !ReadMessage(json, &message)) {
     *reason = {FailureCode::kInvalidMessage, "handover", "malformed message"};
