Retry the store at least every 2 s, and time the mesh with targets that answer at once

Cause: an accepted edit must be in force within 6 s, also right after an outage of the store, but a speaker waited up to 10 s before it tried again. The stand-in's timers are only as fine as 4 ms, which hid the mesh.

--- a/src/distribution/table_watcher.h
+++ b/src/distribution/table_watcher.h
@@ -25,7 +25,9 @@
 
   static constexpr Milliseconds kWatchTimeout{30'000};
   static constexpr Milliseconds kMinBackoff{200};
-  static constexpr Milliseconds kMaxBackoff{10'000};
+  // An edit must be in force within 6 s, also right after an outage of the
+  // store. 22 speakers that try every 2 s are 11 calls/s.
+  static constexpr Milliseconds kMaxBackoff{2'000};
 
   TableWatcher(StoreCaller* store,
                TimerService* timers,
--- a/tools/measure_driver/calls_measure.h
+++ b/tools/measure_driver/calls_measure.h
@@ -38,6 +38,9 @@
   // A plan that enters at all nodes, or straight at the targets of the service.
   LoadPlan MeshPlan(const std::string& service, const std::string& run) const;
   LoadPlan DirectPlan(const std::string& service, const std::string& run) const;
+  // The value of x-chain for calls `depth` deep that begin at the idempotent
+  // service.
+  std::string ChainOf(int depth) const;
   double CapacityPerSecond() const;
   double DaemonCpuSeconds() const;
   bool SwitchTarget(size_t index, const std::string& json) const;
