Keep starting nodes from watching the store, and open the call ports with the first table

Cause: in the measurement every started node had a watch waiting at the store (24 with 24 nodes, 48 with 48, where 12 speakers are meant), because a starting node knows only itself and ranks first; 5,300 of them would be over the store's 2,000 calls. The call task took its incarnation before peers could raise it, and callers could reach a node that had no table yet. The measurement started daemons from short-lived threads, whose end killed them. Ruled out: speakers that watch twice; the calls per edit (15, of 12 speakers) showed that only the start was wrong.

--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -48,7 +48,7 @@
   }
   std::unique_ptr<ControlTask> task(
       new ControlTask(settings, clock, logger, std::move(loop)));
-  if (!task->MakeParts(reason) || !task->MakeCallTask(reason)) {
+  if (!task->MakeParts(reason)) {
     return nullptr;
   }
   task->CatchSignals();
@@ -176,9 +176,32 @@
   report_->NoteRoutes(routes);
   if (calls_ != nullptr) {
     calls_->PostRoutes(std::move(routes));
+  } else if (!stopping_) {
+    StartCalls(std::move(routes));
   }
 }
 
+void ControlTask::StartCalls(std::shared_ptr<const RouteSnapshot> routes) {
+  Failure reason;
+  if (!MakeCallTask(&reason)) {
+    logger_->Error("call_ports_failed", {{"reason", reason.ToString()}});
+    End(1);
+    return;
+  }
+  calls_->PostRoutes(std::move(routes));
+  // The core answers the target's state with a newer snapshot at once, so this
+  // comes last.
+  if (last_target_) {
+    PassOnTarget();
+  }
+}
+
+void ControlTask::PassOnTarget() {
+  calls_->PostTarget(*last_target_);
+  core_->SetTarget(last_target_->service, last_target_->state,
+                   last_target_->slots);
+}
+
 void ControlTask::OnTarget(const LocalTarget& target) {
   logger_->Info(
       "target",
@@ -190,8 +213,11 @@
     // The record stays `draining` until the end.
     return;
   }
-  calls_->PostTarget(target);
-  core_->SetTarget(target.service, target.state, target.slots);
+  last_target_ = target;
+  // Peers must not route calls to a mesh port that is not open yet.
+  if (calls_ != nullptr) {
+    PassOnTarget();
+  }
 }
 
 Failure ControlTask::TakeAnnouncement(const LocalTarget& target) {
@@ -212,6 +238,10 @@
   }
   stop_deadline_ = clock_->Now() + Milliseconds(settings_.drain_timeout_ms);
   core_->BeginDrain();
+  if (calls_ == nullptr) {
+    OnCallsStopped({});
+    return;
+  }
   calls_->PostStop();
   loop_->timers().SubscribeOnce(
       Milliseconds(settings_.drain_timeout_ms) + kCutOffGrace, [this] {
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "daemon/admin_api.h"
 #include "daemon/admin_server.h"
@@ -30,8 +31,8 @@
 // on the thread that calls Run() and takes the signals of the process.
 class ControlTask final {
  public:
-  // Binds the ports and starts the call task. Returns nothing when a part
-  // cannot be made. `clock` and `logger` must outlive the task.
+  // Binds the peer and admin ports. Returns nothing when a part cannot be made.
+  // `clock` and `logger` must outlive the task.
   static std::unique_ptr<ControlTask> Make(const Settings& settings,
                                            const Clock* clock,
                                            Logger* logger,
@@ -57,6 +58,11 @@
   static void OnSignal(int signal, short what, void* self);
 
   void OnRoutes(std::shared_ptr<const RouteSnapshot> routes);
+  // Opens the call and mesh ports with the first snapshot. Before that, callers
+  // could only be refused, and the incarnation may still be raised by what
+  // peers remember of this node.
+  void StartCalls(std::shared_ptr<const RouteSnapshot> routes);
+  void PassOnTarget();
   void OnTarget(const LocalTarget& target);
   Failure TakeAnnouncement(const LocalTarget& target);
   void BeginStop(int signal);
@@ -64,6 +70,7 @@
   void End(int exit_code);
 
   const Settings settings_;
+  std::optional<LocalTarget> last_target_;
   const Clock* const clock_;
   Logger* const logger_;
   const std::unique_ptr<EventLoop> loop_;
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+// A joining node gives its peers this long before it turns to the store itself.
+constexpr Milliseconds kSpeakerPatience{1'500};
+
 NodeRecord OwnRecord(const Settings& settings, const Clock& clock) {
   NodeRecord record;
   record.id = settings.node_id;
@@ -164,10 +167,17 @@
                 ? Milliseconds(second ? 150 : 0)
                 : Milliseconds(second ? 800 : 400);
   }
-  // The version floor's probe comes first. A node without a table watches too,
-  // because the version that the probe named may be a bad one.
+  // A node without a table watches too, because the version that the probe
+  // named may be a bad one, but not at once: every starting node knows only
+  // itself and would take itself for a speaker, and its watch would wait at the
+  // store for 30 s. With all nodes restarted that is more than the store's
+  // 2,000 calls.
+  const bool waited_to_join =
+      timers_->clock().Now() - joiner_.started() > kSpeakerPatience;
   watcher_.SetActive(
-      (joined() || table_.floor().store_answered()) && IsSpeaker(), delay);
+      IsSpeaker() &&
+          (joined() || (waited_to_join && table_.floor().store_answered())),
+      delay);
 }
 
 void DistributionCore::Impl::EvaluateTable() {
@@ -197,7 +207,7 @@
   const auto passed = timers_->clock().Now() - joiner_.started();
   const bool alone = links_.links().empty() && seeds_.answered();
   const Milliseconds patience =
-      IsSpeaker() ? Milliseconds(1'500) : Milliseconds(6'000);
+      IsSpeaker() ? kSpeakerPatience : Milliseconds(6'000);
   if (alone || settings_.watch_on_every_node ||
       (passed > patience && !joiner_.asking())) {
     watcher_.Fetch([this] { return !joined(); });
@@ -217,6 +227,8 @@
 }
 
 void DistributionCore::Impl::OnTableInForce() {
+  // The ranks must count the nodes that came with the snapshot.
+  keeper_.Refresh();
   UpdateSpeaker();
   PublishRoutes();
   if (table_.in_force_since().size() == 1) {
--- a/tests/distribution_version_test.cc
+++ b/tests/distribution_version_test.cc
@@ -205,6 +205,27 @@
   cr_assert_leq(fleet.store.calls["get table"], 4);
 }
 
+// Guards against a watch left at the store by every starting node, which knows
+// only itself and would count as a speaker: 5,300 of them are over the store's
+// rate.
+Test(distribution_version, starting_nodes_leave_no_watches) {
+  CoreFleet fleet;
+  fleet.StartMany({"north1"}, 2);
+  cr_assert(fleet.RunUntil(60 * kSecond, [&] { return fleet.AllKnow(2); }));
+  const TableVersion first = fleet.WriteTable({"roster"});
+  cr_assert(fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(first); }));
+  for (int i = 0; i < 20; ++i) {
+    fleet.Start("late" + std::to_string(i), "north1");
+  }
+  size_t most = 0;
+  cr_assert(fleet.RunUntil(10 * kSecond, [&] {
+    most = std::max(most, fleet.store.waiting_watches());
+    return fleet.AllKnow(22);
+  }));
+  // The two speakers, and two that the newcomers replaced.
+  cr_assert_leq(most, 4);
+}
+
 // Guards against snapshots that crowd out everything else on a node, and
 // against newcomers that never get one.
 Test(distribution_version, snapshot_admission) {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_TESTS_FAKE_STORE_H_
 #define DRAGONFLYTACK_TESTS_FAKE_STORE_H_
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
@@ -43,6 +44,14 @@
     return std::make_unique<Client>(this);
   }
 
+  // Watches that wait for a change; each counts as a call at the real store.
+  // A watch with no time to wait does not count.
+  size_t waiting_watches() const {
+    return static_cast<size_t>(std::count_if(
+        watches_.begin(), watches_.end(),
+        [this](const Watch& w) { return w.deadline > clock_->Now(); }));
+  }
+
   void Deliver() {
     for (auto watch = watches_.begin(); watch != watches_.end();) {
       const StoreVersion version = Read(watch->key).version;
--- a/tools/measure_driver/distribution_measure.h
+++ b/tools/measure_driver/distribution_measure.h
@@ -31,6 +31,15 @@
     double cpu_seconds = 0;
   };
 
+  // What nodes use: bytes a second, and percent of a core.
+  struct NodeRates {
+    double bytes_mean = 0;
+    double bytes_worst = 0;
+    double between_regions = 0;
+    double processor_mean = 0;
+    double processor_worst = 0;
+  };
+
   bool Start();
   void MeasureQuiet();
   void MeasureEdits();
@@ -43,10 +52,10 @@
   // lacks the version after `timeout_ms`.
   std::optional<double> ConvergenceMs(const TableWriter::Accepted& accepted,
                                       int timeout_ms);
-  void PrintNodeFigures(const std::string& phase,
-                        const std::vector<Usage>& before,
-                        const std::vector<Usage>& after,
-                        double seconds);
+  static NodeRates RatesOf(const std::vector<Usage>& before,
+                           const std::vector<Usage>& after,
+                           double seconds);
+  void PrintRates(const std::string& phase, const NodeRates& rates);
   // Watches the calls to the store for `seconds` and returns the highest number
   // in one second.
   double PeakStoreCalls(double seconds) const;
@@ -54,6 +63,7 @@
   Fleet fleet_;
   TableWriter writer_;
   Report report_;
+  NodeRates quiet_;
 };
 
 }  // namespace dragonflytack
--- a/tools/support/child_process.h
+++ b/tools/support/child_process.h
@@ -13,9 +13,10 @@
 // its process id.
 class ChildProcess final {
  public:
-  // Starts `arguments[0]`, an absolute or relative path, with standard output
-  // and error appended to `log_path`. Returns nothing when the process cannot
-  // be made.
+  // The program is killed when the calling thread ends, so a short-lived thread
+  // must not start one. Starts `arguments[0]`, an absolute or relative path,
+  // with standard output and error appended to `log_path`. Returns nothing when
+  // the process cannot be made.
   static std::optional<ChildProcess> Start(
       const std::vector<std::string>& arguments,
       const std::string& log_path);
