Link to other regions only after a node has its first table

The counters by kind showed 400 heartbeats a second on such links with 96 nodes, and 1 MB of records at the start, where 12 link ends are meant: a joining node that has met only a few others ranks as a gateway among them, links to the other regions and gets their records. Change: a joining node dials only its ring neighbours and what the join needs; gateways dial once a table is in force.

--- a/src/distribution/link_keeper.cc
+++ b/src/distribution/link_keeper.cc
@@ -110,10 +110,13 @@
 void LinkKeeper::Tick(bool joined) {
   const TimePoint now = clock_->Now();
   std::set<NodeId> wanted = overlay_.successors;
-  wanted.insert(overlay_.region_gateways.begin(),
-                overlay_.region_gateways.end());
-  wanted.merge(RegionPeers());
-  if (!joined) {
+  if (joined) {
+    wanted.insert(overlay_.region_gateways.begin(),
+                  overlay_.region_gateways.end());
+    wanted.merge(RegionPeers());
+  } else {
+    // A node that has met only some others ranks too high among them. Every
+    // restarted node would link to the other regions and receive their records.
     wanted.insert(overlay_.predecessors.begin(), overlay_.predecessors.end());
   }
 
