--- a/tools/measure_driver/distribution_measure.cc
+++ b/tools/measure_driver/distribution_measure.cc
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <thread>
 
+#include "support/timing.h"
+
 namespace dragonflytack {
 
 namespace {
@@ -34,14 +36,6 @@
 constexpr double kProcessorTargetPercent = 1.0;
 constexpr double kRecoveryTargetMs = 6000;
 
-void SleepSeconds(double seconds) {
-  std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
-}
-
-double SecondsSince(SteadyClock::time_point start) {
-  return std::chrono::duration<double>(SteadyClock::now() - start).count();
-}
-
 double QuantileOf(std::vector<double> values, double quantile) {
   if (values.empty()) {
     return 0;
--- a/tools/measure_driver/scale_measure.cc
+++ b/tools/measure_driver/scale_measure.cc
@@ -12,6 +12,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "support/timing.h"
+
 namespace dragonflytack {
 
 namespace {
@@ -44,14 +46,6 @@
 constexpr double kConvergenceLimitMs = 6000;
 constexpr double kConvergenceGoalMs = 1000;
 
-void SleepSeconds(double seconds) {
-  std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
-}
-
-double SecondsSince(SteadyClock::time_point start) {
-  return std::chrono::duration<double>(SteadyClock::now() - start).count();
-}
-
 double SnapshotBytes(const std::string& metrics) {
   double bytes = 0;
   for (const char* kind : {"kind=\"records\"", "kind=\"table\""}) {
