--- a/bench/call_bench.cc
+++ b/bench/call_bench.cc
@@ -25,6 +25,7 @@
 #include <fmt/format.h>
 
 #include "calls/http_server.h"
+#include "calls/own_dialect.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/settings.h"
 #include "dragonflytack/base/system_clock.h"
@@ -203,8 +204,8 @@
     settings.mesh_port = kMeshPort;
     const std::set<std::string> before = ThreadIds();
     Failure reason;
-    task_ = CallTask::Make(settings, 1, clock, &logger_, &metrics_, &tracer_,
-                           {}, &reason);
+    task_ = CallTask::Make(settings, std::make_shared<OwnDialect>(), 1, clock,
+                           &logger_, &metrics_, &tracer_, {}, &reason);
     if (task_ == nullptr) {
       fmt::print(stderr, "{}\n", reason.ToString());
       std::exit(EXIT_FAILURE);
--- a/include/dragonflytack/base/logger.h
+++ b/include/dragonflytack/base/logger.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_BASE_LOGGER_H_
 #define DRAGONFLYTACK_BASE_LOGGER_H_
 
+#include <atomic>
 #include <cstdint>
 #include <initializer_list>
 #include <map>
@@ -33,6 +34,8 @@
   Logger(const Logger&) = delete;
   Logger& operator=(const Logger&) = delete;
 
+  void set_minimum(LogLevel minimum) { minimum_ = minimum; }
+
   void Log(LogLevel level,
            std::string_view event,
            std::initializer_list<LogField> fields = {});
@@ -58,7 +61,7 @@
   };
 
   const Clock* const clock_;
-  const LogLevel minimum_;
+  std::atomic<LogLevel> minimum_;
   const std::string node_;
   std::mutex mutex_;
   std::map<std::string, EventRate, std::less<>> rates_;
--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -17,14 +17,17 @@
 // defaults.
 struct Settings final {
   // [node]
-  std::string node_id;      // id
-  std::string region;       // region
-  std::string data_centre;  // data_centre
-  std::string address;      // address: IP number of this host
-  uint16_t call_port = 0;   // call_port
-  uint16_t mesh_port = 0;   // mesh_port
-  uint16_t peer_port = 0;   // peer_port
-  uint16_t admin_port = 0;  // admin_port
+  std::string node_id;       // id
+  std::string region;        // region
+  std::string data_centre;   // data_centre
+  std::string address;       // address: IP number of this host
+  std::string service;       // service: of the target beside the node
+  uint16_t call_port = 0;    // call_port
+  uint16_t mesh_port = 0;    // mesh_port
+  uint16_t peer_port = 0;    // peer_port
+  uint16_t admin_port = 0;   // admin_port
+  uint16_t ready_port = 0;   // ready_port; 0: none
+  uint16_t target_port = 0;  // target_port: takes announcements; 0: none
   // [store]
   HostPort store;               // address, port
   std::string store_region;     // region: the region nearest to the store
@@ -34,7 +37,8 @@
   // [peers]
   std::vector<HostPort> seeds;  // seeds: IP:port, separated by commas
   // [security]
-  std::string shared_key;  // shared_key; empty: loopback peers only
+  std::string shared_key;     // shared_key; empty: loopback peers only
+  bool open_network = false;  // open_network: peers need no key
   // [trace]
   double trace_sample = 0.01;               // sample: share of calls, 0 to 1
   std::optional<HostPort> trace_collector;  // collector: IP:port
@@ -43,6 +47,14 @@
   // [calls]
   int drain_timeout_ms =
       30'000;  // drain_timeout_ms: longest wait for calls in flight at a stop
+  // [target]
+  std::optional<HostPort> target_address;  // address: the only one accepted
+  int target_silence_ms = 15'000;  // heartbeat: three of them may be missing
+  // [retry]: in each window the calls of a service may be repeated ratio times
+  // as often as they are made, plus slack, in the whole fleet
+  double retry_ratio = 0.1;      // ratio
+  int retry_window_ms = 10'000;  // window
+  int retry_slack = 30;          // slack
 
   // Reads an INI file. Returns nothing when a setting is missing, unknown or
   // invalid; `reason` then names the file and the line.
--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -13,6 +13,7 @@
 
 namespace dragonflytack {
 
+class CallDialect;
 class Logger;
 class MetricsRegistry;
 class Tracer;
@@ -38,19 +39,23 @@
                        const NodeId& target,
                        Milliseconds period)>
         on_ejected;
+    // The local target takes no connection, or another one has its address.
+    std::function<void()> on_target_lost;
   };
 
   // Binds the ports and starts the thread. Returns nothing when a port cannot
   // be bound. The pointers must outlive the task. `incarnation` is the one of
   // this node's record.
-  static std::unique_ptr<CallTask> Make(const Settings& settings,
-                                        uint64_t incarnation,
-                                        const Clock* clock,
-                                        Logger* logger,
-                                        MetricsRegistry* metrics,
-                                        Tracer* tracer,
-                                        Events events,
-                                        Failure* reason);
+  static std::unique_ptr<CallTask> Make(
+      const Settings& settings,
+      std::shared_ptr<const CallDialect> dialect,
+      uint64_t incarnation,
+      const Clock* clock,
+      Logger* logger,
+      MetricsRegistry* metrics,
+      Tracer* tracer,
+      Events events,
+      Failure* reason);
 
   // Stops the thread without waiting for calls.
   ~CallTask();
--- a/include/dragonflytack/routing/route_snapshot.h
+++ b/include/dragonflytack/routing/route_snapshot.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "dragonflytack/routing/node_location.h"
+#include "dragonflytack/routing/route_index.h"
 #include "dragonflytack/routing/service_route.h"
 #include "dragonflytack/table/table_version.h"
 
@@ -21,6 +22,8 @@
 struct RouteSnapshot final {
   TableVersion version = 0;
   std::map<std::string, std::shared_ptr<const ServiceRoute>> services;
+  // The routes by host and path; null in a snapshot without routes.
+  std::shared_ptr<const RouteIndex> by_host;
   // Every node that is not known to have left, by id.
   std::shared_ptr<const std::unordered_map<NodeId, NodeLocation>> nodes;
   // Who took over the one-time records of a stopped (node, incarnation).
--- a/include/dragonflytack/table/table_delta.h
+++ b/include/dragonflytack/table/table_delta.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dragonflytack/base/failure.h"
+#include "dragonflytack/table/route_row.h"
 #include "dragonflytack/table/service_row.h"
 #include "dragonflytack/table/table_version.h"
 
@@ -25,6 +26,10 @@
   std::set<std::string> removed;
   // Table::digest() of the whole of `to`.
   uint64_t digest = 0;
+  // Routes of `to` that are new or changed, and names of those of `from` that
+  // `to` does not have.
+  std::vector<RouteRow> changed_routes;
+  std::set<std::string> removed_routes;
 
   // Returns the difference between two versions.
   static TableDelta Between(const Table& from, const Table& to);
--- a/include/dragonflytack/table/table_document.h
+++ b/include/dragonflytack/table/table_document.h
@@ -19,6 +19,7 @@
   static constexpr size_t kMaxRecentEdits = 512;
 
   Table::Rows rows;
+  Table::Routes routes;
   std::vector<EditRecord> recent;
 
   // Reads the JSON text. Returns nothing, with row and column in `reason` where
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -92,7 +92,80 @@
   return ApplyInteger<kMember, 1, UINT16_MAX>(text, settings);
 }
 
+// Reads "1500", "1500ms" or "1.5s" as milliseconds.
+std::optional<int> ParseDuration(const std::string& text,
+                                 int minimum,
+                                 int maximum) {
+  constexpr double kMillisPerSecond = 1000;
+  double unit = 1;
+  std::string number = text;
+  if (number.ends_with("ms")) {
+    number.resize(number.size() - 2);
+  } else if (number.ends_with('s')) {
+    number.resize(number.size() - 1);
+    unit = kMillisPerSecond;
+  }
+  const std::optional<double> value =
+      ParseNumber(number, minimum / unit, maximum / unit);
+  return value ? std::optional(static_cast<int>(*value * unit)) : std::nullopt;
+}
+
+template <auto kMember, int kMinimum, int kMaximum>
+bool ApplyDuration(const std::string& text, Settings* settings) {
+  const std::optional<int> value = ParseDuration(text, kMinimum, kMaximum);
+  settings->*kMember = value.value_or(0);
+  return value.has_value();
+}
+
+template <auto kMember>
+bool ApplyFlag(const std::string& text, Settings* settings) {
+  settings->*kMember = text == "true";
+  return text == "true" || text == "false";
+}
+
+// Takes "port", or "IP:port" when the platform writes both.
+template <auto kMember>
+bool ApplyListenPort(const std::string& text, Settings* settings) {
+  if (const std::optional<HostPort> address = HostPort::Parse(text)) {
+    settings->*kMember = address->port;
+    return settings->address.empty() || address->address == settings->address;
+  }
+  return ApplyPort<kMember>(text, settings);
+}
+
+bool ApplyKillAfter(const std::string& text, Settings* settings) {
+  // The last answers and the word of the stop take less than this.
+  constexpr int kMarginMs = 1'500;
+  const std::optional<int> value =
+      ParseDuration(text, 2 * kMarginMs, kMaxDrainTimeoutMs);
+  settings->drain_timeout_ms = value.value_or(0) - kMarginMs;
+  return value.has_value();
+}
+
+bool ApplyHeartbeat(const std::string& text, Settings* settings) {
+  // Two heartbeats may be lost and the third one late.
+  constexpr int kMissing = 4;
+  const std::optional<int> value = ParseDuration(text, 100, kMaxTimeoutMs);
+  settings->target_silence_ms = kMissing * value.value_or(0);
+  return value.has_value();
+}
+
+bool ApplyTargetAddress(const std::string& text, Settings* settings) {
+  settings->target_address = HostPort::Parse(text);
+  return settings->target_address.has_value();
+}
+
+bool ApplyRetryRatio(const std::string& text, Settings* settings) {
+  const std::optional<double> ratio = ParseNumber(text, 0.0, 1.0);
+  settings->retry_ratio = ratio.value_or(0);
+  return ratio.has_value();
+}
+
 bool ApplyStoreAddress(const std::string& text, Settings* settings) {
+  if (const std::optional<HostPort> address = HostPort::Parse(text)) {
+    settings->store = *address;
+    return true;
+  }
   settings->store.address = text;
   return IsIpNumber(text);
 }
@@ -103,11 +176,6 @@
   return port.has_value();
 }
 
-bool ApplyWatchOnEveryNode(const std::string& text, Settings* settings) {
-  settings->watch_on_every_node = text == "true";
-  return text == "true" || text == "false";
-}
-
 bool ApplySeeds(const std::string& text, Settings* settings) {
   std::istringstream items(text);
   for (std::string item; std::getline(items, item, ',');) {
@@ -163,26 +231,43 @@
     {"node.data_centre", true, kPlaceText,
      &ApplyText<&Settings::data_centre, IsPlace>},
     {"node.address", true, kIpText, &ApplyText<&Settings::address, IsIpNumber>},
-    {"node.call_port", true, kPortText, &ApplyPort<&Settings::call_port>},
-    {"node.mesh_port", true, kPortText, &ApplyPort<&Settings::mesh_port>},
-    {"node.peer_port", true, kPortText, &ApplyPort<&Settings::peer_port>},
-    {"node.admin_port", true, kPortText, &ApplyPort<&Settings::admin_port>},
-    {"store.address", true, kIpText, &ApplyStoreAddress},
-    {"store.port", true, kPortText, &ApplyStorePort},
+    {"node.service", false, kPlaceText,
+     &ApplyText<&Settings::service, IsPlace>},
+    {"node.call_port", true, kPortText, &ApplyListenPort<&Settings::call_port>},
+    {"node.mesh_port", true, kPortText, &ApplyListenPort<&Settings::mesh_port>},
+    {"node.peer_port", true, kPortText, &ApplyListenPort<&Settings::peer_port>},
+    {"node.admin_port", true, kPortText,
+     &ApplyListenPort<&Settings::admin_port>},
+    {"node.ready_port", false, kPortText,
+     &ApplyListenPort<&Settings::ready_port>},
+    {"node.target_port", false, kPortText,
+     &ApplyListenPort<&Settings::target_port>},
+    {"store.address", true, "an IP number, or IP:port", &ApplyStoreAddress},
+    {"store.port", false, kPortText, &ApplyStorePort},
     {"store.region", true, kPlaceText,
      &ApplyText<&Settings::store_region, IsPlace>},
     {"store.timeout_ms", false, "a number from 100 to 60000",
      &ApplyInteger<&Settings::store_timeout_ms, 100, kMaxTimeoutMs>},
     {"store.watch_on_every_node", false, "true or false",
-     &ApplyWatchOnEveryNode},
+     &ApplyFlag<&Settings::watch_on_every_node>},
     {"peers.seeds", false, "IP:port, separated by commas", &ApplySeeds},
     {"security.shared_key", false, "16 to 256 printable characters, no spaces",
      &ApplyText<&Settings::shared_key, IsSharedKey>},
+    {"security.open_network", false, "true or false",
+     &ApplyFlag<&Settings::open_network>},
     {"trace.sample", false, "a number from 0 to 1", &ApplyTraceSample},
     {"trace.collector", false, "IP:port", &ApplyTraceCollector},
     {"log.level", false, "debug, info, warning or error", &ApplyLogLevel},
     {"calls.drain_timeout_ms", false, "a number from 1000 to 600000",
      &ApplyInteger<&Settings::drain_timeout_ms, 1000, kMaxDrainTimeoutMs>},
+    {"calls.kill_after", false, "a time from 3s to 600s", &ApplyKillAfter},
+    {"target.address", false, "IP:port", &ApplyTargetAddress},
+    {"target.heartbeat", false, "a time from 100ms to 60s", &ApplyHeartbeat},
+    {"retry.ratio", false, "a number from 0 to 1", &ApplyRetryRatio},
+    {"retry.window", false, "a time from 1s to 600s",
+     &ApplyDuration<&Settings::retry_window_ms, 1000, kMaxDrainTimeoutMs>},
+    {"retry.slack", false, "a number from 0 to 1000000",
+     &ApplyInteger<&Settings::retry_slack, 0, 1'000'000>},
 };
 
 struct LocatedOption {
@@ -270,13 +355,15 @@
       {"node.call_port", settings.call_port},
       {"node.mesh_port", settings.mesh_port},
       {"node.peer_port", settings.peer_port},
-      {"node.admin_port", settings.admin_port}};
+      {"node.admin_port", settings.admin_port},
+      {"node.ready_port", settings.ready_port},
+      {"node.target_port", settings.target_port}};
   for (const auto& [name, port] : ports) {
     for (const auto& [earlier_name, earlier_port] : ports) {
       if (earlier_name == name) {
         break;
       }
-      if (earlier_port == port) {
+      if (earlier_port == port && port != 0) {
         return std::pair(name, earlier_name);
       }
     }
@@ -322,6 +409,10 @@
                                      key.expects));
     }
   }
+  if (settings.store.port == 0) {
+    return fail(lines,
+                fmt::format("store.port is missing; expected {}", kPortText));
+  }
   if (const auto clash = FindPortClash(settings)) {
     return fail(lines_of_keys[clash->first],
                 fmt::format("{} is the same as {}; the ports must differ",
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -11,6 +11,7 @@
 
 class AttemptGuard;
 class AttemptNumbers;
+class CallDialect;
 class CallMetrics;
 class ConnectionPool;
 class DeferredDeleter;
@@ -22,6 +23,8 @@
 // What the parts of one call task share. All pointers outlive every call.
 struct CallContext final {
   NodeId node;
+  // Service of the target beside this node; empty when the settings name none.
+  std::string service;
   EventLoop* loop = nullptr;
   DeferredDeleter* deleter = nullptr;
   Router* router = nullptr;
@@ -29,6 +32,7 @@
   Logger* logger = nullptr;
   CallMetrics* metrics = nullptr;
   Tracer* tracer = nullptr;
+  const CallDialect* dialect = nullptr;
   // Of one-time calls: those this node dispatches, and those it got.
   AttemptNumbers* attempts = nullptr;
   AttemptGuard* guard = nullptr;
@@ -37,6 +41,9 @@
                      const NodeId& target,
                      Milliseconds period)>
       on_ejected;
+  // Reports that the local target takes no connection or that another one has
+  // its address. May be empty.
+  std::function<void()> on_target_lost;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -7,6 +7,8 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
 #include "calls/call_metrics.h"
 #include "calls/call_span.h"
@@ -18,6 +20,7 @@
 #include "calls/routed_call.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
+#include "dragonflytack/calls/call_dialect.h"
 #include "dragonflytack/observe/tracer.h"
 #include "routing/router.h"
 
@@ -30,6 +33,23 @@
   std::string uri;
 };
 
+// Given with a refusal that names no time itself: about the time that the word
+// of a changed fleet takes to reach all nodes.
+constexpr Milliseconds kComeBack{100};
+
+// Returns whether the body's length is stated in a way that two readers could
+// understand differently (RFC 9112 section 6.3).
+bool HasAmbiguousLength(const evkeyvalq* headers) {
+  int lengths = 0;
+  int encodings = 0;
+  for (const evkeyval* item = headers->tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    lengths += evutil_ascii_strcasecmp(item->key, "Content-Length") == 0;
+    encodings += evutil_ascii_strcasecmp(item->key, "Transfer-Encoding") == 0;
+  }
+  return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
+}
+
 // Reads "/<service>/<path>", or the whole path as the target's when the header
 // x-service names the service. Returns an empty service when there is none.
 CallPath ReadPath(std::string_view uri, std::string_view service_header) {
@@ -52,7 +72,9 @@
 class CallEntry::Call final {
  public:
   Call(CallEntry* entry, evhttp_request* request)
-      : inbound(request, [this, entry] { entry->OnHangUp(this); }) {}
+      : inbound(request, entry->context_->dialect, [this, entry] {
+          entry->OnHangUp(this);
+        }) {}
 
   InboundCall inbound;
   std::unique_ptr<CallSpan> span;
@@ -101,7 +123,11 @@
       // Nothing was asked about other calls with the key.
       refusal->scope = NotRunScope::kRequest;
     }
-    call->inbound.Reply(*refusal);
+    if (refusal->reason == CallReason::kBadRequest) {
+      // What follows on the connection may be a part of this request.
+      evhttp_add_header(call->inbound.answer_headers(), "Connection", "close");
+    }
+    Answer(call, *refusal);
     Remove(call);
     return;
   }
@@ -112,6 +138,44 @@
   }
 }
 
+std::optional<CallResult> CallEntry::Route(evhttp_request* request,
+                                           CallRequest* routed) {
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  const std::string_view uri = evhttp_request_get_uri(request);
+  const auto& routes = context_->router->routes();
+  if (routes == nullptr || routes->version == 0) {
+    return CallResult::Refused(CallReason::kNoTarget,
+                               "no table is in force yet");
+  }
+  if (routes->by_host != nullptr) {
+    const RouteRow* route =
+        routes->by_host->Find(FindHeader(headers, "Host"), uri);
+    if (route == nullptr) {
+      return CallResult::Refused(CallReason::kNoService,
+                                 "no route has the host and path");
+    }
+    routed->policy = CallPolicy::Of(*route);
+    routed->longest = routed->policy.time_limit;
+    routed->uri = uri;
+    routed->pool = context_->router->Draw(*route);
+    return std::nullopt;
+  }
+  CallPath path = ReadPath(uri, FindHeader(headers, kServiceHeader));
+  if (path.service.empty()) {
+    return CallResult::Refused(CallReason::kBadRequest,
+                               "the path does not name a service");
+  }
+  routed->pool = context_->router->Find(path.service);
+  if (routed->pool == nullptr) {
+    return CallResult::Refused(CallReason::kNoService,
+                               "the table has no such service");
+  }
+  routed->policy = CallPolicy::Of(routed->pool->route()->row);
+  routed->longest = kMaxDeadline;
+  routed->uri = std::move(path.uri);
+  return std::nullopt;
+}
+
 std::optional<CallResult> CallEntry::Prepare(evhttp_request* request,
                                              Call* call) {
   const evkeyvalq* headers = call->inbound.headers();
@@ -123,47 +187,36 @@
     return CallResult::Refused(CallReason::kTooLarge,
                                "the body is over the size limit");
   }
-  CallPath path = ReadPath(evhttp_request_get_uri(request),
-                           FindHeader(headers, kServiceHeader));
-  if (path.service.empty()) {
+  if (HasAmbiguousLength(headers)) {
     return CallResult::Refused(CallReason::kBadRequest,
-                               "the path does not name a service");
+                               "the length of the body is ambiguous");
   }
-  if (context_->router->routes() == nullptr) {
-    return CallResult::Refused(CallReason::kNoTarget,
-                               "no table is in force yet");
-  }
-  std::shared_ptr<ServicePool> pool = context_->router->Find(path.service);
-  if (pool == nullptr) {
-    return CallResult::Refused(CallReason::kNoService,
-                               "the table has no such service");
+  CallRequest routed;
+  if (std::optional<CallResult> refusal = Route(request, &routed)) {
+    return refusal;
   }
-  Milliseconds time(pool->route()->row.deadline_ms);
-  if (!FindHeader(headers, kDeadlineHeader).empty()) {
-    const std::optional<int64_t> given = FindNumber(headers, kDeadlineHeader);
-    if (!given) {
-      return CallResult::Refused(CallReason::kBadRequest,
-                                 "x-deadline-ms is not a whole number");
-    }
-    time = Milliseconds(std::min<int64_t>(*given, kMaxDeadline.count()));
+  CallerTerms terms = context_->dialect->ReadCaller(headers);
+  if (terms.malformed) {
+    return CallResult::Refused(CallReason::kBadRequest,
+                               "the deadline is not a whole number");
   }
-  CallRequest routed;
-  routed.route = pool->route();
-  routed.pool = std::move(pool);
+  const Milliseconds limit = terms.time_left.value_or(routed.policy.time_limit);
+  routed.route = routed.pool->route();
   routed.http = request;
-  routed.uri = std::move(path.uri);
+  routed.call_id = std::move(terms.call_id);
+  routed.caller_service = context_->service;
   routed.start = context_->loop->clock().Now();
-  routed.deadline = routed.start + time;
+  routed.deadline = routed.start + std::min(limit, routed.longest);
   const TraceContext trace =
       context_->tracer->Accept(FindHeader(headers, kTraceHeader));
-  call->span =
-      std::make_unique<CallSpan>(context_, trace, "entry", path.service);
+  call->span = std::make_unique<CallSpan>(context_, trace, "entry",
+                                          routed.route->row.service);
   routed.trace = call->span->context();
   const auto on_result = [this, call](CallResult result) {
     OnResult(call, std::move(result));
   };
   const std::string key(FindHeader(headers, kKeyHeader));
-  if (!key.empty() && routed.route->row.kind == ServiceKind::kOneTime) {
+  if (!key.empty() && routed.policy.kind == ServiceKind::kOneTime) {
     call->keyed = std::make_unique<KeyedCall>(
         context_, one_time_, std::move(routed), key, on_result);
   } else {
@@ -189,21 +242,34 @@
   } else {
     context_->metrics->CountRefused("entry", result.reason);
     if (result.outcome == CallOutcome::kUnknown &&
-        request.route->row.kind == ServiceKind::kOneTime) {
+        request.policy.kind == ServiceKind::kOneTime) {
       // The key is left out: who has it can ask for the recorded answer.
       context_->logger->Warning(
           "one_time_unknown",
           {{"service", request.route->row.service},
+           {"call", request.call_id},
            {"cause", std::string(CallReasonName(result.reason))},
            {"keyed", call->keyed != nullptr},
            {"detail", result.detail}});
     }
     call->span->End(CallReasonName(result.reason));
   }
-  call->inbound.Reply(result);
+  Answer(call, result);
   Remove(call);
 }
 
+void CallEntry::Answer(Call* call, const CallResult& result) {
+  const int status = result.Status();
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServiceUnavailable = 503;
+  if (result.outcome == CallOutcome::kNotRun &&
+      (status == kTooManyRequests || status == kServiceUnavailable)) {
+    context_->dialect->WriteComeBack(result.come_back.value_or(kComeBack),
+                                     call->inbound.answer_headers());
+  }
+  call->inbound.Reply(result);
+}
+
 void CallEntry::OnHangUp(Call* call) {
   context_->metrics->CountRefused("entry", CallReason::kCallerGone);
   if (call->span != nullptr) {
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -16,6 +16,7 @@
 namespace dragonflytack {
 
 class OneTime;
+struct CallRequest;
 
 // Takes calls from callers and from the local target, routes them and answers.
 class CallEntry final {
@@ -48,6 +49,10 @@
 
   // Returns the refusal of a call that cannot be routed, nothing otherwise.
   std::optional<CallResult> Prepare(evhttp_request* request, Call* call);
+  // Finds the service of a call by its route, or by its path in a table without
+  // routes. Returns the refusal when there is none.
+  std::optional<CallResult> Route(evhttp_request* request, CallRequest* routed);
+  void Answer(Call* call, const CallResult& result);
   void OnResult(Call* call, CallResult result);
   void OnHangUp(Call* call);
   void Remove(Call* call);
--- a/src/calls/call_result.h
+++ b/src/calls/call_result.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "dragonflytack/base/clock.h"
 #include "dragonflytack/registry/node_id.h"
 #include "onetime/not_run_scope.h"
 
@@ -82,6 +83,11 @@
   // The answer when the outcome is kDone: status, headers and body as evhttp
   // received them.
   HttpRequestPtr answer;
+  // The target saw the call, although it did not run it.
+  bool reached_target = false;
+  // When a call that was not run may be tried again; nothing when it is not
+  // known.
+  std::optional<Milliseconds> come_back;
   // A node on the path has retried the call already.
   bool retried = false;
   // Of one-time calls with a key. The answer may be one from the records.
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -44,6 +44,7 @@
 class CallTask::Impl final {
  public:
   Impl(const Settings& settings,
+       std::shared_ptr<const CallDialect> dialect,
        uint64_t incarnation,
        std::unique_ptr<EventLoop> loop,
        Logger* logger,
@@ -51,6 +52,7 @@
        Tracer* tracer,
        Events events)
       : settings_(settings),
+        dialect_(std::move(dialect)),
         logger_(logger),
         events_(std::move(events)),
         loop_(std::move(loop)),
@@ -61,11 +63,23 @@
                 settings.data_centre,
                 incarnation ^ std::hash<std::string>()(settings.node_id)),
         connections_(loop_.get(), &deleter_),
-        context_{settings.node_id, loop_.get(), &deleter_, &router_,
-                 &connections_,    logger,      &metrics_, tracer},
         mailbox_(loop_.get(),
                  [this](Message message) { OnMessage(std::move(message)); }) {
+    context_.node = settings.node_id;
+    context_.service = settings.service;
+    context_.loop = loop_.get();
+    context_.deleter = &deleter_;
+    context_.router = &router_;
+    context_.connections = &connections_;
+    context_.logger = logger;
+    context_.metrics = &metrics_;
+    context_.tracer = tracer;
+    context_.dialect = dialect_.get();
     context_.on_ejected = events_.on_ejected;
+    context_.on_target_lost = events_.on_target_lost;
+    router_.set_retries({settings.retry_ratio,
+                         Milliseconds(settings.retry_window_ms),
+                         settings.retry_slack});
     one_time_ = std::make_unique<OneTime>(
         settings_, incarnation, &context_, logger_,
         OneTime::Events{[this](const HomeIncarnation& home) {
@@ -215,6 +229,7 @@
   }
 
   const Settings settings_;
+  const std::shared_ptr<const CallDialect> dialect_;
   Logger* const logger_;
   const Events events_;
   const std::unique_ptr<EventLoop> loop_;
@@ -243,14 +258,16 @@
 
 CallTask::~CallTask() = default;
 
-std::unique_ptr<CallTask> CallTask::Make(const Settings& settings,
-                                         uint64_t incarnation,
-                                         const Clock* clock,
-                                         Logger* logger,
-                                         MetricsRegistry* metrics,
-                                         Tracer* tracer,
-                                         Events events,
-                                         Failure* reason) {
+std::unique_ptr<CallTask> CallTask::Make(
+    const Settings& settings,
+    std::shared_ptr<const CallDialect> dialect,
+    uint64_t incarnation,
+    const Clock* clock,
+    Logger* logger,
+    MetricsRegistry* metrics,
+    Tracer* tracer,
+    Events events,
+    Failure* reason) {
   // libevent writes to sockets that the other side may have closed.
   std::signal(SIGPIPE, SIG_IGN);
   std::unique_ptr<EventLoop> loop = EventLoop::Make(clock);
@@ -258,9 +275,9 @@
     *reason = {FailureCode::kInternal, "call task", "no event loop"};
     return nullptr;
   }
-  auto impl =
-      std::make_unique<Impl>(settings, incarnation, std::move(loop), logger,
-                             metrics, tracer, std::move(events));
+  auto impl = std::make_unique<Impl>(settings, std::move(dialect), incarnation,
+                                     std::move(loop), logger, metrics, tracer,
+                                     std::move(events));
   if (!impl->Start(reason)) {
     return nullptr;
   }
--- a/src/calls/connection_pool.cc
+++ b/src/calls/connection_pool.cc
@@ -11,7 +11,14 @@
 
 namespace {
 
-constexpr Milliseconds kSweepPeriod{5000};
+constexpr Milliseconds kSweepPeriod{1000};
+
+Milliseconds IdleLimit(const UpstreamConnection& connection) {
+  return connection.kept_for() ? std::min(ConnectionPool::kIdleLimit,
+                                          *connection.kept_for() -
+                                              ConnectionPool::kKeepAliveMargin)
+                               : ConnectionPool::kIdleLimit;
+}
 
 }  // namespace
 
@@ -35,7 +42,8 @@
                                                 evhttp_cmd_type method,
                                                 const char* uri,
                                                 const Writer& write,
-                                                Exchange::Callback callback) {
+                                                Exchange::Callback callback,
+                                                Exchange::Judge judge) {
   Host* host = FindHost(to);
   UpstreamConnection* connection = TakeIdle(host);
   Milliseconds connect_limit = limit;
@@ -51,8 +59,8 @@
   }
   evhttp_request* request = connection->NewRequest();
   write(request);
-  auto exchange =
-      std::make_unique<Exchange>(&loop_->timers(), std::move(callback));
+  auto exchange = std::make_unique<Exchange>(&loop_->timers(), std::move(judge),
+                                             std::move(callback));
   if (connection->Send(request, method, uri, exchange.get())) {
     exchange->Start(connection, limit, connect_limit);
   } else {
@@ -90,7 +98,9 @@
   while (!host->idle.empty()) {
     UpstreamConnection* connection = host->idle.back();
     host->idle.pop_back();
-    if (!connection->IsStale()) {
+    if (!connection->IsStale() &&
+        loop_->clock().Now() - connection->idle_since() <
+            IdleLimit(*connection)) {
       return connection;
     }
     connection->Abandon();
@@ -108,10 +118,11 @@
 }
 
 void ConnectionPool::CloseOldIdle() {
-  const TimePoint oldest = loop_->clock().Now() - kIdleLimit;
+  const TimePoint now = loop_->clock().Now();
   for (auto& [address, host] : hosts_) {
     // Reuse takes from the back, so the front is the oldest.
-    while (!host->idle.empty() && host->idle.front()->idle_since() < oldest) {
+    while (!host->idle.empty() && now - host->idle.front()->idle_since() >
+                                      IdleLimit(*host->idle.front())) {
       host->idle.front()->Abandon();
     }
   }
--- a/src/calls/connection_pool.h
+++ b/src/calls/connection_pool.h
@@ -27,6 +27,9 @@
   // waits mean a dead host, and nothing was sent to it yet.
   static constexpr Milliseconds kConnectLimit{250};
   static constexpr Milliseconds kIdleLimit{30'000};
+  // A connection whose other side said how long it keeps it is closed this much
+  // earlier, so that no request meets it closing.
+  static constexpr Milliseconds kKeepAliveMargin{1000};
 
   // Both must outlive the pool.
   ConnectionPool(EventLoop* loop, DeferredDeleter* deleter);
@@ -46,7 +49,8 @@
                                   evhttp_cmd_type method,
                                   const char* uri,
                                   const Writer& write,
-                                  Exchange::Callback callback);
+                                  Exchange::Callback callback,
+                                  Exchange::Judge judge = {});
 
   // Connections to one address, idle ones included.
   size_t CountOpen(const HostPort& to) const;
--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -7,8 +7,10 @@
 
 namespace dragonflytack {
 
-Exchange::Exchange(TimerService* timers, Callback callback)
-    : timers_(timers), callback_(std::move(callback)) {}
+Exchange::Exchange(TimerService* timers, Judge judge, Callback callback)
+    : timers_(timers),
+      judge_(std::move(judge)),
+      callback_(std::move(callback)) {}
 
 Exchange::~Exchange() {
   timers_->Cancel(timer_);
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -34,7 +34,12 @@
   // the callback.
   using Callback = std::function<void(ExchangeEnd end, HttpRequestPtr answer)>;
 
-  Exchange(TimerService* timers, Callback callback);
+  // Whether an answer belongs to the request. One that does not ends the
+  // exchange as kBroken, and the connection with it.
+  using Judge = std::function<bool(evhttp_request* answer)>;
+
+  // `judge` may be empty: every answer belongs to the request then.
+  Exchange(TimerService* timers, Judge judge, Callback callback);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -47,10 +52,14 @@
              Milliseconds limit,
              Milliseconds connect_limit);
   void OnLimit(Milliseconds rest);
+  bool Accepts(evhttp_request* answer) const {
+    return !judge_ || judge_(answer);
+  }
   // Reports the end. The object may be gone afterwards.
   void Finish(ExchangeEnd end, HttpRequestPtr answer);
 
   TimerService* const timers_;
+  const Judge judge_;
   Callback callback_;
   UpstreamConnection* connection_ = nullptr;
   TimerId timer_ = 0;
--- a/src/calls/home_calls.cc
+++ b/src/calls/home_calls.cc
@@ -37,12 +37,14 @@
   return Hash64(ReadBody(request.http), Hash64(text));
 }
 
-std::shared_ptr<const RecordedAnswer> MakeRecorded(evhttp_request* answer) {
+std::shared_ptr<const RecordedAnswer> MakeRecorded(const CallDialect& dialect,
+                                                   evhttp_request* answer) {
   RecordedAnswer recorded;
   recorded.status = evhttp_request_get_response_code(answer);
   evkeyvalq headers;
   TAILQ_INIT(&headers);
-  CopyEndToEndHeaders(evhttp_request_get_input_headers(answer), &headers);
+  CopyEndToEndHeaders(dialect, evhttp_request_get_input_headers(answer),
+                      &headers);
   for (const evkeyval* item = headers.tqh_first; item != nullptr;
        item = item->next.tqe_next) {
     recorded.headers.emplace_back(item->key, item->value);
@@ -145,7 +147,7 @@
   std::shared_ptr<const RecordedAnswer> answer;
   switch (result.outcome) {
     case CallOutcome::kDone:
-      answer = MakeRecorded(result.answer.get());
+      answer = MakeRecorded(*context_->dialect, result.answer.get());
       recorded =
           records_->FinishDone(dispatch->key, dispatch->attempt, answer, now);
       break;
--- a/src/calls/home_side.cc
+++ b/src/calls/home_side.cc
@@ -19,7 +19,7 @@
 class HomeSide::Forwarded final {
  public:
   Forwarded(HomeSide* side, evhttp_request* request)
-      : inbound(request, [this, side] {
+      : inbound(request, side->context_->dialect, [this, side] {
           side->calls_->Forget(ticket);
           side->Remove(this);
         }) {}
--- a/src/calls/http_headers.cc
+++ b/src/calls/http_headers.cc
@@ -11,11 +11,13 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 
+#include "dragonflytack/calls/call_dialect.h"
+
 namespace dragonflytack {
 
 namespace {
 
-constexpr std::array<const char*, 25> kNotForwarded = {
+constexpr std::array<const char*, 29> kNotForwarded = {
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -41,6 +43,10 @@
     kOneTimeKeyHeader,
     kMovedHeader,
     kAttemptIdHeader,
+    kCallerHeader,
+    kRankHeader,
+    kReachedHeader,
+    kComeBackHeader,
 };
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
@@ -98,11 +104,13 @@
   }
 }
 
-void CopyEndToEndHeaders(const evkeyvalq* from, evkeyvalq* to) {
+void CopyEndToEndHeaders(const CallDialect& dialect,
+                         const evkeyvalq* from,
+                         evkeyvalq* to) {
   const std::string_view connection = FindHeader(from, "Connection");
   for (const evkeyval* item = from->tqh_first; item != nullptr;
        item = item->next.tqe_next) {
-    if (IsForwarded(item->key) &&
+    if (IsForwarded(item->key) && !dialect.IsReserved(item->key) &&
         (connection.empty() || !ListNames(connection, item->key))) {
       evhttp_add_header(to, item->key, item->value);
     }
--- a/src/calls/http_headers.h
+++ b/src/calls/http_headers.h
@@ -23,6 +23,14 @@
 inline constexpr char kScopeHeader[] = "x-not-run-scope";
 
 inline constexpr char kAttemptHeader[] = "x-attempt";
+// Service of the target that made the call.
+inline constexpr char kCallerHeader[] = "x-caller-service";
+// Rank of the call's route.
+inline constexpr char kRankHeader[] = "x-rank";
+// "1" on a refusal of a call that reached its target, which did not run it.
+inline constexpr char kReachedHeader[] = "x-reached-target";
+// Milliseconds after which a refused call may be tried again.
+inline constexpr char kComeBackHeader[] = "x-come-back-ms";
 inline constexpr char kNotRunHeader[] = "x-not-run";
 // The handed-out key of a call that is forwarded to its home.
 inline constexpr char kOneTimeKeyHeader[] = "x-one-time-key";
@@ -52,10 +60,15 @@
 // Adds the header Host, which HTTP/1.1 requires, unless it was copied.
 void AddHostIfMissing(evkeyvalq* headers, const char* host);
 
+class CallDialect;
+
 // Copies the headers that go from one end of a call to the other. Left out are
 // hop-by-hop headers (RFC 9110 section 7.6.1, those named by Connection
-// included), Content-Length, and the headers that nodes write themselves.
-void CopyEndToEndHeaders(const evkeyvalq* from, evkeyvalq* to);
+// included), Content-Length, the headers that nodes write themselves, and those
+// that the dialect reads or writes.
+void CopyEndToEndHeaders(const CallDialect& dialect,
+                         const evkeyvalq* from,
+                         evkeyvalq* to);
 
 }  // namespace dragonflytack
 
--- a/src/calls/inbound_call.cc
+++ b/src/calls/inbound_call.cc
@@ -24,8 +24,10 @@
 }  // namespace
 
 InboundCall::InboundCall(evhttp_request* request,
+                         const CallDialect* dialect,
                          std::function<void()> on_hang_up)
     : request_(request),
+      dialect_(dialect),
       connection_(evhttp_request_get_connection(request)),
       on_hang_up_(std::move(on_hang_up)) {
   evhttp_connection_set_closecb(connection_, &InboundCall::OnClosed, this);
@@ -75,7 +77,7 @@
     }
     const evkeyvalq* from =
         evhttp_request_get_input_headers(result.answer.get());
-    CopyEndToEndHeaders(from, headers);
+    CopyEndToEndHeaders(*dialect_, from, headers);
     if (evhttp_request_get_command(request_) == EVHTTP_REQ_HEAD) {
       // The length that a GET would have had; evhttp would write 0.
       const std::string_view length = FindHeader(from, "Content-Length");
--- a/src/calls/inbound_call.h
+++ b/src/calls/inbound_call.h
@@ -11,13 +11,18 @@
 
 namespace dragonflytack {
 
+class CallDialect;
+
 // A request that one of this node's servers received and has to answer once.
 // It notices when the other side hangs up before.
 class InboundCall final {
  public:
   // `on_hang_up` is called from evhttp's callbacks at most once, and never
   // after an answer.
-  InboundCall(evhttp_request* request, std::function<void()> on_hang_up);
+  // `dialect` must outlive the call.
+  InboundCall(evhttp_request* request,
+              const CallDialect* dialect,
+              std::function<void()> on_hang_up);
 
   // Refuses the call as not run if it was not answered.
   ~InboundCall();
@@ -48,6 +53,7 @@
   static void OnClosed(evhttp_connection* connection, void* self);
 
   evhttp_request* request_;
+  const CallDialect* const dialect_;
   evhttp_connection* connection_;
   std::function<void()> on_hang_up_;
 };
--- a/src/calls/keyed_call.cc
+++ b/src/calls/keyed_call.cc
@@ -203,7 +203,8 @@
       evhttp_request_get_command(request_.http), request_.uri.c_str(),
       [&](evhttp_request* out) {
         evkeyvalq* headers = evhttp_request_get_output_headers(out);
-        CopyEndToEndHeaders(evhttp_request_get_input_headers(request_.http),
+        CopyEndToEndHeaders(*context_->dialect,
+                            evhttp_request_get_input_headers(request_.http),
                             headers);
         evhttp_add_header(headers, kServiceHeader,
                           request_.route->row.service.c_str());
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -1,7 +1,6 @@
 #include "calls/routed_call.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string>
 #include <utility>
 
@@ -28,6 +27,9 @@
 // Attempts that a local lack of connections may cost without a retry.
 constexpr int kMaxLocalRefusals = 3;
 
+// Nodes that one call asks, those included that refuse it unseen by a target.
+constexpr int kMaxTries = 6;
+
 // Returns whether another target may do better after a refusal for `reason`.
 bool IsWorthRetrying(CallReason reason) {
   switch (reason) {
@@ -40,16 +42,12 @@
   }
 }
 
+// The load in thousandths, as the node beside the target passed it on.
 std::optional<double> FindLoad(const evkeyvalq* headers) {
-  const std::string_view text = FindHeader(headers, kLoadHeader);
-  double load = 0;
-  const char* const end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, load);
-  // The comparison also refuses NaN.
-  if (text.empty() || error != std::errc() || rest != end || !(load >= 0)) {
-    return std::nullopt;
-  }
-  return load;
+  constexpr double kThousand = 1000;
+  const std::optional<int64_t> load = FindNumber(headers, kLoadHeader);
+  return load ? std::optional(static_cast<double>(*load) / kThousand)
+              : std::nullopt;
 }
 
 }  // namespace
@@ -95,7 +93,8 @@
     }
     tried_.push_back(target_);
     // An idempotent call that hangs leaves a quarter of its time to a retry.
-    const bool may_retry = !is_one_time() && attempts_ < row.retry_limit;
+    const bool may_retry =
+        !is_one_time() && arrivals_ + 1 < request_.policy.attempts;
     const Milliseconds limit = may_retry ? remaining * 3 / 4 : remaining;
     const NodeRecord& record = target_->record();
     span_ = std::make_unique<CallSpan>(context_, request_.trace, "attempt",
@@ -126,12 +125,17 @@
 
 void RoutedCall::WriteRequest(evhttp_request* out, Milliseconds remaining) {
   evkeyvalq* headers = evhttp_request_get_output_headers(out);
-  CopyEndToEndHeaders(evhttp_request_get_input_headers(request_.http), headers);
+  CopyEndToEndHeaders(*context_->dialect,
+                      evhttp_request_get_input_headers(request_.http), headers);
   AddHostIfMissing(headers, request_.route->row.service.c_str());
   evhttp_add_header(headers, kServiceHeader,
                     request_.route->row.service.c_str());
   AddHeader(headers, kDeadlineHeader, remaining.count());
   AddHeader(headers, kAttemptHeader, attempts_ + 1);
+  AddHeader(headers, kRankHeader, request_.policy.rank);
+  if (!request_.caller_service.empty()) {
+    evhttp_add_header(headers, kCallerHeader, request_.caller_service.c_str());
+  }
   if (is_one_time()) {
     const NodeRecord& record = target_->record();
     evhttp_add_header(headers, kAttemptIdHeader,
@@ -150,9 +154,8 @@
 
 void RoutedCall::OnExchangeEnd(ExchangeEnd end, HttpRequestPtr answer) {
   context_->deleter->Add(std::move(exchange_));
-  const int deadline_ms = request_.route->row.deadline_ms;
   // A caller with an unusually short deadline says nothing about the target.
-  const bool fair = 4 * (Now() - attempt_start_) >= Milliseconds(deadline_ms);
+  const bool fair = 4 * (Now() - attempt_start_) >= request_.policy.time_limit;
   const AttemptEnd timeout = fair ? AttemptEnd::kTimeout : AttemptEnd::kNeutral;
   AttemptEnd health = AttemptEnd::kFailure;
   CallResult result;
@@ -183,14 +186,12 @@
                                    "the answer is over the size limit");
       break;
   }
+  if (result.outcome != CallOutcome::kNotRun || result.reached_target) {
+    ++arrivals_;
+  }
   EndAttempt(health, result.outcome == CallOutcome::kDone
                          ? CallOutcomeName(result.outcome)
                          : CallReasonName(result.reason));
-  if (result.outcome == CallOutcome::kDone && Now() > request_.deadline) {
-    // The caller may have turned to other work by now.
-    result = CallResult::Unknown(CallReason::kDeadline,
-                                 "the answer came after the deadline");
-  }
   if (result.outcome == CallOutcome::kUnknown) {
     maybe_ran_ = true;
   }
@@ -233,6 +234,10 @@
     result = CallResult::Refused(
         reason,
         fmt::format("the node {} refused the call", target_->record().id));
+    result.reached_target = !FindHeader(headers, kReachedHeader).empty();
+    if (const auto after = FindNumber(headers, kComeBackHeader)) {
+      result.come_back = Milliseconds(*after);
+    }
   } else {
     *health = reason == CallReason::kDeadline ? AttemptEnd::kTimeout
                                               : AttemptEnd::kFailure;
@@ -249,8 +254,8 @@
 
 bool RoutedCall::MayRetry(CallResult* result) {
   if (result->outcome == CallOutcome::kDone || result->retried ||
-      !IsWorthRetrying(result->reason) ||
-      attempts_ > request_.route->row.retry_limit) {
+      !IsWorthRetrying(result->reason) || attempts_ >= kMaxTries ||
+      arrivals_ >= request_.policy.attempts) {
     return false;
   }
   if (result->outcome == CallOutcome::kUnknown && is_one_time()) {
@@ -260,6 +265,10 @@
       tried_.size() >= request_.pool->size()) {
     return false;
   }
+  if (arrivals_ == 0) {
+    // No target has seen the call, so the next attempt is no repetition.
+    return true;
+  }
   // The budget is asked last, so that it is charged only for what is sent.
   const bool allowed = request_.pool->retry_budget().TryTake();
   // Without budget the answer is marked as well, or each level above would
--- a/src/calls/routed_call.h
+++ b/src/calls/routed_call.h
@@ -46,7 +46,7 @@
 
  private:
   bool is_one_time() const {
-    return request_.route->row.kind == ServiceKind::kOneTime;
+    return request_.policy.kind == ServiceKind::kOneTime;
   }
   TimePoint Now() const;
   // Starts an attempt. `previous` is reported when no other target is left.
@@ -65,6 +65,8 @@
   const CallRequest request_;
   Callback callback_;
   int attempts_ = 0;
+  // Attempts that may have reached a target.
+  int arrivals_ = 0;
   std::vector<ServicePool::EndpointPtr> tried_;
   ServicePool::EndpointPtr target_;
   std::unique_ptr<CallSpan> span_;
--- a/src/calls/target_side.cc
+++ b/src/calls/target_side.cc
@@ -16,6 +16,7 @@
 #include "calls/inbound_call.h"
 #include "calls/service_share.h"
 #include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/calls/call_dialect.h"
 #include "dragonflytack/observe/tracer.h"
 #include "dragonflytack/routing/route_snapshot.h"
 #include "onetime/attempt_guard.h"
@@ -26,7 +27,9 @@
 class TargetSide::Call final {
  public:
   Call(TargetSide* side, evhttp_request* request)
-      : inbound(request, [this, side] { side->OnHangUp(this); }) {}
+      : inbound(request, side->context_->dialect, [this, side] {
+          side->OnHangUp(this);
+        }) {}
 
   InboundCall inbound;
   TimePoint deadline;
@@ -168,9 +171,14 @@
       evhttp_request_get_command(in), evhttp_request_get_uri(in),
       [&](evhttp_request* out) {
         evkeyvalq* headers = evhttp_request_get_output_headers(out);
-        CopyEndToEndHeaders(call->inbound.headers(), headers);
+        CopyEndToEndHeaders(*context_->dialect, call->inbound.headers(),
+                            headers);
         AddHostIfMissing(headers, target_.service.c_str());
-        AddHeader(headers, kDeadlineHeader, limit.count());
+        context_->dialect->WriteToTarget(
+            {limit,
+             std::string(FindHeader(call->inbound.headers(), kCallerHeader)),
+             target_.instance},
+            headers);
         evhttp_add_header(headers, kTraceHeader,
                           call->span->context().ToHeader().c_str());
         evbuffer* body = evhttp_request_get_input_buffer(in);
@@ -181,6 +189,9 @@
       },
       [this, call](ExchangeEnd end, HttpRequestPtr answer) {
         OnExchangeEnd(call, end, std::move(answer));
+      },
+      [this, in](evhttp_request* answer) {
+        return Judge(in, answer) != TargetVerdict::kForeign;
       });
   if (call->exchange == nullptr) {
     Reply(call,
@@ -200,10 +211,17 @@
   switch (end) {
     case ExchangeEnd::kAnswered: {
       const evkeyvalq* headers = evhttp_request_get_input_headers(answer.get());
-      const std::string_view load = FindHeader(headers, kLoadHeader);
       evkeyvalq* out = call->inbound.answer_headers();
-      if (!load.empty()) {
-        evhttp_add_header(out, kLoadHeader, load.data());
+      if (const auto load = context_->dialect->ReadLoad(headers)) {
+        constexpr double kThousand = 1000;
+        AddHeader(out, kLoadHeader,
+                  static_cast<int64_t>(std::min(*load, 1.0) * kThousand));
+      }
+      const TargetVerdict verdict =
+          Judge(call->inbound.request(), answer.get());
+      if (verdict != TargetVerdict::kAnswer) {
+        result = OnRejected(verdict);
+        break;
       }
       AddHeader(
           out, kTargetTimeHeader,
@@ -215,6 +233,9 @@
       break;
     }
     case ExchangeEnd::kNotSent:
+      if (context_->on_target_lost) {
+        context_->on_target_lost();
+      }
       result = CallResult::Refused(CallReason::kUnreachable,
                                    "no connection to the target");
       break;
@@ -238,6 +259,30 @@
   Remove(call);
 }
 
+TargetVerdict TargetSide::Judge(evhttp_request* call,
+                                evhttp_request* answer) const {
+  return context_->dialect->JudgeAnswer(
+      evhttp_request_get_input_headers(call),
+      evhttp_request_get_response_code(answer),
+      evhttp_request_get_input_headers(answer));
+}
+
+CallResult TargetSide::OnRejected(TargetVerdict verdict) {
+  CallResult result;
+  if (verdict == TargetVerdict::kWrongTarget) {
+    if (context_->on_target_lost) {
+      context_->on_target_lost();
+    }
+    result = CallResult::Refused(CallReason::kWrongService,
+                                 "another target has the address");
+  } else {
+    result = CallResult::Refused(CallReason::kOverloaded,
+                                 "the target did not run the call");
+  }
+  result.reached_target = true;
+  return result;
+}
+
 void TargetSide::ReleaseSlot(Call* call) {
   if (std::exchange(call->has_slot, false)) {
     slots_.Release();
@@ -322,7 +367,19 @@
     if (call->attempt) {
       context_->guard->Withdraw(*call->attempt);
     }
-    evhttp_add_header(call->inbound.answer_headers(), kNotRunHeader, "1");
+    evkeyvalq* headers = call->inbound.answer_headers();
+    evhttp_add_header(headers, kNotRunHeader, "1");
+    if (result.reached_target) {
+      evhttp_add_header(headers, kReachedHeader, "1");
+    }
+    if (result.reason == CallReason::kOverloaded ||
+        result.reason == CallReason::kDeadline) {
+      // A place is free when those that wait now have been started.
+      const auto wait = slots_.ExpectedTime(static_cast<int>(queue_.size())) -
+                        slots_.average();
+      AddHeader(headers, kComeBackHeader,
+                std::chrono::ceil<Milliseconds>(wait).count());
+    }
   }
   if (result.outcome != CallOutcome::kDone) {
     context_->metrics->CountRefused("target", result.reason);
@@ -344,6 +401,10 @@
     call->span->End(CallReasonName(CallReason::kCallerGone));
   }
   context_->metrics->CountRefused("target", CallReason::kCallerGone);
+  if (call->attempt && call->exchange != nullptr) {
+    // A one-time call that runs is not broken off; its answer reaches nobody.
+    return;
+  }
   // Closes the connection to the target, which tells it to stop.
   call->exchange.reset();
   ReleaseSlot(call);
--- a/src/calls/target_side.h
+++ b/src/calls/target_side.h
@@ -14,6 +14,7 @@
 #include "calls/rate_limiter.h"
 #include "calls/slot_limiter.h"
 #include "dragonflytack/base/timer_service.h"
+#include "dragonflytack/calls/call_dialect.h"
 #include "dragonflytack/calls/local_target.h"
 #include "dragonflytack/routing/service_route.h"
 
@@ -58,6 +59,9 @@
   std::optional<CallResult> Admit(Call* call);
   void Run(Call* call);
   void OnExchangeEnd(Call* call, ExchangeEnd end, HttpRequestPtr answer);
+  TargetVerdict Judge(evhttp_request* call, evhttp_request* answer) const;
+  // The result of a call that the target says it did not run.
+  CallResult OnRejected(TargetVerdict verdict);
   void RunQueued();
   // Refuses queued calls whose deadline can no longer be met.
   void ExpireQueued();
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <cerrno>
+#include <charconv>
+#include <chrono>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -20,8 +22,9 @@
 // long evhttp keeps an idle connection.
 constexpr int kSilenceSeconds = 120;
 
-// Returns whether the framing proves that the answer is whole. An answer that
-// ends with the connection may have been cut off.
+// Returns whether the framing proves that the answer is whole. evhttp hands an
+// answer without a length over only when its connection ended cleanly, which
+// ends the answer (RFC 9112 section 6.3); after a reset it reports an error.
 bool IsWhole(evhttp_request* answer) {
   const int status = evhttp_request_get_response_code(answer);
   if (evhttp_request_get_command(answer) == EVHTTP_REQ_HEAD || status == 204 ||
@@ -33,9 +36,27 @@
   if (!FindHeader(headers, "Transfer-Encoding").empty()) {
     return answer->chunked != 0;
   }
-  return length.has_value() &&
-         static_cast<size_t>(*length) ==
-             evbuffer_get_length(evhttp_request_get_input_buffer(answer));
+  return FindHeader(headers, "Content-Length").empty() ||
+         (length.has_value() &&
+          static_cast<size_t>(*length) ==
+              evbuffer_get_length(evhttp_request_get_input_buffer(answer)));
+}
+
+// Reads "timeout=N" of the header Keep-Alive, in seconds.
+std::optional<Milliseconds> ReadKeepAlive(const evkeyvalq* headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value = FindHeader(headers, "Keep-Alive");
+  const size_t at = value.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* const begin = value.data() + at + kTimeout.size();
+  const auto [end, error] =
+      std::from_chars(begin, value.data() + value.size(), seconds);
+  return error == std::errc() && seconds >= 0
+             ? std::optional<Milliseconds>(std::chrono::seconds(seconds))
+             : std::nullopt;
 }
 
 bool AllowsReuse(evhttp_request* answer) {
@@ -165,12 +186,13 @@
     exchange->Finish(too_large_ ? ExchangeEnd::kTooLarge : end, nullptr);
     return;
   }
-  if (!IsWhole(request)) {
+  if (!IsWhole(request) || !exchange->Accepts(request)) {
     Retire();
     exchange->Finish(ExchangeEnd::kBroken, nullptr);
     return;
   }
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+  kept_for_ = ReadKeepAlive(evhttp_request_get_input_headers(request));
   if (!retired_ && AllowsReuse(request) &&
       evbuffer_get_length(bufferevent_get_input(bufev)) == 0) {
     events_->on_idle(this);
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include <event2/http.h>
 
@@ -60,6 +61,9 @@
   // connection was idle and the loop has not noticed yet.
   bool IsStale() const;
 
+  // How long the other side keeps an idle connection; nothing when it does not
+  // say.
+  const std::optional<Milliseconds>& kept_for() const { return kept_for_; }
   TimePoint idle_since() const { return idle_since_; }
   void set_idle_since(TimePoint time) { idle_since_ = time; }
 
@@ -83,6 +87,7 @@
   bool connected_ = false;
   bool retired_ = false;
   bool too_large_ = false;
+  std::optional<Milliseconds> kept_for_;
   TimePoint idle_since_{};
 };
 
--- a/src/daemon/admin_api.h
+++ b/src/daemon/admin_api.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "daemon/admin_handler.h"
 #include "daemon/admin_request.h"
 #include "dragonflytack/base/failure.h"
 
@@ -12,7 +13,7 @@
 
 // Answers requests to the admin port: checks path, method, authorization and
 // input, and reads from the source. It does no I/O.
-class AdminApi final {
+class AdminApi final : public AdminHandler {
  public:
   // Size of the largest body that a request may have.
   static constexpr size_t kMaxBodyBytes = 4096;
@@ -23,7 +24,7 @@
            const std::string& own_address,
            AdminSource* source);
 
-  AdminResponse Handle(const AdminRequest& request) const;
+  AdminResponse Handle(const AdminRequest& request) const override;
 
  private:
   using Handler = AdminResponse (AdminApi::*)(const AdminRequest&) const;
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -9,7 +9,7 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/util.h>
 
-#include "daemon/admin_api.h"
+#include "daemon/admin_handler.h"
 #include "dragonflytack/base/event_loop.h"
 
 namespace dragonflytack {
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr size_t kMaxHeaderBytes = 16'384;
+// Announcements and questions of operators are far smaller.
+constexpr size_t kMaxBodyBytes = 4096;
 // Idle connections of operators and metrics collectors are closed.
 constexpr int kIdleTimeoutSeconds = 20;
 // Every method is let through to the handler, which answers a typed error.
@@ -68,11 +70,11 @@
 
 std::unique_ptr<AdminServer> AdminServer::Make(EventLoop* loop,
                                                const HostPort& address,
-                                               const AdminApi* api,
+                                               const AdminHandler* api,
                                                Failure* reason) {
   evhttp* const server = evhttp_new(loop->base());
   evhttp_set_max_headers_size(server, kMaxHeaderBytes);
-  evhttp_set_max_body_size(server, AdminApi::kMaxBodyBytes);
+  evhttp_set_max_body_size(server, kMaxBodyBytes);
   evhttp_set_allowed_methods(server, kAllMethods);
   evhttp_set_timeout(server, kIdleTimeoutSeconds);
   std::unique_ptr<AdminServer> admin(new AdminServer(server, api));
@@ -85,7 +87,7 @@
   return admin;
 }
 
-AdminServer::AdminServer(evhttp* server, const AdminApi* api)
+AdminServer::AdminServer(evhttp* server, const AdminHandler* api)
     : server_(server), api_(api) {}
 
 AdminServer::~AdminServer() {
--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -11,7 +11,7 @@
 
 namespace dragonflytack {
 
-class AdminApi;
+class AdminHandler;
 class EventLoop;
 
 // The HTTP server on the admin port. It answers on the loop's thread.
@@ -21,18 +21,18 @@
   // and `api` must outlive the server.
   static std::unique_ptr<AdminServer> Make(EventLoop* loop,
                                            const HostPort& address,
-                                           const AdminApi* api,
+                                           const AdminHandler* api,
                                            Failure* reason);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
 
  private:
-  AdminServer(evhttp* server, const AdminApi* api);
+  AdminServer(evhttp* server, const AdminHandler* api);
   static void OnRequest(evhttp_request* request, void* self);
 
   evhttp* const server_;
-  const AdminApi* const api_;
+  const AdminHandler* const api_;
 };
 
 }  // namespace dragonflytack
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -11,7 +11,6 @@
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/routing/route_snapshot.h"
 #include "net/record_json.h"
-#include "store/http_store_client.h"
 
 namespace dragonflytack {
 
@@ -35,6 +34,7 @@
 }  // namespace
 
 std::unique_ptr<ControlTask> ControlTask::Make(const Settings& settings,
+                                               const Environment& environment,
                                                const Clock* clock,
                                                Logger* logger,
                                                Failure* reason) {
@@ -47,7 +47,7 @@
     return nullptr;
   }
   std::unique_ptr<ControlTask> task(
-      new ControlTask(settings, clock, logger, std::move(loop)));
+      new ControlTask(settings, environment, clock, logger, std::move(loop)));
   if (!task->MakeParts(reason)) {
     return nullptr;
   }
@@ -56,10 +56,12 @@
 }
 
 ControlTask::ControlTask(const Settings& settings,
+                         const Environment& environment,
                          const Clock* clock,
                          Logger* logger,
                          std::unique_ptr<EventLoop> loop)
     : settings_(settings),
+      environment_(environment),
       clock_(clock),
       logger_(logger),
       loop_(std::move(loop)),
@@ -75,6 +77,7 @@
 bool ControlTask::MakeParts(Failure* reason) {
   LinkOptions link_options;
   link_options.shared_key = settings_.shared_key;
+  link_options.open_network = settings_.open_network;
   links_ = WebSocketLinkLayer::Make(loop_.get(),
                                     {settings_.address, settings_.peer_port},
                                     link_options, logger_, reason);
@@ -82,8 +85,7 @@
     return false;
   }
   std::unique_ptr<StoreClient> store =
-      HttpStoreClient::Make(loop_.get(), settings_.store,
-                            Milliseconds(settings_.store_timeout_ms), logger_);
+      environment_.make_store(settings_, loop_.get(), logger_);
   if (store == nullptr) {
     *reason = {FailureCode::kInvalidSetting, settings_.store.ToString(),
                "the store client cannot use the address"};
@@ -110,7 +112,7 @@
          core->OnLinkDown(link, failure);
        }});
   target_ = std::make_unique<TargetLifeCycle>(
-      &loop_->timers(),
+      &loop_->timers(), Milliseconds(settings_.target_silence_ms),
       [this](const LocalTarget& target) { OnTarget(target); });
   report_ = std::make_unique<FleetReport>(
       FleetReport::Parts{core, links_.get(), store_.get(), &metrics_, &tracer_,
@@ -123,7 +125,29 @@
   admin_server_ =
       AdminServer::Make(loop_.get(), {settings_.address, settings_.admin_port},
                         admin_api_.get(), reason);
-  return admin_server_ != nullptr;
+  return admin_server_ != nullptr && MakeTargetPorts(reason);
+}
+
+bool ControlTask::MakeTargetPorts(Failure* reason) {
+  if (settings_.ready_port != 0) {
+    readiness_server_ = AdminServer::Make(
+        loop_.get(), {settings_.address, settings_.ready_port}, &readiness_,
+        reason);
+    if (readiness_server_ == nullptr) {
+      return false;
+    }
+  }
+  if (settings_.target_port == 0 || !environment_.make_announcements) {
+    return true;
+  }
+  announcements_ = environment_.make_announcements(
+      settings_,
+      [this](const LocalTarget& target) { return TakeAnnouncement(target); },
+      logger_);
+  announcement_server_ =
+      AdminServer::Make(loop_.get(), {settings_.address, settings_.target_port},
+                        announcements_.get(), reason);
+  return announcement_server_ != nullptr;
 }
 
 bool ControlTask::MakeCallTask(Failure* reason) {
@@ -142,13 +166,17 @@
       report_->ejected().Note(service, target, period);
     });
   };
-  calls_ = CallTask::Make(settings_, core_->self().incarnation, clock_, logger_,
-                          &metrics_, &tracer_, std::move(events), reason);
+  events.on_target_lost = [this] {
+    mailbox_.Post([this] { target_->OnUnreachable(); });
+  };
+  calls_ = CallTask::Make(settings_, environment_.dialect,
+                          core_->self().incarnation, clock_, logger_, &metrics_,
+                          &tracer_, std::move(events), reason);
   return calls_ != nullptr;
 }
 
 void ControlTask::CatchSignals() {
-  for (const int signal : {SIGTERM, SIGINT}) {
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
     event* const signal_event =
         evsignal_new(loop_->base(), signal, &ControlTask::OnSignal, this);
     evsignal_add(signal_event, nullptr);
@@ -169,11 +197,18 @@
 }
 
 void ControlTask::OnSignal(int signal, short /*what*/, void* self) {
-  static_cast<ControlTask*>(self)->BeginStop(signal);
+  auto* const task = static_cast<ControlTask*>(self);
+  if (signal == SIGHUP) {
+    task->Reload();
+  } else {
+    task->BeginStop(signal);
+  }
 }
 
 void ControlTask::OnRoutes(std::shared_ptr<const RouteSnapshot> routes) {
   report_->NoteRoutes(routes);
+  // Without any version of the table every call would be refused.
+  readiness_.set_ready(!stopping_ && routes->version != 0);
   if (calls_ != nullptr) {
     calls_->PostRoutes(std::move(routes));
   } else if (!stopping_) {
@@ -208,7 +243,8 @@
       {{"service", target.service},
        {"state", std::string(TargetStateName(target.state))},
        {"port", int64_t{target.port}},
-       {"cause", announcing_ ? "announcement" : "no announcement for 15 s"}});
+       {"instance", target.instance},
+       {"cause", announcing_ ? "announcement" : "silent or unreachable"}});
   if (stopping_) {
     // The record stays `draining` until the end.
     return;
@@ -225,11 +261,39 @@
     return {FailureCode::kDraining, settings_.node_id, "the node is stopping"};
   }
   announcing_ = true;
-  target_->Announce(target);
+  const bool taken = target_->Announce(target);
   announcing_ = false;
+  if (!taken) {
+    logger_->Info("announcement_ignored",
+                  {{"instance", target.instance},
+                   {"started_ms", target.started_ms},
+                   {"sequence", target.sequence},
+                   {"known_instance", target_->target().instance},
+                   {"known_started_ms", target_->target().started_ms},
+                   {"known_sequence", target_->target().sequence},
+                   {"cause", "older than what is known"}});
+  }
   return {};
 }
 
+void ControlTask::Reload() {
+  Failure reason;
+  std::optional<Settings> changed;
+  if (environment_.reload) {
+    changed = environment_.reload(&reason);
+  }
+  if (!changed) {
+    logger_->Error("settings_refused",
+                   {{"reason", reason.ToString()},
+                    {"outcome", "the settings in force stay"}});
+    return;
+  }
+  logger_->set_minimum(changed->log_level);
+  settings_.log_level = changed->log_level;
+  logger_->Info("settings_reloaded",
+                {{"restart_needed", *changed != settings_}});
+}
+
 void ControlTask::BeginStop(int signal) {
   logger_->Info("stop_requested", {{"signal", int64_t{signal}}});
   if (std::exchange(stopping_, true)) {
@@ -237,6 +301,7 @@
     return;
   }
   stop_deadline_ = clock_->Now() + Milliseconds(settings_.drain_timeout_ms);
+  readiness_.set_ready(false);
   core_->BeginDrain();
   if (calls_ == nullptr) {
     OnCallsStopped({});
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -7,8 +7,10 @@
 
 #include "daemon/admin_api.h"
 #include "daemon/admin_server.h"
+#include "daemon/environment.h"
 #include "daemon/fleet_report.h"
 #include "daemon/observed_store.h"
+#include "daemon/readiness.h"
 #include "daemon/target_life_cycle.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/mailbox.h"
@@ -34,6 +36,7 @@
   // Binds the peer and admin ports. Returns nothing when a part cannot be made.
   // `clock` and `logger` must outlive the task.
   static std::unique_ptr<ControlTask> Make(const Settings& settings,
+                                           const Environment& environment,
                                            const Clock* clock,
                                            Logger* logger,
                                            Failure* reason);
@@ -49,11 +52,14 @@
   using Message = std::function<void()>;
 
   ControlTask(const Settings& settings,
+              const Environment& environment,
               const Clock* clock,
               Logger* logger,
               std::unique_ptr<EventLoop> loop);
   bool MakeParts(Failure* reason);
   bool MakeCallTask(Failure* reason);
+  // Binds the ports for readiness and announcements.
+  bool MakeTargetPorts(Failure* reason);
   void CatchSignals();
   static void OnSignal(int signal, short what, void* self);
 
@@ -65,11 +71,14 @@
   void PassOnTarget();
   void OnTarget(const LocalTarget& target);
   Failure TakeAnnouncement(const LocalTarget& target);
+  // Takes over what can change at run time from the settings file.
+  void Reload();
   void BeginStop(int signal);
   void OnCallsStopped(const NodeId& successor);
   void End(int exit_code);
 
-  const Settings settings_;
+  Settings settings_;
+  const Environment environment_;
   std::optional<LocalTarget> last_target_;
   const Clock* const clock_;
   Logger* const logger_;
@@ -85,6 +94,11 @@
   std::unique_ptr<FleetReport> report_;
   std::unique_ptr<AdminApi> admin_api_;
   std::unique_ptr<AdminServer> admin_server_;
+  Readiness readiness_;
+  // Null when the settings name no port for them.
+  std::unique_ptr<AdminServer> readiness_server_;
+  std::unique_ptr<AdminHandler> announcements_;
+  std::unique_ptr<AdminServer> announcement_server_;
   // Null when the settings name no collector.
   std::unique_ptr<OtlpExporter> exporter_;
   std::vector<event*> signal_events_;
--- a/src/daemon/target_life_cycle.h
+++ b/src/daemon/target_life_cycle.h
@@ -2,7 +2,9 @@
 #define DRAGONFLYTACK_DAEMON_TARGET_LIFE_CYCLE_H_
 
 #include <functional>
+#include <set>
 #include <span>
+#include <string>
 
 #include "dragonflytack/base/timer_service.h"
 #include "dragonflytack/calls/local_target.h"
@@ -14,20 +16,27 @@
 // absence. The chart charts/target.scxml drives it.
 class TargetLifeCycle final {
  public:
-  // A target repeats its announcement at least every 5 s. After three missed
-  // ones it counts as starting, so that it gets no calls.
-  static constexpr Milliseconds kLostAfter{15'000};
-
   using ChangedCallback = std::function<void(const LocalTarget&)>;
 
   // `on_changed` gets each new state and each change of the other fields, not
   // the repetitions.
-  TargetLifeCycle(TimerService* timers, ChangedCallback on_changed);
+  // A target that announces nothing for `silence` counts as starting, so that
+  // it gets no calls.
+  TargetLifeCycle(TimerService* timers,
+                  Milliseconds silence,
+                  ChangedCallback on_changed);
   ~TargetLifeCycle();
   TargetLifeCycle(const TargetLifeCycle&) = delete;
   TargetLifeCycle& operator=(const TargetLifeCycle&) = delete;
 
-  void Announce(const LocalTarget& announced);
+  // Takes an announcement. Returns false for one that is older than what is
+  // known: it changes nothing. A run of a target that has said that it leaves
+  // never gets calls again, whatever it announces later.
+  bool Announce(const LocalTarget& announced);
+
+  // The target took no connection. It gets calls again after its next
+  // announcement.
+  void OnUnreachable() { machine_.Handle("lost"); }
 
   const LocalTarget& target() const { return target_; }
 
@@ -40,10 +49,15 @@
   // Action of the chart.
   void Publish();
 
+  bool IsOutdated(const LocalTarget& announced) const;
+
   TimerService* const timers_;
+  const Milliseconds silence_;
   const ChangedCallback on_changed_;
   ChartMachine<TargetLifeCycle> machine_;
   LocalTarget target_;
+  // Runs that gave no start time and were followed by another one.
+  std::set<std::string> past_instances_;
   TimerId lost_timer_ = 0;
 };
 
--- a/src/distribution/delta_history.cc
+++ b/src/distribution/delta_history.cc
@@ -40,6 +40,20 @@
       whole.removed.insert(service);
     }
   }
+  std::map<std::string, const RouteRow*> changed_routes;
+  for (auto step = first; step != steps_.end(); ++step) {
+    for (const RouteRow& route : step->changed_routes) {
+      changed_routes[route.name] = &route;
+    }
+    for (const std::string& name : step->removed_routes) {
+      changed_routes.erase(name);
+      whole.removed_routes.insert(name);
+    }
+  }
+  for (const auto& [name, route] : changed_routes) {
+    whole.removed_routes.erase(name);
+    whole.changed_routes.push_back(*route);
+  }
   for (const auto& [service, row] : changed) {
     whole.removed.erase(service);
     whole.changed.push_back(*row);
--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -19,6 +19,8 @@
 
 constexpr int kMaxCell = 1'000'000'000;
 constexpr size_t kMaxListed = 64;
+// The longest text of a route, its path prefix.
+constexpr size_t kMaxRouteTextBytes = 1024;
 
 json Bytes(const uint64_t* numbers, size_t count) {
   std::vector<uint8_t> bytes;
@@ -73,6 +75,48 @@
   return row;
 }
 
+json WriteRoute(const RouteRow& route) {
+  json shares = json::array();
+  for (const RouteShare& share : route.shares) {
+    shares.push_back(share.service);
+    shares.push_back(share.weight);
+  }
+  return {route.name,        route.host,
+          route.path_prefix, static_cast<unsigned>(route.kind),
+          route.timeout_ms,  route.latency_objective_ms,
+          route.rank,        route.attempts,
+          std::move(shares)};
+}
+
+// Checks types only, as ReadRow() does.
+RouteRow ReadRoute(const json& value, CborReader* outer) {
+  CborReader reader(value);
+  const auto cell = [&] {
+    return static_cast<int>(reader.Signed(-kMaxCell, kMaxCell));
+  };
+  RouteRow route;
+  route.name = reader.Text(kMaxRouteTextBytes);
+  route.host = reader.Text(kMaxRouteTextBytes);
+  route.path_prefix = reader.Text(kMaxRouteTextBytes);
+  route.kind = static_cast<ServiceKind>(
+      reader.Unsigned(static_cast<uint64_t>(ServiceKind::kOneTime)));
+  route.timeout_ms = cell();
+  route.latency_objective_ms = cell();
+  route.rank = cell();
+  route.attempts = cell();
+  CborReader shares(reader.Array());
+  while (shares.ok() && !shares.AtEnd()) {
+    RouteShare share;
+    share.service = shares.Text(RecordCodec::kMaxTextBytes);
+    share.weight = static_cast<int>(shares.Signed(-kMaxCell, kMaxCell));
+    route.shares.push_back(std::move(share));
+  }
+  if (!reader.Finished() || !shares.ok()) {
+    outer->Fail();
+  }
+  return route;
+}
+
 void Append(const HelloMessage& message, json* array) {
   array->insert(
       array->end(),
@@ -99,8 +143,14 @@
   for (const ServiceRow& row : delta.changed) {
     changed.push_back(WriteRow(row));
   }
-  array->insert(array->end(), {delta.from, delta.to, delta.digest,
-                               std::move(changed), json(delta.removed)});
+  json changed_routes = json::array();
+  for (const RouteRow& route : delta.changed_routes) {
+    changed_routes.push_back(WriteRoute(route));
+  }
+  array->insert(array->end(),
+                {delta.from, delta.to, delta.digest, std::move(changed),
+                 json(delta.removed), std::move(changed_routes),
+                 json(delta.removed_routes)});
 }
 void Append(const HoldMessage& message, json* array) {
   array->push_back(message.version);
@@ -114,8 +164,12 @@
   for (const auto& [service, row] : message.rows) {
     rows.push_back(WriteRow(row));
   }
-  array->insert(array->end(),
-                {message.version, message.digest, std::move(rows)});
+  json routes = json::array();
+  for (const auto& [name, route] : message.routes) {
+    routes.push_back(WriteRoute(route));
+  }
+  array->insert(array->end(), {message.version, message.digest, std::move(rows),
+                               std::move(routes)});
 }
 void Append(const SnapshotRequestMessage&, json*) {}
 void Append(const SnapshotEndMessage&, json*) {}
@@ -194,7 +248,14 @@
   while (removed.ok() && !removed.AtEnd()) {
     delta.removed.insert(removed.Text(RecordCodec::kMaxTextBytes));
   }
-  if (!removed.ok() || delta.to <= delta.from) {
+  for (const json& route : reader->Array()) {
+    delta.changed_routes.push_back(ReadRoute(route, reader));
+  }
+  CborReader removed_routes(reader->Array());
+  while (removed_routes.ok() && !removed_routes.AtEnd()) {
+    delta.removed_routes.insert(removed_routes.Text(kMaxRouteTextBytes));
+  }
+  if (!removed.ok() || !removed_routes.ok() || delta.to <= delta.from) {
     reader->Fail();
   }
   return message;
@@ -219,6 +280,13 @@
       reader->Fail();
     }
   }
+  for (const json& value : reader->Array()) {
+    RouteRow route = ReadRoute(value, reader);
+    std::string name = route.name;
+    if (!message.routes.emplace(std::move(name), std::move(route)).second) {
+      reader->Fail();
+    }
+  }
   return message;
 }
 Message ReadBusy(CborReader* reader) {
--- a/src/distribution/messages.h
+++ b/src/distribution/messages.h
@@ -109,6 +109,7 @@
   TableVersion version = 0;
   uint64_t digest = 0;
   Table::Rows rows;
+  Table::Routes routes;
 
   friend bool operator==(const TableMessage&, const TableMessage&) = default;
 };
--- a/src/distribution/route_builder.cc
+++ b/src/distribution/route_builder.cc
@@ -44,6 +44,11 @@
   auto snapshot = std::make_shared<RouteSnapshot>();
   snapshot->version = table->version();
   bool differs = locations_changed || table != table_;
+  if (table == table_) {
+    snapshot->by_host = previous_->by_host;
+  } else if (!table->routes().empty()) {
+    snapshot->by_host = std::make_shared<const RouteIndex>(table);
+  }
 
   std::map<std::string_view, ServiceRoute*> rebuilt;
   for (const auto& [service, row] : table->rows()) {
--- a/src/distribution/table_sync.cc
+++ b/src/distribution/table_sync.cc
@@ -39,7 +39,8 @@
     if (!document->recent.empty()) {
       edit_ms = document->recent.back().time_ms;
     }
-    table = Table::Make(object.version, std::move(document->rows), &reason);
+    table = Table::Make(object.version, std::move(document->rows),
+                        std::move(document->routes), &reason);
   }
   if (table == nullptr) {
     Refuse(object.version, reason, nullptr);
@@ -109,7 +110,7 @@
   }
   Failure reason;
   std::shared_ptr<const Table> table =
-      Table::Make(message.version, message.rows, &reason);
+      Table::Make(message.version, message.rows, message.routes, &reason);
   if (table != nullptr && table->digest() != message.digest) {
     table = nullptr;
     reason = Failure{FailureCode::kInvalidMessage,
@@ -160,7 +161,8 @@
   if (newest_ == nullptr || baseline_) {
     return;
   }
-  links_->Send(link, TableMessage{held(), newest_->digest(), newest_->rows()});
+  links_->Send(link, TableMessage{held(), newest_->digest(), newest_->rows(),
+                                  newest_->routes()});
 }
 
 void TableSync::Evaluate(bool floor_known) {
--- a/src/net/link_options.h
+++ b/src/net/link_options.h
@@ -10,8 +10,11 @@
 
 // Limits of the links between nodes. Tests set smaller ones.
 struct LinkOptions final {
-  // Empty: links are not authenticated and only loopback peers are accepted.
+  // Empty: links are not authenticated, and only loopback peers are accepted
+  // unless the network is open.
   std::string shared_key;
+  // The network itself lets only nodes of the fleet in.
+  bool open_network = false;
   // The largest message is a snapshot: a table of 1 MB and 5,300 records of
   // about 300 B.
   size_t max_frame_bytes = 8'000'000;
--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -89,7 +89,8 @@
     return;  // Closed before it was started.
   }
   machine_.Start();
-  if (options_.shared_key.empty() && !IsLoopback(remote_.address)) {
+  if (options_.shared_key.empty() && !options_.open_network &&
+      !IsLoopback(remote_.address)) {
     Fail(FailureCode::kPeerRejected,
          "without a shared key only loopback peers are accepted");
     return;
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -5,8 +5,13 @@
 
 namespace dragonflytack {
 
+void RetryBudget::set_limits(const Limits& limits) {
+  limits_ = limits;
+  saved_ = std::min(saved_, limits_.max_saved);
+}
+
 void RetryBudget::OnCall() {
-  saved_ = std::min(kMaxSaved, saved_ + kShareOfCalls);
+  saved_ = std::min(limits_.max_saved, saved_ + limits_.share_of_calls);
 }
 
 bool RetryBudget::TryTake() {
@@ -21,7 +26,8 @@
 void RetryBudget::Refill() {
   const TimePoint now = clock_->Now();
   const std::chrono::duration<double> elapsed = now - refilled_;
-  saved_ = std::min(kMaxSaved, saved_ + kPerSecond * elapsed.count());
+  saved_ = std::min(limits_.max_saved,
+                    saved_ + limits_.per_second * elapsed.count());
   refilled_ = now;
 }
 
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -9,16 +9,20 @@
 // second, so that retries cannot multiply an overload.
 class RetryBudget final {
  public:
-  static constexpr double kShareOfCalls = 0.1;
-  static constexpr double kPerSecond = 3;
-  // Unused retries are kept up to this number, enough for the failures before
-  // an ejection. A new service starts with it.
-  static constexpr double kMaxSaved = 10;
+  // What one node may repeat.
+  struct Limits {
+    double share_of_calls = 0.1;
+    double per_second = 3;
+    // Unused retries are kept up to this number. A new service starts with it.
+    double max_saved = 10;
+  };
 
   // `clock` must outlive the budget.
   explicit RetryBudget(const Clock* clock)
       : clock_(clock), refilled_(clock->Now()) {}
 
+  void set_limits(const Limits& limits);
+
   void OnCall();
 
   // Takes one retry from the budget. Returns whether there was one.
@@ -29,7 +33,8 @@
 
   const Clock* const clock_;
   TimePoint refilled_;
-  double saved_ = kMaxSaved;
+  Limits limits_;
+  double saved_ = limits_.max_saved;
 };
 
 }  // namespace dragonflytack
--- /dev/null
+++ b/src/routing/route_index.cc
@@ -0,0 +1,42 @@
+#include "dragonflytack/routing/route_index.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dragonflytack/table/table.h"
+
+namespace dragonflytack {
+
+RouteIndex::RouteIndex(std::shared_ptr<const Table> table)
+    : table_(std::move(table)) {
+  routes_.reserve(table_->routes().size());
+  for (const auto& [name, route] : table_->routes()) {
+    routes_.emplace(route.host + route.path_prefix, &route);
+  }
+}
+
+const RouteRow* RouteIndex::Find(std::string_view host,
+                                 std::string_view target) const {
+  const size_t path_end = std::min(target.find_first_of("?#"), target.size());
+  std::string key(host.substr(0, host.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  const size_t host_length = key.size();
+  key += target.substr(0, path_end);
+  // Prefixes end with '/', so only the cuts after a '/' can match; the longest
+  // comes first.
+  for (size_t slash = key.rfind('/');
+       slash != std::string::npos && slash >= host_length;
+       slash = key.rfind('/')) {
+    key.resize(slash + 1);
+    const auto found = routes_.find(key);
+    if (found != routes_.end()) {
+      return found->second;
+    }
+    key.resize(slash);
+  }
+  return nullptr;
+}
+
+}  // namespace dragonflytack
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,5 +1,8 @@
 #include "routing/router.h"
 
+#include <algorithm>
+#include <chrono>
+
 #include <utility>
 
 namespace dragonflytack {
@@ -35,8 +38,40 @@
   }
   if (pool->route() != route->second) {
     pool->Update(route->second);
+    pool->retry_budget().set_limits(RetryLimits());
   }
   return pool;
 }
 
+RetryBudget::Limits Router::RetryLimits() const {
+  // Half of the slack refills over a window and half may be saved, so that no
+  // window sees more than the whole; a tenth of the ratio stays unused for
+  // calls that are counted in a neighbouring window.
+  constexpr double kHalf = 0.5;
+  constexpr double kRatioUsed = 0.9;
+  const double nodes =
+      routes_->nodes == nullptr
+          ? 1
+          : std::max<double>(1, static_cast<double>(routes_->nodes->size()));
+  const double slack = kHalf * retries_.slack / nodes;
+  const std::chrono::duration<double> window = retries_.window;
+  return {kRatioUsed * retries_.ratio, slack / window.count(),
+          std::max(1.0, slack)};
+}
+
+std::shared_ptr<ServicePool> Router::Draw(const RouteRow& route) {
+  uint64_t sum = 0;
+  for (const RouteShare& share : route.shares) {
+    sum += static_cast<uint64_t>(share.weight);
+  }
+  uint64_t drawn = random_.Below(sum);
+  for (const RouteShare& share : route.shares) {
+    if (drawn < static_cast<uint64_t>(share.weight)) {
+      return Find(share.service);
+    }
+    drawn -= static_cast<uint64_t>(share.weight);
+  }
+  return Find(route.shares.back().service);
+}
+
 }  // namespace dragonflytack
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -12,6 +12,14 @@
 
 namespace dragonflytack {
 
+// What the fleet may repeat of the calls of one service: in each window `ratio`
+// times the calls made, plus `slack`.
+struct RetryAllowance final {
+  double ratio = 0.1;
+  Milliseconds window{10'000};
+  int slack = 30;
+};
+
 // The snapshot in force and the pools of the services that this node calls.
 class Router final {
  public:
@@ -25,6 +33,8 @@
   // change costs nothing for services that this node does not call.
   void SetRoutes(std::shared_ptr<const RouteSnapshot> routes);
 
+  void set_retries(const RetryAllowance& retries) { retries_ = retries; }
+
   // Null before the first snapshot.
   const std::shared_ptr<const RouteSnapshot>& routes() const { return routes_; }
 
@@ -32,10 +42,18 @@
   // the table has no such row.
   std::shared_ptr<ServicePool> Find(const std::string& service);
 
+  // Returns the pool of one of the route's services, drawn by its weight. The
+  // route belongs to the snapshot in force.
+  std::shared_ptr<ServicePool> Draw(const RouteRow& route);
+
  private:
   const Clock* const clock_;
   const std::string region_;
   const std::string data_centre_;
+  // This node's part of the fleet's allowance.
+  RetryBudget::Limits RetryLimits() const;
+
+  RetryAllowance retries_;
   Random random_;
   std::shared_ptr<const RouteSnapshot> routes_;
   std::unordered_map<std::string, std::shared_ptr<ServicePool>> pools_;
--- a/src/store/http_store_client.cc
+++ b/src/store/http_store_client.cc
@@ -1,7 +1,6 @@
 #include "store/http_store_client.h"
 
 #include <algorithm>
-#include <deque>
 #include <utility>
 
 #include <fmt/format.h>
@@ -9,6 +8,7 @@
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
 #include "store/http_connection.h"
+#include "store/http_pool.h"
 #include "store/store_protocol.h"
 
 namespace dragonflytack {
@@ -36,100 +36,6 @@
 
 }  // namespace
 
-// A few connections and the calls that wait for one.
-class HttpStoreClient::Pool final {
- public:
-  Pool(EventLoop* loop, HostPort store, size_t max_connections)
-      : loop_(loop),
-        store_(std::move(store)),
-        max_connections_(max_connections) {}
-
-  ~Pool() {
-    for (const Call& call : waiting_) {
-      loop_->timers().Cancel(call.timer);
-    }
-  }
-
-  void Send(HttpRequest request,
-            Milliseconds timeout,
-            AnswerCallback callback) {
-    const uint64_t id = next_id_++;
-    const TimerId timer = loop_->timers().SubscribeOnce(
-        timeout, [this, id] { ExpireWaiting(id); });
-    waiting_.push_back(Call{id, std::move(request),
-                            loop_->clock().Now() + timeout, timer,
-                            std::move(callback)});
-    Dispatch();
-  }
-
- private:
-  struct Call {
-    uint64_t id = 0;
-    HttpRequest request;
-    TimePoint deadline;
-    TimerId timer = 0;
-    AnswerCallback callback;
-  };
-
-  HttpConnection* FreeConnection() {
-    for (const auto& connection : connections_) {
-      if (!connection->busy()) {
-        return connection.get();
-      }
-    }
-    if (connections_.size() == max_connections_) {
-      return nullptr;
-    }
-    connections_.push_back(std::make_unique<HttpConnection>(
-        loop_, store_, StoreProtocol::kMaxAnswerBytes));
-    return connections_.back().get();
-  }
-
-  void Dispatch() {
-    while (!waiting_.empty()) {
-      HttpConnection* connection = FreeConnection();
-      if (connection == nullptr) {
-        return;
-      }
-      Call call = std::move(waiting_.front());
-      waiting_.pop_front();
-      loop_->timers().Cancel(call.timer);
-      const auto left =
-          std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(
-                                        call.deadline - loop_->clock().Now()));
-      connection->Send(
-          call.request, left,
-          [this, callback = std::move(call.callback)](HttpAnswer answer) {
-            // The next call goes first because the callback may destroy the
-            // client.
-            Dispatch();
-            callback(std::move(answer));
-          });
-    }
-  }
-
-  void ExpireWaiting(uint64_t id) {
-    const auto found =
-        std::find_if(waiting_.begin(), waiting_.end(),
-                     [id](const Call& call) { return call.id == id; });
-    if (found == waiting_.end()) {
-      return;
-    }
-    const AnswerCallback callback = std::move(found->callback);
-    waiting_.erase(found);
-    HttpAnswer answer;
-    answer.end = HttpEnd::kNotSent;
-    callback(std::move(answer));
-  }
-
-  EventLoop* const loop_;
-  const HostPort store_;
-  const size_t max_connections_;
-  uint64_t next_id_ = 1;
-  std::vector<std::unique_ptr<HttpConnection>> connections_;
-  std::deque<Call> waiting_;
-};
-
 std::unique_ptr<HttpStoreClient> HttpStoreClient::Make(EventLoop* loop,
                                                        const HostPort& store,
                                                        Milliseconds timeout,
@@ -150,8 +56,14 @@
       store_(store),
       timeout_(timeout),
       logger_(logger),
-      calls_(std::make_unique<Pool>(loop, store, kMaxConnections)),
-      watches_(std::make_unique<Pool>(loop, store, kMaxWatches)) {}
+      calls_(std::make_unique<HttpPool>(loop,
+                                        store,
+                                        kMaxConnections,
+                                        StoreProtocol::kMaxAnswerBytes)),
+      watches_(std::make_unique<HttpPool>(loop,
+                                          store,
+                                          kMaxWatches,
+                                          StoreProtocol::kMaxAnswerBytes)) {}
 
 HttpStoreClient::~HttpStoreClient() = default;
 
--- a/src/store/http_store_client.h
+++ b/src/store/http_store_client.h
@@ -12,6 +12,7 @@
 namespace dragonflytack {
 
 class EventLoop;
+class HttpPool;
 class Logger;
 struct HttpAnswer;
 struct HttpRequest;
@@ -52,7 +53,6 @@
             ListCallback callback) override;
 
  private:
-  class Pool;
   using AnswerCallback = std::function<void(HttpAnswer)>;
 
   HttpStoreClient(EventLoop* loop,
@@ -78,8 +78,8 @@
   Logger* const logger_;
   // Timers of Refuse() hold it weakly and do nothing once it is gone.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
-  std::unique_ptr<Pool> calls_;
-  std::unique_ptr<Pool> watches_;
+  std::unique_ptr<HttpPool> calls_;
+  std::unique_ptr<HttpPool> watches_;
 };
 
 }  // namespace dragonflytack
--- a/src/store/table_editor.cc
+++ b/src/store/table_editor.cc
@@ -156,7 +156,7 @@
     return;
   }
   Failure reason;
-  if (Table::Make(version_, next_.rows, &reason) == nullptr) {
+  if (Table::Make(version_, next_.rows, next_.routes, &reason) == nullptr) {
     Finish(reason);
     return;
   }
--- a/src/table/table.cc
+++ b/src/table/table.cc
@@ -7,6 +7,7 @@
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/table/table_document.h"
 #include "table/column.h"
+#include "table/route_check.h"
 
 namespace dragonflytack {
 
@@ -44,6 +45,7 @@
 
 std::shared_ptr<const Table> Table::Make(TableVersion version,
                                          Rows rows,
+                                         Routes routes,
                                          Failure* reason) {
   if (rows.size() > kMaxRows) {
     *reason =
@@ -57,7 +59,12 @@
       return nullptr;
     }
   }
-  const std::string encoding = CanonicalEncoding(rows);
+  if (std::optional<Failure> fault = CheckRoutes(routes, rows)) {
+    *reason = *std::move(fault);
+    return nullptr;
+  }
+  std::string encoding = CanonicalEncoding(rows);
+  AppendCanonical(routes, &encoding);
   if (encoding.size() > TableDocument::kMaxBytes) {
     *reason = Failure{FailureCode::kInvalidTable, "table",
                       fmt::format("{} bytes are more than {}", encoding.size(),
@@ -65,11 +72,14 @@
     return nullptr;
   }
   return std::shared_ptr<const Table>(
-      new Table(version, std::move(rows), Hash64(encoding)));
+      new Table(version, std::move(rows), std::move(routes), Hash64(encoding)));
 }
 
-Table::Table(TableVersion version, Rows rows, uint64_t digest)
-    : version_(version), rows_(std::move(rows)), digest_(digest) {}
+Table::Table(TableVersion version, Rows rows, Routes routes, uint64_t digest)
+    : version_(version),
+      rows_(std::move(rows)),
+      routes_(std::move(routes)),
+      digest_(digest) {}
 
 const ServiceRow* Table::Find(const std::string& service) const {
   const auto found = rows_.find(service);
--- a/src/table/table_delta.cc
+++ b/src/table/table_delta.cc
@@ -9,7 +9,10 @@
 namespace dragonflytack {
 
 TableDelta TableDelta::Between(const Table& from, const Table& to) {
-  TableDelta delta{from.version(), to.version(), {}, {}, to.digest()};
+  TableDelta delta;
+  delta.from = from.version();
+  delta.to = to.version();
+  delta.digest = to.digest();
   for (const auto& [service, row] : to.rows()) {
     const ServiceRow* old_row = from.Find(service);
     if (old_row == nullptr || *old_row != row) {
@@ -21,6 +24,17 @@
       delta.removed.insert(service);
     }
   }
+  for (const auto& [name, route] : to.routes()) {
+    const auto old_route = from.routes().find(name);
+    if (old_route == from.routes().end() || old_route->second != route) {
+      delta.changed_routes.push_back(route);
+    }
+  }
+  for (const auto& [name, route] : from.routes()) {
+    if (!to.routes().contains(name)) {
+      delta.removed_routes.insert(name);
+    }
+  }
   return delta;
 }
 
@@ -45,7 +59,15 @@
   for (const ServiceRow& row : changed) {
     rows[row.service] = row;
   }
-  std::shared_ptr<const Table> table = Table::Make(to, std::move(rows), reason);
+  Table::Routes routes = base.routes();
+  for (const std::string& name : removed_routes) {
+    routes.erase(name);
+  }
+  for (const RouteRow& route : changed_routes) {
+    routes[route.name] = route;
+  }
+  std::shared_ptr<const Table> table =
+      Table::Make(to, std::move(rows), std::move(routes), reason);
   if (table != nullptr && table->digest() != digest) {
     *reason = Failure{FailureCode::kInvalidMessage, subject,
                       fmt::format("the digest of the result is {:016x}, "
--- a/src/table/table_document.cc
+++ b/src/table/table_document.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "table/column.h"
+#include "table/route_json.h"
 #include "table/table_json.h"
 
 namespace dragonflytack {
@@ -29,11 +30,14 @@
     return std::nullopt;
   }
   const json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!value.is_object() || value.size() != 2 || !value.contains("rows") ||
-      !value["rows"].is_array() || !value.contains("recent") ||
-      !value["recent"].is_array()) {
+  const bool has_routes = value.is_object() && value.contains("routes");
+  if (!value.is_object() || value.size() != (has_routes ? 3 : 2) ||
+      !value.contains("rows") || !value["rows"].is_array() ||
+      !value.contains("recent") || !value["recent"].is_array() ||
+      (has_routes && !value["routes"].is_array())) {
     *reason = DocumentFailure(
-        "it is not a JSON object with the arrays rows and recent");
+        "it is not a JSON object with the arrays rows and recent, and perhaps "
+        "routes");
     return std::nullopt;
   }
   TableDocument document;
@@ -50,6 +54,10 @@
       return std::nullopt;
     }
   }
+  if (has_routes &&
+      !RoutesFromJson(value["routes"], &document.routes, reason)) {
+    return std::nullopt;
+  }
   for (const json& item : value["recent"]) {
     std::optional<EditRecord> edit = EditFromJson(item, reason);
     if (!edit) {
@@ -69,8 +77,11 @@
   for (const EditRecord& edit : recent) {
     edit_values.push_back(EditToJson(edit));
   }
-  const json value = {{"rows", std::move(row_values)},
-                      {"recent", std::move(edit_values)}};
+  json value = {{"rows", std::move(row_values)},
+                {"recent", std::move(edit_values)}};
+  if (!routes.empty()) {
+    value["routes"] = RoutesToJson(routes);
+  }
   // Names and texts that are not UTF-8 are replaced rather than thrown on.
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -54,6 +54,9 @@
   int fd_;
 };
 
+// Ends a connection with a reset in place of a clean close.
+void ResetConnection(int fd);
+
 // A target that handles each request on a blocking thread by a script, for
 // faults that a proper server cannot produce.
 class ScriptedTarget {
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -42,9 +42,34 @@
   cr_assert_eq(first.requests() + second.requests(), 400);
 }
 
+// Guards against a one-time call that is broken off while its target runs it,
+// because its caller has gone.
+Test(call_task, hang_up_lets_a_running_one_time_call_end) {
+  ServiceRow row = Row(ServiceKind::kOneTime);
+  row.slots = 1;
+  CallFixture fixture(1, row);
+  ScriptedTarget target(
+      fixture.Address(1), CallFixture::kTargetPort,
+      [](int fd, const std::string& head, int n) {
+        std::this_thread::sleep_for(Milliseconds(n == 1 ? 300 : 0));
+        return AnswerOwn(fd, head, n);
+      });
+  {
+    const Socket caller(fixture.Address(0), CallFixture::kCallPort);
+    caller.Send(CallFixture::Request("gone", 5000));
+    while (target.requests() == 0) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  }
+  const HttpReply reply = fixture.Call("next", 2000);
+  cr_assert_eq(reply.status, 200, "%d", reply.status);
+  cr_assert_eq(target.requests(), 2);
+  cr_assert_eq(target.closed(), 0);
+}
+
 // Guards against slots and connections that a vanished caller keeps.
 Test(call_task, hang_up_cancels_downstream_and_frees_the_slot) {
-  ServiceRow row = Row(ServiceKind::kOneTime);
+  ServiceRow row = Row(ServiceKind::kIdempotent);
   row.slots = 1;
   CallFixture fixture(1, row);
   ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,255 @@
+#include <sys/queue.h>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <nlohmann/json.hpp>
+
+#include "dragonflytack/base/logger.h"
+#include "dragonflytack/base/manual_clock.h"
+#include "dragonflytack/base/settings.h"
+#include "platform/announcements.h"
+#include "platform/call_headers.h"
+#include "platform/configuration.h"
+
+namespace dragonflytack::platform {
+
+namespace {
+
+using nlohmann::json;
+
+using Items = std::map<std::string, std::string>;
+
+// Headers for a test, cleared at its end.
+class Headers final {
+ public:
+  explicit Headers(const Items& items) {
+    TAILQ_INIT(&list_);
+    for (const auto& [name, value] : items) {
+      evhttp_add_header(&list_, name.c_str(), value.c_str());
+    }
+  }
+  ~Headers() { evhttp_clear_headers(&list_); }
+  Headers(const Headers&) = delete;
+  Headers& operator=(const Headers&) = delete;
+
+  evkeyvalq* get() { return &list_; }
+  std::string Find(const char* name) {
+    const char* value = evhttp_find_header(&list_, name);
+    return value == nullptr ? "" : value;
+  }
+
+ private:
+  evkeyvalq list_;
+};
+
+json Configuration() {
+  return json::parse(R"({
+    "version": "00000007",
+    "routes": {
+      "columns": ["name", "host", "path_prefix", "kind", "timeout",
+                  "target_latency", "priority", "service", "attempts",
+                  "traffic_split"],
+      "rows": [
+        ["r-1", "Book.example", "/book/", "unsafe", "1200ms", "300ms", 1,
+         "booking", 2, null],
+        ["r-2", "view.example", "/view/", "safe", "1.5s", "250ms", 2, null, 2,
+         [{"service": "roster", "weight": 90},
+          {"service": "booking", "weight": 10}]]
+      ]
+    },
+    "services": {
+      "columns": ["name", "health_path", "max_connections", "protocol", "tls"],
+      "rows": [["booking", "/healthz", 120, "h1", false],
+               ["roster", "/healthz", 80, "h1", false]]
+    },
+    "limits": {"max_header_bytes": 16384}
+  })");
+}
+
+struct AnnouncementFixture {
+  AnnouncementFixture() {
+    settings.service = "booking";
+    settings.target_address = HostPort{"10.1.0.8", 8301};
+  }
+
+  AdminResponse Post(const std::string& call, const std::string& body) {
+    const Announcements announcements(
+        settings,
+        [this](const LocalTarget& target) {
+          taken.push_back(target);
+          return Failure{};
+        },
+        &logger);
+    return announcements.Handle(
+        {"POST", "/rpc", {{"call", call}, {"of", "i-1"}}, "", body, ""});
+  }
+
+  ManualClock clock;
+  Logger logger{&clock, LogLevel::kError, ""};
+  Settings settings;
+  std::vector<LocalTarget> taken;
+};
+
+json Heartbeat() {
+  return {{"address", "10.1.0.8:8301"},
+          {"born", 1'792'866'019'040},
+          {"info", {{"service", "booking"}, {"slots", 13}}},
+          {"status", {{"state", "ready"}, {"seq", 4}, {"warmup_left", "0ms"}}}};
+}
+
+}  // namespace
+
+// Guards against a configuration whose limits or shares are read wrongly.
+Test(platform_configuration, becomes_a_table_version) {
+  Failure reason;
+  const auto document = ReadConfiguration(Configuration(), &reason);
+  cr_assert(document.has_value(), "%s", reason.ToString().c_str());
+  const RouteRow& book = document->routes.at("r-1");
+  cr_expect(book.host == "book.example" && book.path_prefix == "/book/");
+  cr_expect(book.kind == ServiceKind::kOneTime && book.timeout_ms == 1200);
+  cr_expect(book.latency_objective_ms == 300 && book.rank == 1 &&
+            book.attempts == 2);
+  const std::vector<RouteShare> whole = {{"booking", 1}};
+  cr_expect(book.shares == whole);
+  const RouteRow& view = document->routes.at("r-2");
+  cr_expect(view.kind == ServiceKind::kIdempotent && view.timeout_ms == 1500);
+  const std::vector<RouteShare> split = {{"roster", 90}, {"booking", 10}};
+  cr_expect(view.shares == split);
+  cr_expect_eq(document->rows.at("roster").max_connections, 80);
+  cr_expect(Table::Make(7, document->rows, document->routes, &reason) !=
+            nullptr);
+}
+
+// Guards against a configuration that is taken in part when a cell cannot be
+// read.
+Test(platform_configuration, is_refused_whole) {
+  const std::pair<const char*, json> faults[] = {
+      {"/routes/rows/0/3", "sometimes"},
+      {"/routes/rows/0/4", 1200},
+      {"/routes/rows/0/4", "soon"},
+      {"/routes/rows/0/7", nullptr},
+      {"/routes/rows/1/9/0", "roster"},
+      {"/routes/rows/0/8", "two"},
+      {"/routes/rows/0", json::array()},
+      {"/services/rows/0/0", nullptr},
+      {"/services", nullptr},
+      {"/routes/columns/0", 5},
+  };
+  for (const auto& [place, value] : faults) {
+    json changed = Configuration();
+    changed[json::json_pointer(place)] = value;
+    Failure reason;
+    cr_expect(!ReadConfiguration(changed, &reason).has_value(), "%s", place);
+    cr_expect(reason.code == FailureCode::kInvalidTable, "%s", place);
+  }
+}
+
+// Guards against an answer that is given to another call, a success that no
+// endpoint made, and a promise of "not run" that the endpoint did not give.
+Test(platform_call_headers, judges_answers) {
+  const struct {
+    const char* name;
+    int status;
+    std::map<std::string, std::string> headers;
+    TargetVerdict verdict;
+  } cases[] = {
+      {"success",
+       200,
+       {{"Attempt-Id", "a"}, {"Upstream-Signature", "s"}},
+       TargetVerdict::kAnswer},
+      {"unsigned success", 200, {{"Attempt-Id", "a"}}, TargetVerdict::kForeign},
+      {"other call",
+       200,
+       {{"Attempt-Id", "b"}, {"Upstream-Signature", "s"}},
+       TargetVerdict::kForeign},
+      {"no call", 200, {{"Upstream-Signature", "s"}}, TargetVerdict::kForeign},
+      {"encoded",
+       200,
+       {{"Attempt-Id", "a"},
+        {"Upstream-Signature", "s"},
+        {"Content-Encoding", "gzip"}},
+       TargetVerdict::kForeign},
+      {"own failure",
+       500,
+       {{"Attempt-Id", "a"}, {"Upstream-Signature", "s"}},
+       TargetVerdict::kAnswer},
+      {"shed", 503, {{"Not-Executed", "1"}}, TargetVerdict::kNotRun},
+      {"shed another call",
+       503,
+       {{"Attempt-Id", "b"}, {"Not-Executed", "1"}},
+       TargetVerdict::kForeign},
+      {"503 without a promise",
+       503,
+       {{"Attempt-Id", "a"}},
+       TargetVerdict::kForeign},
+      {"misdirected", 421, {{"Attempt-Id", "a"}}, TargetVerdict::kWrongTarget},
+  };
+  Headers call(Items{{"Attempt-Id", "a"}});
+  for (const auto& test : cases) {
+    Headers answer(test.headers);
+    cr_expect(CallHeaders().JudgeAnswer(call.get(), test.status,
+                                        answer.get()) == test.verdict,
+              "%s", test.name);
+  }
+}
+
+// Guards against headers of callers that reach an endpoint as the platform's.
+Test(platform_call_headers, are_written_by_the_node_only) {
+  const CallHeaders headers;
+  for (const char* name : {"deadline-ms", "EXPECTED-INSTANCE",
+                           "Downstream-Service", "Not-Executed"}) {
+    cr_expect(headers.IsReserved(name), "%s", name);
+  }
+  cr_expect(!headers.IsReserved("Attempt-Id"));
+  Headers out(Items{});
+  headers.WriteToTarget({Milliseconds(250), "roster", "i-7"}, out.get());
+  cr_expect(out.Find("Deadline-Ms") == "250");
+  cr_expect(out.Find("Downstream-Service") == "roster");
+  cr_expect(out.Find("Expected-Instance") == "i-7");
+  Headers refusal(Items{});
+  headers.WriteComeBack(Milliseconds(50), refusal.get());
+  cr_expect(refusal.Find("Retry-After") == "0.050");
+  Headers load(Items{{"Upstream-Load", "3,1,8"}});
+  cr_expect(headers.ReadLoad(load.get()) == 0.5);
+  for (const char* text : {"", "3", "3,1", "3,1,0", "3,1,8,", "-1,0,8"}) {
+    Headers bad(Items{{"Upstream-Load", text}});
+    cr_expect(!headers.ReadLoad(bad.get()).has_value(), "%s", text);
+  }
+}
+
+// Guards against reports of other writers that change what a node believes of
+// its endpoint.
+Test(platform_announcements, refuse_what_names_no_endpoint) {
+  AnnouncementFixture fixture;
+  cr_assert_eq(fixture.Post("instances.heartbeat", Heartbeat().dump()).status,
+               200);
+  cr_assert_eq(fixture.taken.size(), 1);
+  const LocalTarget& target = fixture.taken.front();
+  cr_expect(target.instance == "i-1" && target.sequence == 4 &&
+            target.started_ms == 1'792'866'019'040 && target.slots == 13 &&
+            target.state == TargetState::kReady && target.port == 8301);
+  const std::pair<const char*, json> faults[] = {
+      {"/address", "10.1.0.9:8301"}, {"/address", 7},
+      {"/born", "yesterday"},        {"/born", 1.5},
+      {"/info/service", "payroll"},  {"/info/slots", "many"},
+      {"/status/state", "asleep"},   {"/status/seq", nullptr},
+      {"/status", "ready"},          {"/info", nullptr},
+  };
+  for (const auto& [place, value] : faults) {
+    json changed = Heartbeat();
+    changed[json::json_pointer(place)] = value;
+    cr_expect_eq(fixture.Post("instances.heartbeat", changed.dump()).status,
+                 400, "%s", place);
+  }
+  cr_expect_eq(fixture.Post("instances.heartbeat", "\xff{").status, 400);
+  cr_expect_eq(fixture.Post("instances.other", "{}").status, 404);
+  cr_assert_eq(fixture.taken.size(), 1);
+  cr_assert_eq(fixture.Post("instances.deregister", "").status, 200);
+  cr_assert(fixture.taken.back().state == TargetState::kLeft);
+}
+
+}  // namespace dragonflytack::platform
