--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -216,6 +216,43 @@
   }
 }
 
+// Guards against a body whose length two readers understand differently: what
+// one of them takes for the next request was part of this one.
+Test(call_task, refuses_ambiguous_lengths) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        AnswerOwn);
+  const char* const lengths[] = {
+      "Content-Length: 2\r\nContent-Length: 3\r\n",
+      "Content-Length: 2\r\nContent-Length: 2\r\n",
+      "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+  };
+  for (const char* const length : lengths) {
+    const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+    socket.Send(std::string("POST /s HTTP/1.1\r\nHost: h\r\n") + length +
+                "\r\n0\r\n\r\n");
+    const HttpReply reply = socket.Receive(Milliseconds(1000));
+    cr_expect_eq(reply.status, 400, "%s: %d", length, reply.status);
+    ExpectEqual(reply.Header("Connection"), "close", length);
+  }
+  cr_expect_eq(target.requests(), 0);
+}
+
+// Guards against an answer of "no such service" by a node that knows no table
+// yet: the caller would not come back.
+Test(call_task, refuses_before_the_first_table) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  fixture.task(0)->PostRoutes(std::make_shared<RouteSnapshot>());
+  HttpReply reply;
+  for (int i = 0; i < 100 && reply.status != 503; ++i) {
+    reply = fixture.Call("1", 200);
+  }
+  cr_expect_eq(reply.status, 503, "%d", reply.status);
+  ExpectEqual(reply.Header("x-outcome"), "not-run");
+  cr_expect(!reply.Header("Retry-After").empty());
+}
+
 // Guards against spans that are lost or hang together wrongly.
 Test(call_task, sampled_call_leaves_a_span_per_hop) {
   CallFixture fixture(1, Row(ServiceKind::kIdempotent));
--- a/tests/router_test.cc
+++ b/tests/router_test.cc
@@ -277,4 +277,42 @@
   cr_assert_null(fixture.router_.Find("other").get());
 }
 
+// Guards against nodes that together repeat more than the fleet's allowance in
+// one window.
+Test(router, retry_allowance_is_shared_by_the_nodes) {
+  constexpr int kNodes = 24;
+  constexpr int kCallsPerNode = 200;
+  ManualClock clock;
+  auto snapshot = std::make_shared<RouteSnapshot>();
+  auto route = std::make_shared<ServiceRoute>();
+  route->row.service = "s";
+  snapshot->services["s"] = route;
+  auto nodes = std::make_shared<std::unordered_map<NodeId, NodeLocation>>();
+  for (int i = 0; i < kNodes; ++i) {
+    nodes->emplace(fmt::format("n{}", i), NodeLocation{});
+  }
+  snapshot->nodes = nodes;
+  const RetryAllowance allowance{0.2, Milliseconds(10'000), 60};
+  std::vector<std::unique_ptr<Router>> routers;
+  for (int i = 0; i < kNodes; ++i) {
+    routers.push_back(std::make_unique<Router>(&clock, "a", "a1", i));
+    routers.back()->set_retries(allowance);
+    routers.back()->SetRoutes(snapshot);
+  }
+  int repeated = 0;
+  for (int call = 0; call < kCallsPerNode; ++call) {
+    clock.Advance(allowance.window / kCallsPerNode);
+    for (const auto& router : routers) {
+      RetryBudget& budget = router->Find("s")->retry_budget();
+      budget.OnCall();
+      repeated += budget.TryTake() ? 1 : 0;
+      repeated += budget.TryTake() ? 1 : 0;
+    }
+  }
+  const double bound =
+      allowance.ratio * kNodes * kCallsPerNode + allowance.slack;
+  cr_expect(repeated <= bound, "%d", repeated);
+  cr_expect(repeated >= 0.8 * bound, "%d", repeated);
+}
+
 }  // namespace dragonflytack
