Try slow lookups a second time, spill over by occupancy, start from the store's first answer

Change: an idempotent call gets a second attempt at 0.6 of its objective while the first goes on, out of the retry budget and only to an endpoint with room; the node beside a target reports the calls it runs and queues, and a full one is passed over for 300 ms; a failure answer of an endpoint is repeated elsewhere and delivered when that brings no better one; an unreachable host is left out at once; a ready answer is delivered, also late. TakeRead() hands over an object that came with a version.

Tests changed: the longest ejection is 5 s (was 30 s), because hosts are back within seconds. A starting node is no speaker in its first 1.5 s, joined or not, which keeps starting_nodes_leave_no_watches at its bound with the earlier probe.

--- a/include/dragonflytack/store/store_client.h
+++ b/include/dragonflytack/store/store_client.h
@@ -57,6 +57,12 @@
                      Milliseconds timeout,
                      VersionCallback callback) = 0;
 
+  // Returns the object when an earlier answer brought it along unasked, and
+  // forgets it; nothing otherwise. Saves a Get() after a Watch().
+  virtual std::optional<StoreObject> TakeRead(const std::string& /*key*/) {
+    return std::nullopt;
+  }
+
   // Lists up to `limit` objects whose keys begin with `prefix` and come after
   // `start_after`, with values, in the order of keys.
   virtual void List(const std::string& prefix,
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -17,6 +17,7 @@
 class DeferredDeleter;
 class EventLoop;
 class Logger;
+class RepeatShare;
 class Router;
 class Tracer;
 
@@ -33,6 +34,7 @@
   CallMetrics* metrics = nullptr;
   Tracer* tracer = nullptr;
   const CallDialect* dialect = nullptr;
+  RepeatShare* repeats = nullptr;
   // Of one-time calls: those this node dispatches, and those it got.
   AttemptNumbers* attempts = nullptr;
   AttemptGuard* guard = nullptr;
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -17,6 +17,7 @@
 #include "calls/deferred_deleter.h"
 #include "calls/http_server.h"
 #include "calls/one_time.h"
+#include "calls/repeat_share.h"
 #include "calls/target_side.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
@@ -75,6 +76,7 @@
     context_.metrics = &metrics_;
     context_.tracer = tracer;
     context_.dialect = dialect_.get();
+    context_.repeats = &repeats_;
     context_.on_ejected = events_.on_ejected;
     context_.on_target_lost = events_.on_target_lost;
     router_.set_retries({settings.retry_ratio,
@@ -237,6 +239,7 @@
   CallMetrics metrics_;
   Router router_;
   ConnectionPool connections_;
+  RepeatShare repeats_;
   CallContext context_;
   std::unique_ptr<OneTime> one_time_;
   std::unique_ptr<CallEntry> entry_;
--- a/src/calls/connection_pool.h
+++ b/src/calls/connection_pool.h
@@ -23,9 +23,9 @@
 // is reused first, so that the others can age out after a rush.
 class ConnectionPool final {
  public:
-  // A new connection costs about 1 ms and 8 ms more to another region. Longer
-  // waits mean a dead host, and nothing was sent to it yet.
-  static constexpr Milliseconds kConnectLimit{250};
+  // A new connection costs about 1 ms, and 16 ms for the way to another region
+  // and back. Longer waits mean a dead host, and nothing was sent to it yet.
+  static constexpr Milliseconds kConnectLimit{100};
   static constexpr Milliseconds kIdleLimit{30'000};
   // A connection whose other side said how long it keeps it is closed this much
   // earlier, so that no request meets it closing.
--- a/src/calls/http_headers.cc
+++ b/src/calls/http_headers.cc
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::array<const char*, 29> kNotForwarded = {
+constexpr std::array<const char*, 30> kNotForwarded = {
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -47,6 +47,7 @@
     kRankHeader,
     kReachedHeader,
     kComeBackHeader,
+    kOccupancyHeader,
 };
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
--- a/src/calls/http_headers.h
+++ b/src/calls/http_headers.h
@@ -22,6 +22,7 @@
 // What "not-run" speaks about: "key" or "request".
 inline constexpr char kScopeHeader[] = "x-not-run-scope";
 
+// Number of the attempt among those that may have reached a target.
 inline constexpr char kAttemptHeader[] = "x-attempt";
 // Service of the target that made the call.
 inline constexpr char kCallerHeader[] = "x-caller-service";
@@ -39,6 +40,9 @@
 // AttemptId of a one-time call.
 inline constexpr char kAttemptIdHeader[] = "x-attempt-id";
 inline constexpr char kLoadHeader[] = "x-load";
+// Calls running and waiting at the node beside the target, in thousandths of
+// its slots.
+inline constexpr char kOccupancyHeader[] = "x-occupancy";
 // Microseconds that the target took, for the measure of the added time.
 inline constexpr char kTargetTimeHeader[] = "x-target-us";
 
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -12,6 +12,7 @@
 #include "calls/connection_pool.h"
 #include "calls/deferred_deleter.h"
 #include "calls/http_headers.h"
+#include "calls/repeat_share.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
 #include "onetime/attempt_numbers.h"
@@ -30,6 +31,13 @@
 // Nodes that one call asks, those included that refuse it unseen by a target.
 constexpr int kMaxTries = 6;
 
+// Share of the latency objective after which an idempotent call is tried a
+// second time. Later, the second answer would miss the objective as well;
+// earlier, calls that are only long would be repeated.
+constexpr double kHedgeShare = 0.6;
+
+constexpr int kInternalError = 500;
+
 // Returns whether another target may do better after a refusal for `reason`.
 bool IsWorthRetrying(CallReason reason) {
   switch (reason) {
@@ -61,69 +69,116 @@
 
 RoutedCall::~RoutedCall() {
   context_->loop->timers().Cancel(finish_timer_);
-  if (target_ != nullptr) {
-    EndAttempt(AttemptEnd::kNeutral, "cancelled");
+  context_->loop->timers().Cancel(hedge_timer_);
+  for (const auto& attempt : open_) {
+    EndAttempt(attempt.get(), AttemptEnd::kNeutral, "cancelled");
   }
 }
 
 void RoutedCall::Start() {
-  request_.pool->retry_budget().OnCall();
-  Attempt(CallResult::Refused(CallReason::kNoTarget,
-                              "no target of the service can take the call"));
+  request_.pool->retry_budget().OnCall(context_->repeats->share());
+  Begin(CallResult::Refused(CallReason::kNoTarget,
+                            "no target of the service can take the call"));
 }
 
 TimePoint RoutedCall::Now() const {
   return context_->loop->clock().Now();
 }
 
-void RoutedCall::Attempt(CallResult previous) {
-  const ServiceRow& row = request_.route->row;
+void RoutedCall::Begin(CallResult previous) {
   for (int refusals = 0; refusals < kMaxLocalRefusals; ++refusals) {
-    const TimePoint now = Now();
     const auto remaining =
-        std::chrono::floor<Milliseconds>(request_.deadline - now);
+        std::chrono::floor<Milliseconds>(request_.deadline - Now());
     if (remaining <= kHopMargin) {
       previous.reason = CallReason::kDeadline;
       previous.detail = "no time is left for an attempt";
       break;
     }
-    target_ = request_.pool->Choose(tried_);
-    if (target_ == nullptr) {
+    ServicePool::EndpointPtr target = request_.pool->Choose(tried_);
+    if (target == nullptr) {
       break;
     }
-    tried_.push_back(target_);
-    // An idempotent call that hangs leaves a quarter of its time to a retry.
-    const bool may_retry =
-        !is_one_time() && arrivals_ + 1 < request_.policy.attempts;
-    const Milliseconds limit = may_retry ? remaining * 3 / 4 : remaining;
-    const NodeRecord& record = target_->record();
-    span_ = std::make_unique<CallSpan>(context_, request_.trace, "attempt",
-                                       row.service);
-    span_->set_target(record.id, attempts_ + 1);
-    attempt_start_ = now;
-    exchange_ = context_->connections->Start(
-        {record.address, record.mesh_port}, row.max_connections, limit,
-        evhttp_request_get_command(request_.http), request_.uri.c_str(),
-        [this, limit](evhttp_request* out) {
-          WriteRequest(out, std::max(limit - kHopMargin, Milliseconds(1)));
-        },
-        [this](ExchangeEnd end, HttpRequestPtr answer) {
-          OnExchangeEnd(end, std::move(answer));
-        });
-    target_->OnSent();
-    if (exchange_ != nullptr) {
-      ++attempts_;
-      maybe_dispatched_ = true;
+    if (BeginAt(std::move(target), remaining)) {
+      ArmHedge();
       return;
     }
-    EndAttempt(AttemptEnd::kNeutral, "overloaded");
     previous = CallResult::Refused(CallReason::kOverloaded,
                                    "all connections to the target are in use");
   }
-  FinishLater(std::move(previous));
+  if (open_.empty()) {
+    FinishLater(std::move(previous));
+  }
+}
+
+bool RoutedCall::BeginAt(ServicePool::EndpointPtr target, Milliseconds limit) {
+  const ServiceRow& row = request_.route->row;
+  tried_.push_back(target);
+  auto owned = std::make_unique<Attempt>();
+  Attempt* const attempt = owned.get();
+  attempt->target = std::move(target);
+  attempt->number = attempts_ + 1;
+  attempt->start = Now();
+  const NodeRecord& record = attempt->target->record();
+  attempt->span = std::make_unique<CallSpan>(context_, request_.trace,
+                                             "attempt", row.service);
+  attempt->span->set_target(record.id, attempt->number);
+  attempt->exchange = context_->connections->Start(
+      {record.address, record.mesh_port}, row.max_connections, limit,
+      evhttp_request_get_command(request_.http), request_.uri.c_str(),
+      [&](evhttp_request* out) {
+        WriteRequest(*attempt, out, limit - kHopMargin);
+      },
+      [this, attempt](ExchangeEnd end, HttpRequestPtr answer) {
+        OnExchangeEnd(attempt, end, std::move(answer));
+      });
+  attempt->target->OnSent();
+  if (attempt->exchange == nullptr) {
+    EndAttempt(attempt, AttemptEnd::kNeutral, "overloaded");
+    return false;
+  }
+  ++attempts_;
+  maybe_dispatched_ = true;
+  open_.push_back(std::move(owned));
+  return true;
+}
+
+bool RoutedCall::HasAttemptsLeft() const {
+  return attempts_ < kMaxTries &&
+         arrivals_ + static_cast<int>(open_.size()) < request_.policy.attempts;
+}
+
+void RoutedCall::ArmHedge() {
+  if (is_one_time() || hedge_timer_ != 0 || !HasAttemptsLeft()) {
+    return;
+  }
+  const Milliseconds objective = request_.policy.latency_objective;
+  const Milliseconds given =
+      std::chrono::floor<Milliseconds>(request_.deadline - request_.start);
+  const Milliseconds after =
+      objective > Milliseconds::zero()
+          ? Milliseconds(static_cast<int64_t>(
+                kHedgeShare * static_cast<double>(objective.count())))
+          : given / 2;
+  hedge_timer_ =
+      context_->loop->timers().SubscribeOnce(after, [this] { OnHedge(); });
 }
 
-void RoutedCall::WriteRequest(evhttp_request* out, Milliseconds remaining) {
+void RoutedCall::OnHedge() {
+  const auto remaining =
+      std::chrono::floor<Milliseconds>(request_.deadline - Now());
+  if (open_.empty() || remaining <= kHopMargin || !HasAttemptsLeft()) {
+    return;
+  }
+  ServicePool::EndpointPtr target = request_.pool->ChooseUsable(tried_);
+  if (target != nullptr && request_.pool->retry_budget().TryTake()) {
+    context_->metrics->ForService(request_.route->row.service).retries->Add();
+    BeginAt(std::move(target), remaining);
+  }
+}
+
+void RoutedCall::WriteRequest(const Attempt& attempt,
+                              evhttp_request* out,
+                              Milliseconds remaining) {
   evkeyvalq* headers = evhttp_request_get_output_headers(out);
   CopyEndToEndHeaders(*context_->dialect,
                       evhttp_request_get_input_headers(request_.http), headers);
@@ -131,19 +186,21 @@
   evhttp_add_header(headers, kServiceHeader,
                     request_.route->row.service.c_str());
   AddHeader(headers, kDeadlineHeader, remaining.count());
-  AddHeader(headers, kAttemptHeader, attempts_ + 1);
+  AddHeader(headers, kAttemptHeader,
+            arrivals_ + static_cast<int>(open_.size()) + 1);
   AddHeader(headers, kRankHeader, request_.policy.rank);
   if (!request_.caller_service.empty()) {
     evhttp_add_header(headers, kCallerHeader, request_.caller_service.c_str());
   }
   if (is_one_time()) {
-    const NodeRecord& record = target_->record();
+    const NodeRecord& record = attempt.target->record();
     evhttp_add_header(headers, kAttemptIdHeader,
                       context_->attempts->Next(record.id, record.incarnation)
                           .ToText()
                           .c_str());
   }
-  evhttp_add_header(headers, kTraceHeader, span_->context().ToHeader().c_str());
+  evhttp_add_header(headers, kTraceHeader,
+                    attempt.span->context().ToHeader().c_str());
   evbuffer* body = evhttp_request_get_input_buffer(request_.http);
   if (const size_t size = evbuffer_get_length(body); size > 0) {
     AddHeader(headers, "Content-Length", static_cast<int64_t>(size));
@@ -152,69 +209,97 @@
   }
 }
 
-void RoutedCall::OnExchangeEnd(ExchangeEnd end, HttpRequestPtr answer) {
-  context_->deleter->Add(std::move(exchange_));
-  // A caller with an unusually short deadline says nothing about the target.
-  const bool fair = 4 * (Now() - attempt_start_) >= request_.policy.time_limit;
-  const AttemptEnd timeout = fair ? AttemptEnd::kTimeout : AttemptEnd::kNeutral;
+void RoutedCall::OnExchangeEnd(Attempt* attempt,
+                               ExchangeEnd end,
+                               HttpRequestPtr answer) {
+  const auto found = std::find_if(
+      open_.begin(), open_.end(),
+      [attempt](const auto& other) { return other.get() == attempt; });
+  const std::unique_ptr<Attempt> ended = std::move(*found);
+  open_.erase(found);
+  context_->deleter->Add(std::move(ended->exchange));
   AttemptEnd health = AttemptEnd::kFailure;
-  CallResult result;
-  switch (end) {
-    case ExchangeEnd::kAnswered:
-      result = ReadAnswer(std::move(answer), &health);
-      if (health == AttemptEnd::kTimeout) {
-        health = timeout;
-      }
-      break;
-    case ExchangeEnd::kNotSent:
-      result = CallResult::Refused(CallReason::kUnreachable,
-                                   "no connection to the node of the target");
-      break;
-    case ExchangeEnd::kTimeout:
-      health = timeout;
-      result = CallResult::Unknown(CallReason::kDeadline,
-                                   "no answer within the time limit");
-      break;
-    case ExchangeEnd::kBroken:
-      result = CallResult::Unknown(
-          CallReason::kUpstreamFailed,
-          "the connection ended before the whole answer came");
-      break;
-    case ExchangeEnd::kTooLarge:
-      health = AttemptEnd::kNeutral;
-      result = CallResult::Unknown(CallReason::kTooLarge,
-                                   "the answer is over the size limit");
-      break;
-  }
+  CallResult result =
+      ReadExchange(ended.get(), end, std::move(answer), &health);
   if (result.outcome != CallOutcome::kNotRun || result.reached_target) {
     ++arrivals_;
   }
-  EndAttempt(health, result.outcome == CallOutcome::kDone
-                         ? CallOutcomeName(result.outcome)
-                         : CallReasonName(result.reason));
+  EndAttempt(ended.get(), health,
+             result.outcome == CallOutcome::kDone
+                 ? CallOutcomeName(result.outcome)
+                 : CallReasonName(result.reason));
   if (result.outcome == CallOutcome::kUnknown) {
     maybe_ran_ = true;
   }
-  if (MayRetry(&result)) {
+  if (result.outcome == CallOutcome::kDone && !is_one_time() &&
+      evhttp_request_get_response_code(result.answer.get()) >= kInternalError) {
+    failed_answer_ = std::move(result);
+    result = CallResult::Unknown(CallReason::kUpstreamFailed,
+                                 "the target answered with a failure");
+  }
+  if (result.outcome == CallOutcome::kDone) {
+    Finish(std::move(result));
+  } else if (MayRetry(&result)) {
     context_->metrics->ForService(request_.route->row.service).retries->Add();
-    Attempt(std::move(result));
-  } else {
+    Begin(std::move(result));
+  } else if (open_.empty()) {
     Finish(std::move(result));
   }
 }
 
-CallResult RoutedCall::ReadAnswer(HttpRequestPtr answer, AttemptEnd* health) {
+CallResult RoutedCall::ReadExchange(Attempt* attempt,
+                                    ExchangeEnd end,
+                                    HttpRequestPtr answer,
+                                    AttemptEnd* health) {
+  // A caller with an unusually short deadline says nothing about the target.
+  const bool fair = 4 * (Now() - attempt->start) >= request_.policy.time_limit;
+  const AttemptEnd timeout = fair ? AttemptEnd::kTimeout : AttemptEnd::kNeutral;
+  switch (end) {
+    case ExchangeEnd::kAnswered: {
+      CallResult result = ReadAnswer(*attempt, std::move(answer), health);
+      if (*health == AttemptEnd::kTimeout) {
+        *health = timeout;
+      }
+      return result;
+    }
+    case ExchangeEnd::kNotSent:
+      *health = AttemptEnd::kUnreachable;
+      return CallResult::Refused(CallReason::kUnreachable,
+                                 "no connection to the node of the target");
+    case ExchangeEnd::kTimeout:
+      *health = timeout;
+      return CallResult::Unknown(CallReason::kDeadline,
+                                 "no answer within the time limit");
+    case ExchangeEnd::kBroken:
+      break;
+    case ExchangeEnd::kTooLarge:
+      *health = AttemptEnd::kNeutral;
+      return CallResult::Unknown(CallReason::kTooLarge,
+                                 "the answer is over the size limit");
+  }
+  return CallResult::Unknown(
+      CallReason::kUpstreamFailed,
+      "the connection ended before the whole answer came");
+}
+
+CallResult RoutedCall::ReadAnswer(const Attempt& attempt,
+                                  HttpRequestPtr answer,
+                                  AttemptEnd* health) {
   const evkeyvalq* headers = evhttp_request_get_input_headers(answer.get());
   const TimePoint now = Now();
   if (const std::optional<double> load = FindLoad(headers)) {
-    target_->OnLoadReport(*load, now);
+    attempt.target->OnLoadReport(*load, now);
+  }
+  if (const auto occupancy = FindNumber(headers, kOccupancyHeader)) {
+    constexpr double kThousand = 1000;
+    attempt.target->OnOccupancy(static_cast<double>(*occupancy) / kThousand,
+                                now);
   }
   const std::string_view outcome = FindHeader(headers, kOutcomeHeader);
   const CallReason reason = ParseCallReason(FindHeader(headers, kReasonHeader));
   CallResult result;
   if (outcome == CallOutcomeName(CallOutcome::kDone)) {
     // 502 to 504 tell of what lies behind the target.
-    constexpr int kInternalError = 500;
     *health = evhttp_request_get_response_code(answer.get()) == kInternalError
                   ? AttemptEnd::kFailure
                   : AttemptEnd::kSuccess;
@@ -226,14 +311,14 @@
                                                  : AttemptEnd::kNeutral;
     if (reason == CallReason::kOverloaded ||
         reason == CallReason::kRateLimited) {
-      target_->OnOverloaded(now);
+      attempt.target->OnOverloaded(now);
     } else if (reason == CallReason::kDraining ||
                reason == CallReason::kWrongService) {
-      target_->OnDraining(now);
+      attempt.target->OnDraining(now);
     }
-    result = CallResult::Refused(
-        reason,
-        fmt::format("the node {} refused the call", target_->record().id));
+    result =
+        CallResult::Refused(reason, fmt::format("the node {} refused the call",
+                                                attempt.target->record().id));
     result.reached_target = !FindHeader(headers, kReachedHeader).empty();
     if (const auto after = FindNumber(headers, kComeBackHeader)) {
       result.come_back = Milliseconds(*after);
@@ -243,7 +328,7 @@
                                               : AttemptEnd::kFailure;
     result = CallResult::Unknown(
         reason, fmt::format("the node {} does not know how the call ended",
-                            target_->record().id));
+                            attempt.target->record().id));
   }
   result.retried = !FindHeader(headers, kRetriedHeader).empty();
   if (result.outcome == CallOutcome::kDone) {
@@ -254,8 +339,7 @@
 
 bool RoutedCall::MayRetry(CallResult* result) {
   if (result->outcome == CallOutcome::kDone || result->retried ||
-      !IsWorthRetrying(result->reason) || attempts_ >= kMaxTries ||
-      arrivals_ >= request_.policy.attempts) {
+      !IsWorthRetrying(result->reason) || !HasAttemptsLeft()) {
     return false;
   }
   if (result->outcome == CallOutcome::kUnknown && is_one_time()) {
@@ -277,28 +361,31 @@
   return allowed;
 }
 
-void RoutedCall::EndAttempt(AttemptEnd health, std::string_view outcome) {
-  span_->End(outcome);
+void RoutedCall::EndAttempt(Attempt* attempt,
+                            AttemptEnd health,
+                            std::string_view outcome) {
+  attempt->span->End(outcome);
   const std::string& service = request_.route->row.service;
-  const NodeId& target = target_->record().id;
-  const bool was_on_probation = target_->ejection().is_on_probation();
-  if (request_.pool->OnEnded(target_.get(), health, Now() - attempt_start_)) {
-    const Milliseconds period = target_->ejection().Remaining(Now());
+  EndpointState* const target = attempt->target.get();
+  const NodeId& id = target->record().id;
+  const bool was_on_probation = target->ejection().is_on_probation();
+  if (request_.pool->OnEnded(target, health, Now() - attempt->start)) {
+    const Milliseconds period = target->ejection().Remaining(Now());
     context_->logger->Warning("endpoint_ejected",
                               {{"service", service},
-                               {"target", target},
+                               {"target", id},
+                               {"call", request_.call_id},
                                {"outcome", std::string(outcome)},
                                {"period_ms", int64_t{period.count()}}});
     context_->metrics->ForService(service).ejections->Add();
     if (context_->on_ejected) {
-      context_->on_ejected(service, target, period);
+      context_->on_ejected(service, id, period);
     }
-  } else if (was_on_probation && !target_->ejection().is_on_probation()) {
-    context_->logger->Info("endpoint_back", {{"service", service},
-                                             {"target", target},
-                                             {"cause", "a call succeeded"}});
+  } else if (was_on_probation && !target->ejection().is_on_probation()) {
+    context_->logger->Info(
+        "endpoint_back",
+        {{"service", service}, {"target", id}, {"cause", "a call succeeded"}});
   }
-  target_ = nullptr;
 }
 
 void RoutedCall::FinishLater(CallResult result) {
@@ -308,6 +395,16 @@
 }
 
 void RoutedCall::Finish(CallResult result) {
+  context_->loop->timers().Cancel(hedge_timer_);
+  // An attempt that another one has overtaken takes at least as long as it has
+  // until now.
+  for (const auto& attempt : open_) {
+    EndAttempt(attempt.get(), AttemptEnd::kOvertaken, "overtaken");
+  }
+  open_.clear();
+  if (result.outcome != CallOutcome::kDone && failed_answer_) {
+    result = *std::exchange(failed_answer_, std::nullopt);
+  }
   result.retried = result.retried || attempts_ > 1;
   if (result.outcome == CallOutcome::kNotRun && maybe_ran_) {
     // An earlier attempt may have run, so the refusal of the last one does not
--- a/src/calls/routed_call.h
+++ b/src/calls/routed_call.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -49,14 +50,42 @@
     return request_.policy.kind == ServiceKind::kOneTime;
   }
   TimePoint Now() const;
-  // Starts an attempt. `previous` is reported when no other target is left.
-  void Attempt(CallResult previous);
-  void OnExchangeEnd(ExchangeEnd end, HttpRequestPtr answer);
-  CallResult ReadAnswer(HttpRequestPtr answer, AttemptEnd* health);
-  void WriteRequest(evhttp_request* out, Milliseconds remaining);
+  // One request to the node of one target.
+  struct Attempt {
+    ServicePool::EndpointPtr target;
+    int number = 0;
+    TimePoint start;
+    std::unique_ptr<CallSpan> span;
+    std::unique_ptr<Exchange> exchange;
+  };
+
+  // Starts an attempt at the best target that was not tried. When there is
+  // none, reports `previous` unless another attempt is still under way.
+  void Begin(CallResult previous);
+  // Returns whether a connection to the target could be had.
+  bool BeginAt(ServicePool::EndpointPtr target, Milliseconds limit);
+  // A second attempt of an idempotent call whose first one is slow or silent.
+  // The first whole answer of the two is taken.
+  void ArmHedge();
+  void OnHedge();
+  void OnExchangeEnd(Attempt* attempt, ExchangeEnd end, HttpRequestPtr answer);
+  CallResult ReadExchange(Attempt* attempt,
+                          ExchangeEnd end,
+                          HttpRequestPtr answer,
+                          AttemptEnd* health);
+  CallResult ReadAnswer(const Attempt& attempt,
+                        HttpRequestPtr answer,
+                        AttemptEnd* health);
+  void WriteRequest(const Attempt& attempt,
+                    evhttp_request* out,
+                    Milliseconds remaining);
   // Returns whether to retry. Marks the result when only the budget forbids it.
   bool MayRetry(CallResult* result);
-  void EndAttempt(AttemptEnd health, std::string_view outcome);
+  // Whether an attempt besides those under way may reach a target.
+  bool HasAttemptsLeft() const;
+  void EndAttempt(Attempt* attempt,
+                  AttemptEnd health,
+                  std::string_view outcome);
   // Reports the result in the next round of the loop.
   void FinishLater(CallResult result);
   void Finish(CallResult result);
@@ -68,10 +97,11 @@
   // Attempts that may have reached a target.
   int arrivals_ = 0;
   std::vector<ServicePool::EndpointPtr> tried_;
-  ServicePool::EndpointPtr target_;
-  std::unique_ptr<CallSpan> span_;
-  std::unique_ptr<Exchange> exchange_;
-  TimePoint attempt_start_;
+  std::vector<std::unique_ptr<Attempt>> open_;
+  // A whole answer that tells of a failure of the target. It is given to the
+  // caller when a repetition brings no better one.
+  std::optional<CallResult> failed_answer_;
+  TimerId hedge_timer_ = 0;
   TimerId finish_timer_ = 0;
   CallResult pending_;
   bool maybe_dispatched_ = false;
--- a/src/calls/target_side.cc
+++ b/src/calls/target_side.cc
@@ -14,6 +14,7 @@
 #include "calls/deferred_deleter.h"
 #include "calls/http_headers.h"
 #include "calls/inbound_call.h"
+#include "calls/repeat_share.h"
 #include "calls/service_share.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/calls/call_dialect.h"
@@ -162,6 +163,8 @@
   call->span = std::make_unique<CallSpan>(context_, call->trace, "target",
                                           target_.service);
   call->sent_at = context_->loop->clock().Now();
+  context_->repeats->OnRun(
+      FindNumber(call->inbound.headers(), kAttemptHeader).value_or(1) > 1);
   const Milliseconds limit =
       std::max(std::chrono::floor<Milliseconds>(call->deadline - call->sent_at),
                Milliseconds(1));
@@ -389,9 +392,17 @@
                         ? CallOutcomeName(result.outcome)
                         : CallReasonName(result.reason));
   }
+  AddHeader(call->inbound.answer_headers(), kOccupancyHeader, Occupancy(*call));
   call->inbound.Reply(result);
 }
 
+int64_t TargetSide::Occupancy(const Call& ending) const {
+  constexpr int64_t kThousand = 1000;
+  const int64_t busy = slots_.in_use() + static_cast<int64_t>(queue_.size()) -
+                       (ending.has_slot ? 1 : 0);
+  return busy * kThousand / std::max(slots_.limit(), 1);
+}
+
 void TargetSide::OnHangUp(Call* call) {
   if (queue_.Remove(call->deadline, call)) {
     context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
--- a/src/calls/target_side.h
+++ b/src/calls/target_side.h
@@ -68,6 +68,9 @@
   void ArmQueueTimer();
   void ApplyLimits();
   void Reply(Call* call, const CallResult& result);
+  // Calls running and waiting besides one that ends, in thousandths of the
+  // slots.
+  int64_t Occupancy(const Call& ending) const;
   void OnHangUp(Call* call);
   void ReleaseSlot(Call* call);
   void Remove(Call* call);
--- a/src/daemon/observed_store.h
+++ b/src/daemon/observed_store.h
@@ -37,6 +37,9 @@
              StoreVersion after,
              Milliseconds timeout,
              VersionCallback callback) override;
+  std::optional<StoreObject> TakeRead(const std::string& key) override {
+    return store_->TakeRead(key);
+  }
   void List(const std::string& prefix,
             const std::string& start_after,
             int limit,
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -108,8 +108,10 @@
   tick_timer_ = timers_->SubscribeEvery(kTickPeriod, [this] { Tick(); });
   heartbeat_timer_ =
       timers_->SubscribeEvery(kHeartbeatPeriod, [this] { Heartbeat(); });
-  // Nodes of a herd do not ask the store at one instant.
-  probe_timer_ = timers_->SubscribeOnce(Milliseconds(random_.Below(500)),
+  // Nodes of a herd do not ask the store at one instant. Callers wait
+  // meanwhile, so a store that refuses the calls of a larger herd is asked
+  // again later.
+  probe_timer_ = timers_->SubscribeOnce(Milliseconds(random_.Below(100)),
                                         [this] { watcher_.Probe(); });
   joiner_.Tick();
 }
@@ -168,16 +170,16 @@
                 : Milliseconds(second ? 800 : 400);
   }
   // A node without a table watches too, because the version that the probe
-  // named may be a bad one, but not at once: every starting node knows only
-  // itself and would take itself for a speaker, and its watch would wait at the
-  // store for 30 s. With all nodes restarted that is more than the store's
-  // 2,000 calls.
+  // named may be a bad one. No node watches at once: every starting node knows
+  // only itself and would take itself for a speaker, and its watch would wait
+  // at the store for 30 s. With all nodes restarted that is more than the
+  // store's 2,000 calls.
   const bool waited_to_join =
+      settings_.watch_on_every_node ||
       timers_->clock().Now() - joiner_.started() > kSpeakerPatience;
-  watcher_.SetActive(
-      IsSpeaker() &&
-          (joined() || (waited_to_join && table_.floor().store_answered())),
-      delay);
+  watcher_.SetActive(IsSpeaker() && waited_to_join &&
+                         (joined() || table_.floor().store_answered()),
+                     delay);
 }
 
 void DistributionCore::Impl::EvaluateTable() {
--- a/src/distribution/store_caller.h
+++ b/src/distribution/store_caller.h
@@ -32,6 +32,10 @@
              Milliseconds timeout,
              StoreClient::VersionCallback callback);
 
+  std::optional<StoreObject> TakeRead(const std::string& key) {
+    return client_->TakeRead(key);
+  }
+
   uint64_t calls() const { return calls_; }
   // Wall time in milliseconds, 0 for never.
   int64_t last_contact_ms() const { return last_contact_ms_; }
--- a/src/distribution/table_watcher.cc
+++ b/src/distribution/table_watcher.cc
@@ -51,6 +51,7 @@
         probed_ = true;
         named_ = std::max(named_, *version);
         on_version_(*version);
+        TakeRead();
       });
   if (!made) {
     retry();
@@ -105,6 +106,7 @@
   named_ = std::max(named_, version);
   if (changed) {
     on_version_(version);
+    TakeRead();
   }
   if (known_() < named_ && fetch_timer_ == 0 && !fetching_) {
     ScheduleFetch();
@@ -116,6 +118,12 @@
   }
 }
 
+void TableWatcher::TakeRead() {
+  if (const std::optional<StoreObject> object = store_->TakeRead(kTableKey)) {
+    on_object_(*object);
+  }
+}
+
 void TableWatcher::ScheduleFetch() {
   After(&fetch_timer_, fetch_delay_, [this] {
     if (known_() < named_) {
--- a/src/distribution/table_watcher.h
+++ b/src/distribution/table_watcher.h
@@ -54,6 +54,8 @@
                bool answered,
                StoreVersion version,
                TimePoint asked);
+  // Takes the object when an answer brought it along.
+  void TakeRead();
   void ScheduleFetch();
   void After(TimerId* timer, Milliseconds delay, std::function<void()> action);
 
--- a/src/routing/ejection.cc
+++ b/src/routing/ejection.cc
@@ -5,7 +5,7 @@
 namespace dragonflytack {
 
 bool Ejection::Record(AttemptEnd end) {
-  if (end == AttemptEnd::kNeutral) {
+  if (end == AttemptEnd::kNeutral || end == AttemptEnd::kOvertaken) {
     return false;
   }
   // Halving both counts keeps the rate and lets old attempts fade.
@@ -24,7 +24,10 @@
     ++failures_in_row_;
     timeouts_ += end == AttemptEnd::kTimeout ? 1 : 0;
   }
-  return failures_in_row_ >= kFailuresToEject ||
+  // A host that takes no connection is not asked again at once: each call would
+  // wait for it.
+  return end == AttemptEnd::kUnreachable ||
+         failures_in_row_ >= kFailuresToEject ||
          (attempts_ >= kMinAttempts && 2 * timeouts_ > attempts_);
 }
 
--- a/src/routing/ejection.h
+++ b/src/routing/ejection.h
@@ -7,7 +7,16 @@
 
 // How an attempt ended, as far as it says something about the health of the
 // endpoint. Refusals under load are kNeutral.
-enum class AttemptEnd { kSuccess, kFailure, kTimeout, kNeutral };
+enum class AttemptEnd {
+  kSuccess,
+  kFailure,
+  kTimeout,
+  // No connection was made.
+  kUnreachable,
+  // Another attempt of the call was answered first.
+  kOvertaken,
+  kNeutral,
+};
 
 // Judges from the ends of attempts whether one endpoint is to be left out for a
 // while. The pool of the service decides whether so many may be left out.
@@ -17,7 +26,7 @@
   // The timeout rate is judged over at least this number of recent attempts.
   static constexpr int kMinAttempts = 10;
   static constexpr Milliseconds kFirstPeriod{1000};
-  static constexpr Milliseconds kLongestPeriod{30'000};
+  static constexpr Milliseconds kLongestPeriod{5'000};
   // Successes in a row after which the next ejection is short again.
   static constexpr int kSuccessesToForget = 20;
 
--- a/src/routing/endpoint_state.cc
+++ b/src/routing/endpoint_state.cc
@@ -66,7 +66,9 @@
 
 double EndpointState::Score(TimePoint now) const {
   const double hint = now < load_until_ ? 0.5 + load_ : 1.0;
-  return (in_flight_ + 1) * hint * latency_us_;
+  const double waiting =
+      now < occupancy_until_ ? std::max(0.0, occupancy_ - 1) : 0;
+  return (in_flight_ + 1) * (1 + waiting) * hint * latency_us_;
 }
 
 double EndpointState::WarmWeight(TimePoint now) const {
--- a/src/routing/endpoint_state.h
+++ b/src/routing/endpoint_state.h
@@ -19,6 +19,9 @@
   static constexpr Milliseconds kOverloadedPeriod{1000};
   // A refusal as draining keeps new calls away until the snapshot says so too.
   static constexpr Milliseconds kDrainingPeriod{3000};
+  // What the node beside the target says of its queue holds for this long: a
+  // few times the usual length of a call.
+  static constexpr Milliseconds kOccupancyLife{300};
   // Older load reports count as none.
   static constexpr Milliseconds kLoadReportLife{5000};
   static constexpr Milliseconds kWarmUp{10'000};
@@ -43,6 +46,12 @@
   void OnEnded(AttemptEnd end, std::chrono::nanoseconds latency);
   // `load` is 0 to 1; other values are cut.
   void OnLoadReport(double load, TimePoint now);
+  // Calls running and waiting beside the target, as a share of its slots. The
+  // node counts them itself, so unlike a load report this does not mislead.
+  void OnOccupancy(double occupancy, TimePoint now) {
+    occupancy_ = occupancy;
+    occupancy_until_ = now + kOccupancyLife;
+  }
   void OnOverloaded(TimePoint now) {
     overloaded_until_ = now + kOverloadedPeriod;
   }
@@ -56,7 +65,8 @@
   double WarmWeight(TimePoint now) const;
 
   bool IsFull(TimePoint now) const {
-    return in_flight_ >= slots_ || now < overloaded_until_;
+    return in_flight_ >= slots_ || now < overloaded_until_ ||
+           (now < occupancy_until_ && occupancy_ >= 1);
   }
   bool IsDraining(TimePoint now) const { return now < draining_until_; }
 
@@ -70,6 +80,8 @@
   double latency_us_;
   double load_ = 0;
   TimePoint load_until_{};
+  double occupancy_ = 0;
+  TimePoint occupancy_until_{};
   TimePoint overloaded_until_{};
   TimePoint draining_until_{};
   // When the warm-up began, by this node's clock.
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -10,8 +10,11 @@
   saved_ = std::min(saved_, limits_.max_saved);
 }
 
-void RetryBudget::OnCall() {
-  saved_ = std::min(limits_.max_saved, saved_ + limits_.share_of_calls);
+void RetryBudget::OnCall(double repeated) {
+  // More repeated calls than the share allows leave a debt, up to what may be
+  // saved.
+  saved_ = std::clamp(saved_ + limits_.share_of_calls - repeated,
+                      -limits_.max_saved, limits_.max_saved);
 }
 
 bool RetryBudget::TryTake() {
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -23,7 +23,9 @@
 
   void set_limits(const Limits& limits);
 
-  void OnCall();
+  // Takes note of a call. `repeated` is the probability that the target that
+  // makes it runs a repetition itself; its calls are then repetitions too.
+  void OnCall(double repeated = 0);
 
   // Takes one retry from the budget. Returns whether there was one.
   bool TryTake();
--- a/src/routing/service_pool.cc
+++ b/src/routing/service_pool.cc
@@ -101,6 +101,15 @@
 
 ServicePool::EndpointPtr ServicePool::Choose(
     const std::vector<EndpointPtr>& excluded) {
+  if (EndpointPtr usable = ChooseUsable(excluded)) {
+    return usable;
+  }
+  const Candidate* found = LastResort(excluded, clock_->Now());
+  return found == nullptr ? nullptr : found->state;
+}
+
+ServicePool::EndpointPtr ServicePool::ChooseUsable(
+    const std::vector<EndpointPtr>& excluded) {
   const TimePoint now = clock_->Now();
   std::array<Tier, kTierCount> order = {kOwnDataCentre, kOwnRegion,
                                         kOtherRegions};
@@ -112,8 +121,7 @@
       return found->state;
     }
   }
-  const Candidate* found = LastResort(excluded, now);
-  return found == nullptr ? nullptr : found->state;
+  return nullptr;
 }
 
 const ServicePool::Candidate* ServicePool::Draw(
@@ -231,7 +239,8 @@
   }
   // At least half of the pool stays, because when most targets fail the cause
   // is elsewhere and leaving them out only overloads the rest.
-  if (2 * (ejected + 1) > states_.size()) {
+  // A host that takes no connection serves nobody, whatever the others do.
+  if (end != AttemptEnd::kUnreachable && 2 * (ejected + 1) > states_.size()) {
     return false;
   }
   endpoint->ejection().Eject(now);
--- a/src/routing/service_pool.h
+++ b/src/routing/service_pool.h
@@ -45,6 +45,10 @@
   // other one is left.
   EndpointPtr Choose(const std::vector<EndpointPtr>& excluded);
 
+  // As Choose(), but returns null when only cold, full, ejected or draining
+  // endpoints are left.
+  EndpointPtr ChooseUsable(const std::vector<EndpointPtr>& excluded);
+
   // Records the end of an attempt that was counted with OnSent(). Returns
   // whether the endpoint was ejected because of it.
   bool OnEnded(EndpointState* endpoint,
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -1,5 +1,6 @@
 #include "routing/retry_budget.h"
 
+#include <algorithm>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -23,6 +24,25 @@
   cr_assert(taken <= bound && taken >= bound - 2, "%d", taken);
 }
 
+// Guards against a service that is repeated beyond its share because the
+// targets that call it run repetitions themselves.
+Test(retry_budget, calls_of_repeated_runs_use_it_up) {
+  ManualClock clock;
+  for (const double repeated : {0.0, 0.05, 0.1, 0.3}) {
+    RetryBudget budget(&clock);
+    budget.set_limits({0.1, 0, 10});
+    constexpr int kCalls = 1000;
+    int taken = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      budget.OnCall(repeated);
+      taken += budget.TryTake() ? 1 : 0;
+    }
+    cr_expect(
+        taken + repeated * kCalls <= std::max(0.1, repeated) * kCalls + 10,
+        "%f: %d", repeated, taken);
+  }
+}
+
 namespace {
 
 constexpr int kLevels = 9;
