--- a/tests/call_task_faults_test.cc
+++ b/tests/call_task_faults_test.cc
@@ -303,4 +303,58 @@
   }
 }
 
+// Guards against a lookup that waits for a silent target to its deadline, and
+// against a first attempt that is given up although its answer may still come.
+Test(call_task, slow_lookup_is_tried_beside_the_first_attempt) {
+  constexpr int kTime = 800;
+  for (const bool first_answers : {false, true}) {
+    CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+    std::atomic<int> requests = 0;
+    // The first request of all is slow; with `first_answers` the second one is
+    // silent.
+    const Script script = [&](int fd, const std::string& head, int n) {
+      if (requests++ == 0) {
+        std::this_thread::sleep_for(Milliseconds(kTime * 3 / 4));
+        return first_answers ? AnswerOwn(fd, head, n) : false;
+      }
+      return first_answers ? Hang(fd, head, n) : AnswerOwn(fd, head, n);
+    };
+    ScriptedTarget first(fixture.Address(1), CallFixture::kTargetPort, script);
+    ScriptedTarget second(fixture.Address(2), CallFixture::kTargetPort, script);
+    const HttpReply reply = fixture.Call("1", kTime);
+    cr_expect_eq(reply.status, 200, "%d: %d", first_answers, reply.status);
+    ExpectEqual(reply.body, "1");
+    cr_expect_eq(first.requests(), 1);
+    cr_expect_eq(second.requests(), 1);
+  }
+}
+
+// Guards against a failure of one target that reaches the caller of a lookup
+// although another target answers, and against a failure answer that is lost
+// when all fail.
+Test(call_task, failure_answer_of_a_lookup_is_repeated_elsewhere) {
+  const Script fails = [](int fd, const std::string&, int) {
+    const std::string text =
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops";
+    send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    return true;
+  };
+  for (const bool all_fail : {false, true}) {
+    CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+    ScriptedTarget bad(fixture.Address(1), CallFixture::kTargetPort, fails);
+    ScriptedTarget other(fixture.Address(2), CallFixture::kTargetPort,
+                         all_fail ? fails : Script(AnswerOwn));
+    for (int i = 0; i < 4; ++i) {
+      const HttpReply reply = fixture.Call(std::to_string(i), 1000);
+      cr_expect_eq(reply.status, all_fail ? 500 : 200);
+      ExpectEqual(reply.body, all_fail ? "oops" : std::to_string(i));
+    }
+  }
+  CallFixture fixture(2, Row(ServiceKind::kOneTime));
+  ScriptedTarget bad(fixture.Address(1), CallFixture::kTargetPort, fails);
+  ScriptedTarget other(fixture.Address(2), CallFixture::kTargetPort, fails);
+  cr_expect_eq(fixture.Call("1", 1000).status, 500);
+  cr_expect_eq(bad.requests() + other.requests(), 1);
+}
+
 }  // namespace dragonflytack
--- a/tests/distribution_join_test.cc
+++ b/tests/distribution_join_test.cc
@@ -39,4 +39,21 @@
   }
 }
 
+// Guards against a restarted node that refuses calls while it waits for peers,
+// although the store's first answer held the table.
+Test(distribution_join, table_of_the_first_answer_is_in_force_at_once) {
+  CoreFleet fleet;
+  const TableVersion version = fleet.WriteTable({"roster"});
+  fleet.store.brings_objects = true;
+  CoreFleet::Node& node = fleet.Start("a", "north1");
+  cr_assert(fleet.RunUntil(Milliseconds(300), [&] {
+    return node.routes != nullptr && node.routes->version == version;
+  }));
+  cr_assert_eq(fleet.store.calls["get table"], 0);
+  const TableVersion second = fleet.WriteTable({"roster", "booking"});
+  cr_assert(
+      fleet.RunUntil(Milliseconds(3'000), [&] { return fleet.AllAt(second); }));
+  cr_assert_eq(fleet.store.calls["get table"], 0);
+}
+
 }  // namespace dragonflytack
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -44,6 +44,9 @@
     return std::make_unique<Client>(this);
   }
 
+  // Whether an answer to a watch brings the object along.
+  bool brings_objects = false;
+
   // Watches that wait for a change; each counts as a call at the real store.
   // A watch with no time to wait does not count.
   size_t waiting_watches() const {
@@ -138,6 +141,10 @@
       store_->watches_.push_back(FakeStore::Watch{
           key, after, store_->clock_->Now() + timeout, callback});
     }
+    std::optional<StoreObject> TakeRead(const std::string& key) override {
+      return store_->brings_objects ? std::optional(store_->Read(key))
+                                    : std::nullopt;
+    }
     void List(const std::string&,
               const std::string&,
               int,
--- a/tests/router_test.cc
+++ b/tests/router_test.cc
@@ -14,6 +14,11 @@
 
 namespace {
 
+void ExpectEqual(const std::string& actual, const std::string& expected) {
+  cr_expect(actual == expected, "%s instead of %s", actual.c_str(),
+            expected.c_str());
+}
+
 // The latency that is assumed of endpoints without calls, so that all stay
 // equal.
 constexpr Milliseconds kLatency{1};
@@ -315,4 +320,32 @@
   cr_expect(repeated >= 0.8 * bound, "%d", repeated);
 }
 
+// Guards against a queue that grows beside a near target while others have free
+// slots: this node's own calls do not show how full a target is.
+Test(router, occupied_targets_are_passed_over) {
+  RouterFixture fixture({{"a", "a1", 1}, {"b", "b1", 1}});
+  const ServicePool::EndpointPtr near = fixture.Choose();
+  ExpectEqual(near->record().id, "a1-0");
+  near->OnOccupancy(0.9, fixture.clock_.Now());
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+  near->OnOccupancy(1.5, fixture.clock_.Now());
+  ExpectEqual(fixture.Choose()->record().id, "b1-0");
+  cr_expect(fixture.pool_->ChooseUsable({fixture.Choose()}) == nullptr);
+  fixture.clock_.Advance(EndpointState::kOccupancyLife);
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+}
+
+// Guards against calls that wait one after the other for a host that takes no
+// connection, also when most hosts are down.
+Test(router, unreachable_targets_are_left_out_at_once) {
+  RouterFixture fixture({{"a", "a1", 4}});
+  for (int i = 0; i < 3; ++i) {
+    const ServicePool::EndpointPtr chosen = fixture.Choose();
+    chosen->OnSent();
+    cr_expect(fixture.End(chosen, AttemptEnd::kUnreachable));
+  }
+  const std::map<std::string, int> counts = fixture.Run(40, false);
+  cr_expect_eq(counts.size(), 1);
+}
+
 }  // namespace dragonflytack
