Take callers until they are turned away, log every failed call, options before the verb

Each change in a storm woke every watch of the store at once. A failed request left no line in the logs. The README's commands named options before the verb, which the tool refused.

Change: the call port stays open until two questions about readiness were refused, 2.5 s at most; a watch begins again 200 ms after a change; the lines call_refused, call_retried, call_failed and target_call_failed name the caller's id, the inputs and the table; logs go to standard output and never wait for its reader; departures are acknowledged during a stop.

--- a/include/dragonflytack/base/logger.h
+++ b/include/dragonflytack/base/logger.h
@@ -20,10 +20,12 @@
 using LogValue = std::variant<std::string, int64_t, uint64_t, double, bool>;
 using LogField = std::pair<std::string_view, LogValue>;
 
-// Writes one JSON object a line to standard error: "time", "level", "event" and
-// the typed fields. At most kMaxPerSecond lines of one event are written in a
-// second; the next line of that event after the second says in "suppressed" how
-// many were left out. Safe to use from every thread.
+// Writes one JSON object a line to standard output: "time", "level", "event"
+// and the typed fields. At most kMaxPerSecond lines of one event are written in
+// a second; the next line of that event after the second says in "suppressed"
+// how many were left out. A line that the reader of the output has no room for
+// is dropped rather than waited with; the next one says in "dropped" how many
+// were. Safe to use from every thread.
 class Logger final {
  public:
   static constexpr int kMaxPerSecond = 20;
@@ -65,6 +67,7 @@
   const std::string node_;
   std::mutex mutex_;
   std::map<std::string, EventRate, std::less<>> rates_;
+  uint64_t dropped_ = 0;
 };
 
 }  // namespace dragonflytack
--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -70,6 +70,10 @@
   // The local target's last announcement.
   void PostTarget(const LocalTarget& target);
 
+  // After PostStop(): no new callers come, so the call port need not wait for
+  // them any longer.
+  void PostCallersTurnedAway();
+
   // Refuses new calls for the local target, finishes all calls in flight, hands
   // over the one-time records, then reports on_stopped.
   void PostStop();
--- a/src/base/logger.cc
+++ b/src/base/logger.cc
@@ -1,6 +1,8 @@
 #include "dragonflytack/base/logger.h"
 
-#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
+#include <climits>
 #include <utility>
 
 #include <fmt/chrono.h>
@@ -32,6 +34,19 @@
                      wall_millis % 1000);
 }
 
+// Returns whether the line was taken. A pipe is ready when it takes PIPE_BUF
+// bytes at once; a longer line is cut to that, which ends the line early but
+// never blocks.
+bool WriteIfReady(std::string_view text) {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+    return false;
+  }
+  const std::string_view line = text.substr(0, PIPE_BUF);
+  return write(STDOUT_FILENO, line.data(), line.size()) ==
+         static_cast<ssize_t>(line.size());
+}
+
 }  // namespace
 
 Logger::Logger(const Clock* clock, LogLevel minimum, std::string node)
@@ -71,9 +86,17 @@
                    const auto& typed) { line[key] = typed; },
                value);
   }
-  fmt::print(stderr, "{}\n",
-             line.dump(-1, ' ', false,
-                       nlohmann::ordered_json::error_handler_t::replace));
+  if (dropped_ > 0) {
+    line["dropped"] = dropped_;
+  }
+  std::string text = line.dump(
+      -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  text += '\n';
+  if (WriteIfReady(text)) {
+    dropped_ = 0;
+  } else {
+    ++dropped_;
+  }
 }
 
 }  // namespace dragonflytack
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -119,6 +119,16 @@
   calls_.emplace(call, std::move(owned));
   if (std::optional<CallResult> refusal = Prepare(request, call)) {
     context_->metrics->CountRefused("entry", refusal->reason);
+    const auto& routes = context_->router->routes();
+    context_->logger->Info(
+        "call_refused",
+        {{"call",
+          context_->dialect->ReadCaller(call->inbound.headers()).call_id},
+         {"host", std::string(FindHeader(call->inbound.headers(), "Host"))},
+         {"path", std::string(evhttp_request_get_uri(request))},
+         {"reason", std::string(CallReasonName(refusal->reason))},
+         {"detail", refusal->detail},
+         {"table", uint64_t{routes == nullptr ? 0 : routes->version}}});
     if (!FindHeader(call->inbound.headers(), kKeyHeader).empty()) {
       // Nothing was asked about other calls with the key.
       refusal->scope = NotRunScope::kRequest;
@@ -241,6 +251,7 @@
     call->span->End(CallOutcomeName(result.outcome));
   } else {
     context_->metrics->CountRefused("entry", result.reason);
+    LogFailure(request, result);
     if (result.outcome == CallOutcome::kUnknown &&
         request.policy.kind == ServiceKind::kOneTime) {
       // The key is left out: who has it can ask for the recorded answer.
@@ -258,6 +269,26 @@
   Remove(call);
 }
 
+void CallEntry::LogFailure(const CallRequest& request,
+                           const CallResult& result) const {
+  const auto& clock = context_->loop->clock();
+  context_->logger->Info(
+      "call_failed",
+      {{"call", request.call_id},
+       {"service", request.route->row.service},
+       {"outcome", std::string(CallOutcomeName(result.outcome))},
+       {"reason", std::string(CallReasonName(result.reason))},
+       {"detail", result.detail},
+       {"after_ms", int64_t{std::chrono::duration_cast<Milliseconds>(
+                                clock.Now() - request.start)
+                                .count()}},
+       {"deadline_ms", int64_t{std::chrono::duration_cast<Milliseconds>(
+                                   request.deadline - request.start)
+                                   .count()}},
+       {"endpoints", static_cast<uint64_t>(request.pool->size())},
+       {"table", uint64_t{context_->router->routes()->version}}});
+}
+
 void CallEntry::Answer(Call* call, const CallResult& result) {
   const int status = result.Status();
   constexpr int kTooManyRequests = 429;
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -53,6 +53,7 @@
   // routes. Returns the refusal when there is none.
   std::optional<CallResult> Route(evhttp_request* request, CallRequest* routed);
   void Answer(Call* call, const CallResult& result);
+  void LogFailure(const CallRequest& request, const CallResult& result) const;
   void OnResult(Call* call, CallResult result);
   void OnHangUp(Call* call);
   void Remove(Call* call);
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -36,9 +36,18 @@
 // calls in a rolling restart of 12 nodes.
 constexpr Milliseconds kEntryGrace{1000};
 
+// With a readiness port, the longest time in which callers hear that the node
+// takes no more: two questions, one a second, and some delay.
+constexpr Milliseconds kReadinessGrace{2500};
+// Callers that were just sent here may still open a connection.
+constexpr Milliseconds kLastCallers{100};
+
 struct StopMessage {};
-using Message = std::
-    variant<std::shared_ptr<const RouteSnapshot>, LocalTarget, StopMessage>;
+struct TurnedAwayMessage {};
+using Message = std::variant<std::shared_ptr<const RouteSnapshot>,
+                             LocalTarget,
+                             StopMessage,
+                             TurnedAwayMessage>;
 
 }  // namespace
 
@@ -162,12 +171,12 @@
     call_server_->CloseAfterAnswers();
     // It is a part of the time that the whole stop may take.
     const Milliseconds grace =
-        std::min(kEntryGrace, Milliseconds(settings_.drain_timeout_ms / 4));
-    loop_->timers().SubscribeOnce(grace, [this] {
-      entry_grace_over_ = true;
-      one_time_->BeginDrain();
-      CheckStopped();
-    });
+        settings_.ready_port != 0
+            ? std::min(kReadinessGrace,
+                       Milliseconds(settings_.drain_timeout_ms / 2))
+            : std::min(kEntryGrace,
+                       Milliseconds(settings_.drain_timeout_ms / 4));
+    loop_->timers().SubscribeOnce(grace, [this] { EndEntryGrace(); });
     logger_->Info(
         "call_drain_started",
         {{"entry_calls", static_cast<uint64_t>(entry_->calls_in_progress())},
@@ -182,6 +191,18 @@
     CheckStopped();
   }
 
+  void Handle(TurnedAwayMessage) {
+    loop_->timers().SubscribeOnce(kLastCallers, [this] { EndEntryGrace(); });
+  }
+
+  void EndEntryGrace() {
+    if (std::exchange(entry_grace_over_, true)) {
+      return;
+    }
+    one_time_->BeginDrain();
+    CheckStopped();
+  }
+
   void CheckStopped() {
     if (!entry_grace_over_ || target_side_->calls_in_progress() > 0) {
       return;
@@ -295,6 +316,10 @@
   impl_->Post(target);
 }
 
+void CallTask::PostCallersTurnedAway() {
+  impl_->Post(TurnedAwayMessage{});
+}
+
 void CallTask::PostStop() {
   impl_->Post(StopMessage{});
 }
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -237,12 +237,17 @@
     result = CallResult::Unknown(CallReason::kUpstreamFailed,
                                  "the target answered with a failure");
   }
-  if (result.outcome == CallOutcome::kDone) {
-    Finish(std::move(result));
-  } else if (MayRetry(&result)) {
+  if (MayRetry(&result)) {
     context_->metrics->ForService(request_.route->row.service).retries->Add();
+    context_->logger->Info(
+        "call_retried", {{"call", request_.call_id},
+                         {"service", request_.route->row.service},
+                         {"target", ended->target->record().id},
+                         {"cause", std::string(CallReasonName(result.reason))},
+                         {"detail", result.detail},
+                         {"reached_targets", int64_t{arrivals_}}});
     Begin(std::move(result));
-  } else if (open_.empty()) {
+  } else if (result.outcome == CallOutcome::kDone || open_.empty()) {
     Finish(std::move(result));
   }
 }
--- a/src/calls/target_side.cc
+++ b/src/calls/target_side.cc
@@ -17,9 +17,11 @@
 #include "calls/repeat_share.h"
 #include "calls/service_share.h"
 #include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/logger.h"
 #include "dragonflytack/calls/call_dialect.h"
 #include "dragonflytack/observe/tracer.h"
 #include "dragonflytack/routing/route_snapshot.h"
+#include "net/record_json.h"
 #include "onetime/attempt_guard.h"
 #include "routing/router.h"
 
@@ -386,6 +388,19 @@
   }
   if (result.outcome != CallOutcome::kDone) {
     context_->metrics->CountRefused("target", result.reason);
+    context_->logger->Info(
+        "target_call_failed",
+        {{"call",
+          context_->dialect->ReadCaller(call->inbound.headers()).call_id},
+         {"service", target_.service},
+         {"instance", target_.instance},
+         {"state", std::string(TargetStateName(target_.state))},
+         {"outcome", std::string(CallOutcomeName(result.outcome))},
+         {"reason", std::string(CallReasonName(result.reason))},
+         {"detail", result.detail},
+         {"running", int64_t{slots_.in_use()}},
+         {"waiting", static_cast<uint64_t>(queue_.size())},
+         {"slots", int64_t{slots_.limit()}}});
   }
   if (call->span != nullptr) {
     call->span->End(result.outcome == CallOutcome::kDone
--- a/src/cli/tool.cc
+++ b/src/cli/tool.cc
@@ -47,6 +47,23 @@
   return options;
 }
 
+// Returns the place of the verb, which options of all verbs may precede; the
+// number of arguments when there is none.
+size_t FindVerb(const std::vector<std::string>& arguments) {
+  const po::options_description shared = SharedOptions();
+  size_t at = 0;
+  while (at < arguments.size() && arguments[at].starts_with("--")) {
+    const std::string& text = arguments[at];
+    const size_t equals = text.find('=');
+    const po::option_description* option =
+        shared.find_nothrow(text.substr(2, equals - 2), false);
+    const bool takes_next = equals == std::string::npos && option != nullptr &&
+                            option->semantic()->max_tokens() > 0;
+    at += takes_next ? 2 : 1;
+  }
+  return std::min(at, arguments.size());
+}
+
 std::string TextOf(const po::variables_map& values,
                    const char* name,
                    const std::string& otherwise) {
@@ -156,17 +173,19 @@
     PrintHelp();
     return ExitCode::kDone;
   }
+  const size_t at = FindVerb(arguments);
+  if (at == arguments.size()) {
+    return UsageError("the verb is missing");
+  }
   const auto entry = std::find_if(Verbs().begin(), Verbs().end(),
                                   [&](const VerbEntry& candidate) {
-                                    return candidate.name == arguments.front();
+                                    return candidate.name == arguments[at];
                                   });
-  if (entry == Verbs().end() && arguments.front().starts_with('-')) {
-    return UsageError("the verb is missing: options come after it");
-  }
   if (entry == Verbs().end()) {
-    return UsageError(
-        fmt::format("there is no verb \"{}\"", arguments.front()));
+    return UsageError(fmt::format("there is no verb \"{}\"", arguments[at]));
   }
+  std::vector<std::string> without_verb = arguments;
+  without_verb.erase(without_verb.begin() + static_cast<std::ptrdiff_t>(at));
   const std::unique_ptr<Verb> verb = entry->make();
   po::options_description own("Options");
   verb->AddOptions(&own);
@@ -184,15 +203,13 @@
   po::variables_map values;
   try {
     // Without guessing, so that a new option never changes what a script means.
-    po::store(
-        po::command_line_parser(
-            std::vector<std::string>(arguments.begin() + 1, arguments.end()))
-            .options(all)
-            .positional(positional)
-            .style(po::command_line_style::default_style &
-                   ~po::command_line_style::allow_guessing)
-            .run(),
-        values);
+    po::store(po::command_line_parser(without_verb)
+                  .options(all)
+                  .positional(positional)
+                  .style(po::command_line_style::default_style &
+                         ~po::command_line_style::allow_guessing)
+                  .run(),
+              values);
     po::notify(values);
   } catch (const po::error& error) {
     return UsageError(error.what(), entry->name);
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -257,6 +257,11 @@
 }
 
 Failure ControlTask::TakeAnnouncement(const LocalTarget& target) {
+  if (stopping_ && (target.state == TargetState::kDraining ||
+                    target.state == TargetState::kLeft)) {
+    // The target gets no more calls already.
+    return {};
+  }
   if (stopping_) {
     return {FailureCode::kDraining, settings_.node_id, "the node is stopping"};
   }
@@ -316,6 +321,12 @@
       });
 }
 
+void ControlTask::OnCallersTurnedAway() {
+  if (stopping_ && calls_ != nullptr) {
+    calls_->PostCallersTurnedAway();
+  }
+}
+
 void ControlTask::OnCallsStopped(const NodeId& successor) {
   const int exit_code = clock_->Now() < stop_deadline_ ? 0 : 1;
   core_->AnnounceSuccessor(successor);
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -74,6 +74,8 @@
   // Takes over what can change at run time from the settings file.
   void Reload();
   void BeginStop(int signal);
+  // No new callers are sent to this node any more.
+  void OnCallersTurnedAway();
   void OnCallsStopped(const NodeId& successor);
   void End(int exit_code);
 
@@ -94,7 +96,7 @@
   std::unique_ptr<FleetReport> report_;
   std::unique_ptr<AdminApi> admin_api_;
   std::unique_ptr<AdminServer> admin_server_;
-  Readiness readiness_;
+  Readiness readiness_{[this] { OnCallersTurnedAway(); }};
   // Null when the settings name no port for them.
   std::unique_ptr<AdminServer> readiness_server_;
   std::unique_ptr<AdminHandler> announcements_;
--- a/src/distribution/table_watcher.cc
+++ b/src/distribution/table_watcher.cc
@@ -13,6 +13,10 @@
 // A store that answers unchanged watches at once is asked no more often.
 constexpr Milliseconds kMinWatchTime{1'000};
 constexpr Milliseconds kBudgetWait{250};
+// Changes that follow one another are read together: each answer to a watch is
+// a call that the store counts. It is small beside the 2 s to 6 s in which a
+// change has to be in force.
+constexpr Milliseconds kChangeGap{200};
 }  // namespace
 
 TableWatcher::TableWatcher(StoreCaller* store,
@@ -111,7 +115,9 @@
   if (known_() < named_ && fetch_timer_ == 0 && !fetching_) {
     ScheduleFetch();
   }
-  if (!changed && timers_->clock().Now() - asked < kMinWatchTime) {
+  if (changed) {
+    After(&watch_timer_, kChangeGap, [this] { StartWatch(); });
+  } else if (timers_->clock().Now() - asked < kMinWatchTime) {
     After(&watch_timer_, kMinWatchTime, [this] { StartWatch(); });
   } else {
     StartWatch();
