--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -1,7 +1,9 @@
 #include "daemon/control_task.h"
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -50,13 +52,19 @@
     settings.mesh_port = 7002;
     settings.peer_port = 7003;
     settings.admin_port = 7004;
+    settings.ready_port = 7008;
     settings.store = {address_, 7006};
     settings.shared_key = kKey;
     settings.drain_timeout_ms = 1000;
     settings.trace_sample = 1;
     settings.trace_collector = collector_->address();
-    task_ = ControlTask::Make(settings, Environment::Own(), &clock_, &logger_,
-                              &reason);
+    Environment environment = Environment::Own();
+    environment.reload = [this, settings](Failure* failure) {
+      *failure = Failure{FailureCode::kInvalidSetting, "file:1", "test"};
+      return ++reloads_ == 1 ? std::nullopt : std::optional(settings);
+    };
+    task_ =
+        ControlTask::Make(settings, environment, &clock_, &logger_, &reason);
     cr_assert(task_ != nullptr, "%s", reason.ToString().c_str());
     thread_ = std::thread([this] { exit_code_ = task_->Run(); });
     cr_assert_eq(Announce("ready").status, 200);
@@ -114,6 +122,7 @@
   }
 
   const std::string& address() const { return address_; }
+  int reloads() const { return reloads_; }
 
  private:
   void WaitForRoute() const {
@@ -127,6 +136,7 @@
     cr_assert_fail("no route came into force");
   }
 
+  std::atomic<int> reloads_ = 0;
   const SystemClock clock_;
   Logger logger_{&clock_, LogLevel::kError, ""};
   const std::string address_;
@@ -315,4 +325,45 @@
   cr_expect_eq(bench.Join(), 0);
 }
 
+// Guards against SIGHUP, with good settings or bad ones, that ends the process
+// or cuts a call.
+Test(control_task, hangup_reloads_and_serves_on) {
+  NodeBench bench([](int fd, const std::string&, int) {
+    return ScriptedTarget::Answer(fd, "ok");
+  });
+  for (int i = 1; i <= 2; ++i) {
+    cr_assert_eq(kill(getpid(), SIGHUP), 0);
+    for (int wait = 0; wait < 1000 && bench.reloads() < i; ++wait) {
+      std::this_thread::sleep_for(Milliseconds(2));
+    }
+    cr_assert_eq(bench.reloads(), i);
+    cr_expect_eq(bench.Request(7001, "GET", "/s/x").status, 200);
+    cr_expect_eq(bench.Request(7008, "GET", "/ready").status, 200);
+  }
+  cr_assert_eq(kill(getpid(), SIGTERM), 0);
+  cr_assert_eq(bench.Join(), 0);
+}
+
+// Guards against a stopping node that closes its call port while callers are
+// still sent to it, and against one that waits although they were turned away.
+Test(control_task, takes_callers_until_they_are_turned_away) {
+  NodeBench bench([](int fd, const std::string&, int) {
+    return ScriptedTarget::Answer(fd, "ok");
+  });
+  cr_assert_eq(bench.Request(7008, "GET", "/ready").status, 200);
+  cr_assert_eq(kill(getpid(), SIGTERM), 0);
+  HttpReply ready;
+  for (int i = 0; i < 100 && ready.status != 503; ++i) {
+    ready = bench.Request(7008, "GET", "/ready");
+  }
+  cr_expect_eq(ready.status, 503);
+  // The target beside a stopping node gets nothing more, so the only target of
+  // the service refuses: an answer all the same.
+  const HttpReply reply = bench.Request(7001, "GET", "/s/x");
+  cr_expect_eq(reply.status, 503, "%d", reply.status);
+  ExpectEqual(reply.Header("x-outcome"), "not-run");
+  cr_expect_eq(bench.Request(7008, "GET", "/ready").status, 503);
+  cr_assert_eq(bench.Join(), 0);
+}
+
 }  // namespace dragonflytack
