--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -81,10 +81,10 @@
     shares.push_back(share.service);
     shares.push_back(share.weight);
   }
-  return {route.name,        route.host,
-          route.path_prefix, static_cast<unsigned>(route.kind),
-          route.timeout_ms,  route.latency_objective_ms,
-          route.rank,        route.attempts,
+  return {route.name,       route.host,
+          route.prefix,     static_cast<unsigned>(route.kind),
+          route.timeout_ms, route.latency_objective_ms,
+          route.rank,       route.attempts,
           std::move(shares)};
 }
 
@@ -97,7 +97,7 @@
   RouteRow route;
   route.name = reader.Text(kMaxRouteTextBytes);
   route.host = reader.Text(kMaxRouteTextBytes);
-  route.path_prefix = reader.Text(kMaxRouteTextBytes);
+  route.prefix = reader.Text(kMaxRouteTextBytes);
   route.kind = static_cast<ServiceKind>(
       reader.Unsigned(static_cast<uint64_t>(ServiceKind::kOneTime)));
   route.timeout_ms = cell();
--- a/src/routing/route_index.cc
+++ b/src/routing/route_index.cc
@@ -11,7 +11,7 @@
     : table_(std::move(table)) {
   routes_.reserve(table_->routes().size());
   for (const auto& [name, route] : table_->routes()) {
-    routes_.emplace(route.host + route.path_prefix, &route);
+    routes_.emplace(route.host + route.prefix, &route);
   }
 }
 
--- a/src/table/route_check.cc
+++ b/src/table/route_check.cc
@@ -70,10 +70,9 @@
                   [](char c) { return c >= 'A' && c <= 'Z'; })) {
     return ColumnFault{"host", "it is not a host name in lower case"};
   }
-  if (route.path_prefix.size() > kMaxPrefixBytes ||
-      !route.path_prefix.starts_with('/') ||
-      !route.path_prefix.ends_with('/') || !IsPrintable(route.path_prefix)) {
-    return ColumnFault{"path_prefix", "it does not begin and end with /"};
+  if (route.prefix.size() > kMaxPrefixBytes || !route.prefix.starts_with('/') ||
+      !route.prefix.ends_with('/') || !IsPrintable(route.prefix)) {
+    return ColumnFault{"prefix", "it does not begin and end with /"};
   }
   const std::pair<const char*, bool> numbers[] = {
       {"timeout_ms",
@@ -102,9 +101,9 @@
   std::set<std::pair<std::string_view, std::string_view>> places;
   for (const auto& [name, route] : routes) {
     std::optional<ColumnFault> fault = CheckRoute(name, route, rows);
-    if (!fault && !places.emplace(route.host, route.path_prefix).second) {
-      fault = ColumnFault{"path_prefix",
-                          "another route has the same host and prefix"};
+    if (!fault && !places.emplace(route.host, route.prefix).second) {
+      fault =
+          ColumnFault{"prefix", "another route has the same host and prefix"};
     }
     if (fault) {
       return Failure{FailureCode::kInvalidTable,
@@ -119,9 +118,9 @@
   for (const auto& [name, route] : routes) {
     // The texts hold no spaces, so a space separates them unambiguously.
     fmt::format_to(std::back_inserter(*encoding), "{} {} {} {} {} {} {} {}",
-                   name, route.host, route.path_prefix,
-                   static_cast<int>(route.kind), route.timeout_ms,
-                   route.latency_objective_ms, route.rank, route.attempts);
+                   name, route.host, route.prefix, static_cast<int>(route.kind),
+                   route.timeout_ms, route.latency_objective_ms, route.rank,
+                   route.attempts);
     for (const RouteShare& share : route.shares) {
       fmt::format_to(std::back_inserter(*encoding), " {}={}", share.service,
                      share.weight);
--- a/src/table/route_json.cc
+++ b/src/table/route_json.cc
@@ -12,11 +12,11 @@
 
 using nlohmann::json;
 
-constexpr const char* kTextColumns[] = {"name", "host", "path_prefix"};
+constexpr const char* kTextColumns[] = {"name", "host", "prefix"};
 constexpr const char* kNumberColumns[] = {"timeout_ms", "latency_objective_ms",
                                           "rank", "attempts"};
 constexpr std::string RouteRow::*kTexts[] = {&RouteRow::name, &RouteRow::host,
-                                             &RouteRow::path_prefix};
+                                             &RouteRow::prefix};
 constexpr int RouteRow::*kNumbers[] = {&RouteRow::timeout_ms,
                                        &RouteRow::latency_objective_ms,
                                        &RouteRow::rank, &RouteRow::attempts};
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -109,7 +109,7 @@
   const auto document = ReadConfiguration(Configuration(), &reason);
   cr_assert(document.has_value(), "%s", reason.ToString().c_str());
   const RouteRow& book = document->routes.at("r-1");
-  cr_expect(book.host == "book.example" && book.path_prefix == "/book/");
+  cr_expect(book.host == "book.example" && book.prefix == "/book/");
   cr_expect(book.kind == ServiceKind::kOneTime && book.timeout_ms == 1200);
   cr_expect(book.latency_objective_ms == 300 && book.rank == 1 &&
             book.attempts == 2);
--- a/tests/routes_test.cc
+++ b/tests/routes_test.cc
@@ -24,7 +24,7 @@
   RouteRow route;
   route.name = name;
   route.host = "shop.example";
-  route.path_prefix = prefix;
+  route.prefix = prefix;
   route.shares = {{"booking", 3}, {"roster", 1}};
   return route;
 }
