Let further nodes watch the store while both speakers stand still

Cause: the nodes of a data centre get changes only over its two speakers.

Change: ranks 2 to 5 of a data centre link to those that rank before them, and watch the store without a fetch delay when none of these was heard for 1.3 s. A quiet peer no longer counts among those that have to acknowledge a version read from the store.

Test: distribution_version/change_while_both_speakers_stand_still failed on the old code (south1-0, speakers paused 0 ms before the change) once the test's store held back the answers of paused nodes and links of joining were closed.

--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -158,12 +158,23 @@
 
 bool DistributionCore::Impl::IsSpeaker() const {
   return settings_.watch_on_every_node ||
-         keeper_.overlay().data_centre_rank < Overlay::kGateways;
+         keeper_.overlay().data_centre_rank < Overlay::kGateways ||
+         keeper_.IsSubstituteNeeded();
 }
 
 void DistributionCore::Impl::UpdateSpeaker() {
+  const bool substitute =
+      !settings_.watch_on_every_node && keeper_.IsSubstituteNeeded();
+  if (substitute != is_substitute_) {
+    is_substitute_ = substitute;
+    logger_->Info("speaker_substitute",
+                  {{"active", substitute},
+                   {"rank", keeper_.overlay().data_centre_rank},
+                   {"quiet_ms", int64_t{LinkState::kQuiet.count()}}});
+  }
+  // A substitute has already waited for the speakers.
   Milliseconds delay{0};
-  if (!settings_.watch_on_every_node) {
+  if (!settings_.watch_on_every_node && !substitute) {
     const bool second = keeper_.overlay().data_centre_rank != 0;
     delay = settings_.region == settings_.store_region
                 ? Milliseconds(second ? 150 : 0)
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -118,6 +118,8 @@
   RouteBuilder routes_;
   VersionMemory memory_;
   std::shared_ptr<const RouteSnapshot> published_;
+  // Whether this node watches the store because the speakers are silent.
+  bool is_substitute_ = false;
   bool draining_ = false;
   bool started_ = false;
   TimePoint last_tick_;
--- a/src/distribution/link_keeper.cc
+++ b/src/distribution/link_keeper.cc
@@ -59,6 +59,15 @@
          clock_->Now() - found->second < kLostDataCentre;
 }
 
+bool LinkKeeper::IsSubstituteNeeded() const {
+  const std::set<NodeId>& before = overlay_.ranked_before;
+  return !before.empty() &&
+         std::none_of(before.begin(), before.end(), [this](const NodeId& id) {
+           const LinkState* link = links_->FindUp(id);
+           return link != nullptr && !link->IsQuiet(clock_->Now());
+         });
+}
+
 bool LinkKeeper::IsRegionGateway() const {
   return !RegionPeers().empty();
 }
@@ -111,6 +120,7 @@
   const TimePoint now = clock_->Now();
   std::set<NodeId> wanted = overlay_.successors;
   if (joined) {
+    wanted.insert(overlay_.ranked_before.begin(), overlay_.ranked_before.end());
     wanted.insert(overlay_.region_gateways.begin(),
                   overlay_.region_gateways.end());
     wanted.merge(RegionPeers());
--- a/src/distribution/link_keeper.h
+++ b/src/distribution/link_keeper.h
@@ -60,6 +60,9 @@
   const Overlay& overlay() const { return overlay_; }
   // Whether every neighbour has said hello or failed to answer.
   bool NeighboursSettled() const;
+  // Whether this node is a substitute for the speakers of its data centre and
+  // hears none of the nodes that rank before it.
+  bool IsSubstituteNeeded() const;
   // Whether this node may repair across regions.
   bool IsRegionGateway() const;
 
--- a/src/distribution/link_state.h
+++ b/src/distribution/link_state.h
@@ -19,6 +19,11 @@
 
 // One connection to a peer with what is known about the peer's state.
 struct LinkState final {
+  // Heartbeats come each second; a peer without one for this long may stand
+  // still. It is far below the silence that ends the link, because a change has
+  // to be in force 2 s after it was acknowledged.
+  static constexpr Milliseconds kQuiet{1'300};
+
   LinkId id = 0;
   HostPort address;
   bool outgoing = false;
@@ -48,6 +53,8 @@
   std::set<NodeId> pending_records;
   std::set<std::pair<NodeId, uint64_t>> pending_successions;
   std::vector<Suspicion> pending_suspicions;
+
+  bool IsQuiet(TimePoint now) const { return now - last_heard > kQuiet; }
 };
 
 }  // namespace dragonflytack
--- a/src/distribution/overlay.cc
+++ b/src/distribution/overlay.cc
@@ -121,6 +121,14 @@
     overlay.successors.insert(ring[(own_index + offset) % n].second);
     overlay.predecessors.insert(ring[(own_index + n - offset) % n].second);
   }
+  const std::vector<NodeId>& own_ranks =
+      overlay.data_centre_ranks[*own->data_centre];
+  if (overlay.data_centre_rank >= kGateways &&
+      overlay.data_centre_rank < kGateways + kSubstitutes) {
+    overlay.ranked_before.insert(
+        own_ranks.begin(),
+        own_ranks.begin() + static_cast<ptrdiff_t>(overlay.data_centre_rank));
+  }
   if (overlay.data_centre_rank < kGateways) {
     for (const std::string* name : neighbours) {
       const std::vector<NodeId>& ranks = overlay.data_centre_ranks[*name];
--- a/src/distribution/overlay.h
+++ b/src/distribution/overlay.h
@@ -20,12 +20,19 @@
   static constexpr size_t kRanked = 8;
   // Ranks below this number are gateways and speakers.
   static constexpr size_t kGateways = 2;
+  // The ranks after the gateways that link to them and watch the store in their
+  // place while they are silent. With 2 % of the hosts frozen at once, all six
+  // are frozen in fewer than 1 of 10^10 cases.
+  static constexpr size_t kSubstitutes = 4;
 
   // Ring successors, and those whose successor this node is.
   std::set<NodeId> successors;
   std::set<NodeId> predecessors;
   // Gateways of other data centres in the region, when this node is one.
   std::set<NodeId> region_gateways;
+  // Nodes of the own data centre that rank before this one, when this node is a
+  // substitute.
+  std::set<NodeId> ranked_before;
   size_t data_centre_rank = 0;
   size_t region_rank = 0;
   // The first kRanked nodes by falling rank.
--- a/src/distribution/table_sync.cc
+++ b/src/distribution/table_sync.cc
@@ -230,8 +230,9 @@
   bool other_up = false;
   bool other_holds = false;
   for (const auto& [id, link] : links_->links()) {
-    // A joining peer has no table to which a delta could be sent.
-    if (!link.up || !link.in_force) {
+    // A joining peer has no table to which a delta could be sent. A quiet peer
+    // may stand still, and waiting for it would make this node late as well.
+    if (!link.up || !link.in_force || link.IsQuiet(clock_->Now())) {
       continue;
     }
     const bool other = link.link_class != LinkClass::kSameDataCentre;
--- a/tests/core_fleet.h
+++ b/tests/core_fleet.h
@@ -85,7 +85,7 @@
     node.timers = std::make_unique<TimerService>(&clock);
     node.logger = std::make_unique<Logger>(&clock, log_level, id);
     node.layer = std::make_unique<FakeNetwork::Layer>(&network, node.host);
-    node.client = store.MakeClient();
+    node.client = store.MakeClient(&node.paused);
     node.core = std::make_unique<DistributionCore>(
         node.settings, node.timers.get(), node.client.get(), node.layer.get(),
         node.logger.get(), seed_ * 1000 + ++boots_);
--- a/tests/distribution_version_test.cc
+++ b/tests/distribution_version_test.cc
@@ -1,9 +1,11 @@
+#include <algorithm>
 #include <string>
 #include <vector>
 
 #include <criterion/criterion.h>
 
 #include "core_fleet.h"
+#include "distribution/link_keeper.h"
 #include "distribution/message_codec.h"
 
 namespace dragonflytack {
@@ -119,6 +121,57 @@
   cr_assert(fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(second); }));
 }
 
+// Guards against nodes that get a change late because both speakers of their
+// data centre stand still: their links count as up until 3 s of silence have
+// passed, and the change has to be in force 2 s after it was acknowledged.
+Test(distribution_version, change_while_both_speakers_stand_still) {
+  constexpr Milliseconds kBound{2'000};
+  const std::vector<std::string> data_centres = {"north1", "south1", "south2",
+                                                 "south3"};
+  for (const std::string& still : data_centres) {
+    for (const Milliseconds before : {Milliseconds(0), Milliseconds(1'200)}) {
+      CoreFleet fleet;
+      fleet.StartMany(data_centres, 4);
+      cr_assert(
+          fleet.RunUntil(30 * kSecond, [&] { return fleet.AllKnow(16); }));
+      // Links that only served joining are closed.
+      fleet.Run(2 * LinkKeeper::kUnwantedTime);
+      const TableVersion first = fleet.WriteTable({"roster"});
+      cr_assert(
+          fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(first); }));
+      std::vector<NodeId> others;
+      for (const auto& [id, node] : fleet.nodes) {
+        if (node.settings.data_centre == still) {
+          if (node.core->Status().speaker) {
+            fleet.Pause(id, true);
+          } else {
+            others.push_back(id);
+          }
+        }
+      }
+      cr_assert_eq(others.size(), 2);
+      fleet.Run(before);
+      const TableVersion second = fleet.WriteTable({"roster", "booking"});
+      fleet.Run(kBound);
+      for (const NodeId& id : others) {
+        cr_assert_eq(fleet.nodes[id].version(), second,
+                     "%s, speakers paused %ld ms before the change", id.c_str(),
+                     before.count());
+      }
+      for (auto& [id, node] : fleet.nodes) {
+        fleet.Pause(id, false);
+      }
+      cr_assert(
+          fleet.RunUntil(6 * kSecond, [&] { return fleet.AllAt(second); }));
+      // The substitutes stop watching once the speakers are heard again.
+      fleet.Run(4 * kSecond);
+      for (const NodeId& id : others) {
+        cr_assert_not(fleet.nodes[id].core->Status().speaker);
+      }
+    }
+  }
+}
+
 // Guards against a bad version that is applied in part or stops a node (I3),
 // and against a restarted node that waits for it for ever.
 Test(distribution_version, bad_version_is_refused_whole) {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -39,9 +39,10 @@
     return found == objects_.end() ? StoreObject{key, "", 0} : found->second;
   }
 
-  // Returns a client that shares this store; `owner` must outlive its answers.
-  std::unique_ptr<StoreClient> MakeClient() {
-    return std::make_unique<Client>(this);
+  // Returns a client that shares this store. Its answers wait while `*paused`
+  // is set, which must outlive them.
+  std::unique_ptr<StoreClient> MakeClient(const bool* paused = &kNeverPaused) {
+    return std::make_unique<Client>(this, paused);
   }
 
   // Whether an answer to a watch brings the object along.
@@ -60,11 +61,12 @@
       const StoreVersion version = Read(watch->key).version;
       const bool expired = clock_->Now() >= watch->deadline;
       if (mode != Mode::kUp) {
-        Answer(
-            [callback = watch->callback] { callback(std::nullopt, Lost()); });
+        Answer(watch->paused, [callback = watch->callback] {
+          callback(std::nullopt, Lost());
+        });
       } else if (version > watch->after || expired) {
-        Answer([callback = watch->callback,
-                version = std::max(version, watch->after)] {
+        Answer(watch->paused, [callback = watch->callback,
+                               version = std::max(version, watch->after)] {
           callback(version, Failure{});
         });
       } else {
@@ -73,34 +75,49 @@
       }
       watch = watches_.erase(watch);
     }
-    while (!answers_.empty() && answers_.begin()->first <= clock_->Now()) {
-      const auto answer = std::move(answers_.begin()->second);
-      answers_.erase(answers_.begin());
-      answer();
+    for (auto due = answers_.begin();
+         due != answers_.end() && due->first <= clock_->Now();) {
+      if (*due->second.paused) {
+        ++due;
+        continue;
+      }
+      const auto give = std::move(due->second.give);
+      answers_.erase(due);
+      give();
+      due = answers_.begin();
     }
   }
 
  private:
   struct Watch {
+    const bool* paused;
     std::string key;
     StoreVersion after;
     TimePoint deadline;
     StoreClient::VersionCallback callback;
   };
 
+  struct PendingAnswer {
+    const bool* paused;
+    std::function<void()> give;
+  };
+
+  static constexpr bool kNeverPaused = false;
+
   class Client final : public StoreClient {
    public:
-    explicit Client(FakeStore* store) : store_(store) {}
+    Client(FakeStore* store, const bool* paused)
+        : store_(store), paused_(paused) {}
 
     void Get(const std::string& key, ObjectCallback callback) override {
       ++store_->calls["get " + key];
       if (store_->mode != Mode::kUp) {
-        store_->Answer([store = store_, callback] {
+        store_->Answer(paused_, [store = store_, callback] {
           callback(std::nullopt, store->Fault());
         });
         return;
       }
-      store_->Answer([callback, object = store_->Read(key)] {
+      store_->Answer(paused_, [callback, object = store_->Read(key)] {
         callback(object, Failure{});
       });
     }
@@ -110,20 +127,22 @@
              VersionCallback callback) override {
       ++store_->calls["put " + key];
       if (store_->mode == Mode::kUnreachable) {
-        store_->Answer([callback] { callback(std::nullopt, Unreachable()); });
+        store_->Answer(paused_,
+                       [callback] { callback(std::nullopt, Unreachable()); });
         return;
       }
       if (store_->Read(key).version != if_version) {
-        store_->Answer([callback] {
+        store_->Answer(paused_, [callback] {
           callback(std::nullopt, {FailureCode::kConflict, "key", "changed"});
         });
         return;
       }
       const StoreVersion version = store_->Write(key, value);
       if (store_->mode == Mode::kAnswersLost) {
-        store_->Answer([callback] { callback(std::nullopt, Lost()); });
+        store_->Answer(paused_, [callback] { callback(std::nullopt, Lost()); });
       } else {
-        store_->Answer([callback, version] { callback(version, Failure{}); });
+        store_->Answer(paused_,
+                       [callback, version] { callback(version, Failure{}); });
       }
     }
     void Delete(const std::string&, StoreVersion, VersionCallback) override {}
@@ -133,13 +152,13 @@
                VersionCallback callback) override {
       ++store_->calls["watch " + key];
       if (store_->mode != Mode::kUp) {
-        store_->Answer([store = store_, callback] {
+        store_->Answer(paused_, [store = store_, callback] {
           callback(std::nullopt, store->Fault());
         });
         return;
       }
       store_->watches_.push_back(FakeStore::Watch{
-          key, after, store_->clock_->Now() + timeout, callback});
+          paused_, key, after, store_->clock_->Now() + timeout, callback});
     }
     std::optional<StoreObject> TakeRead(const std::string& key) override {
       return store_->brings_objects ? std::optional(store_->Read(key))
@@ -152,6 +171,7 @@
 
    private:
     FakeStore* const store_;
+    const bool* const paused_;
   };
 
   static Failure Unreachable() {
@@ -163,15 +183,16 @@
   Failure Fault() const {
     return mode == Mode::kUnreachable ? Unreachable() : Lost();
   }
-  void Answer(std::function<void()> answer) {
-    answers_.emplace(clock_->Now() + delay, std::move(answer));
+  void Answer(const bool* paused, std::function<void()> give) {
+    answers_.emplace(clock_->Now() + delay,
+                     PendingAnswer{paused, std::move(give)});
   }
 
   ManualClock* const clock_;
   StoreVersion revision_ = 0;
   std::map<std::string, StoreObject> objects_;
   std::list<Watch> watches_;
-  std::multimap<TimePoint, std::function<void()>> answers_;
+  std::multimap<TimePoint, PendingAnswer> answers_;
 };
 
 }  // namespace dragonflytack
