--- a/fuzz/document_entry_points.cc
+++ b/fuzz/document_entry_points.cc
@@ -75,7 +75,7 @@
 std::string CheckCsv(const std::string& input) {
   return CheckRoundTrip(
       input, IsOneOf<FailureCode::kInvalidCsv, FailureCode::kTooLarge>,
-      ParseCsv, FormatCsv);
+      ParseCsv<ServiceRow>, FormatCsv<ServiceRow>);
 }
 
 std::vector<std::string> SeedListSeeds() {
--- a/include/dragonflytack/table/cell_edit.h
+++ b/include/dragonflytack/table/cell_edit.h
@@ -3,15 +3,20 @@
 
 #include <string>
 
+#include "dragonflytack/table/sheet.h"
+
 namespace dragonflytack {
 
 // One changed cell, with its text as in a CSV file. A row that is added or
-// removed has the column "service" with an empty old or new text.
+// removed has the first column, "service" or "name", with an empty old or new
+// text.
 struct CellEdit final {
-  std::string service;
+  // Name of the service or the route.
+  std::string row;
   std::string column;
   std::string old_text;
   std::string new_text;
+  Sheet sheet = Sheet::kServices;
 
   friend bool operator==(const CellEdit&, const CellEdit&) = default;
 };
--- a/include/dragonflytack/table/route_row.h
+++ b/include/dragonflytack/table/route_row.h
@@ -25,7 +25,7 @@
   // Value of the header Host, in lower case and without a port.
   std::string host;
   // Begins and ends with '/'.
-  std::string prefix;
+  std::string prefix = "/";
   ServiceKind kind = ServiceKind::kOneTime;
   // Longest time that a call may take, in milliseconds.
   int timeout_ms = 1000;
--- /dev/null
+++ b/include/dragonflytack/table/sheet.h
@@ -0,0 +1,11 @@
+#ifndef DRAGONFLYTACK_TABLE_SHEET_H_
+#define DRAGONFLYTACK_TABLE_SHEET_H_
+
+namespace dragonflytack {
+
+// The two sheets of the operators' table.
+enum class Sheet { kServices, kRoutes };
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_TABLE_SHEET_H_
--- a/src/cli/add_verb.cc
+++ b/src/cli/add_verb.cc
@@ -1,7 +1,7 @@
 #include <map>
 
-#include "cli/column_notes.h"
 #include "cli/edit_report.h"
+#include "cli/sheet_option.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
 
@@ -11,10 +11,15 @@
 
 class AddVerb final : public Verb {
  public:
+  void AddOptions(
+      boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
+  }
+
   std::string Notes() const override { return ColumnNotes(); }
 
   ExitCode Run(const Arguments& arguments,
-               const boost::program_options::variables_map&,
+               const boost::program_options::variables_map& options,
                ToolContext* context) const override {
     std::map<std::string, std::string> cells;
     for (size_t i = 1; i < arguments.size(); ++i) {
@@ -30,8 +35,10 @@
       }
     }
     return EditAndReport(
-        [&](const Table::Rows& rows, Failure* reason) {
-          return AddRow(rows, arguments[0], cells, reason);
+        [&](const TableDocument& table, Failure* reason) {
+          return OnSheet(options, [&]<typename Row>(const Row*) {
+            return AddRow(RowsOf<Row>(table), arguments[0], cells, reason);
+          });
         },
         /*replace_unreadable=*/false, /*wait=*/false, context);
   }
--- a/src/cli/diff_verb.cc
+++ b/src/cli/diff_verb.cc
@@ -4,9 +4,11 @@
 #include <nlohmann/json.hpp>
 
 #include "cli/edit_report.h"
+#include "cli/sheet_option.h"
 #include "cli/text_table.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
+#include "table/table_json.h"
 
 namespace dragonflytack {
 
@@ -14,29 +16,39 @@
 
 class DiffVerb final : public Verb {
  public:
+  void AddOptions(
+      boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
+  }
+
   ExitCode Run(const Arguments& arguments,
-               const boost::program_options::variables_map&,
+               const boost::program_options::variables_map& options,
                ToolContext* context) const override {
     Failure reason;
-    const std::optional<Table::Rows> rows = ReadCsvFile(arguments[0], &reason);
-    if (!rows) {
-      return context->Fail(reason);
-    }
-    const auto table = context->ReadTable(&reason);
-    if (!table) {
+    std::optional<ToolContext::StoredTable> table;
+    const std::optional<CellEdits> cells =
+        OnSheet(options, [&]<typename Row>(const Row*) {
+          const auto rows = ReadCsvFile<Row>(arguments[0], &reason);
+          if (rows) {
+            table = context->ReadTable(&reason);
+          }
+          return table ? std::optional(
+                             DiffRows(RowsOf<Row>(table->document), *rows))
+                       : std::nullopt;
+        });
+    if (!cells) {
       return context->Fail(reason);
     }
-    const CellEdits cells = DiffRows(table->document.rows, *rows);
     if (context->options().json) {
       context->PrintJson(
-          {{"version", table->version}, {"cells", CellsToJson(cells)}});
+          {{"version", table->version}, {"cells", CellsToJson(*cells)}});
       return ExitCode::kDone;
     }
-    TextTable text({"service", "column", "table", "file"});
-    for (const CellEdit& cell : cells) {
-      text.Add({cell.service, cell.column, cell.old_text, cell.new_text});
+    TextTable text({"row", "column", "table", "file"});
+    for (const CellEdit& cell : *cells) {
+      text.Add({cell.row, cell.column, cell.old_text, cell.new_text});
     }
-    context->out() << (cells.empty() ? "no difference\n" : text.ToString())
+    context->out() << (cells->empty() ? "no difference\n" : text.ToString())
                    << fmt::format("version {}\n", table->version);
     return ExitCode::kDone;
   }
--- a/src/cli/edit_report.cc
+++ b/src/cli/edit_report.cc
@@ -9,7 +9,9 @@
 
 #include "cli/tool_context.h"
 #include "cli/version_wait.h"
+#include "table/column.h"
 #include "table/table_csv.h"
+#include "table/table_json.h"
 
 namespace dragonflytack {
 
@@ -58,24 +60,14 @@
 
 }  // namespace
 
-json CellsToJson(const CellEdits& cells) {
-  json list = json::array();
-  for (const CellEdit& cell : cells) {
-    list.push_back({{"service", cell.service},
-                    {"column", cell.column},
-                    {"old", cell.old_text},
-                    {"new", cell.new_text}});
-  }
-  return list;
-}
-
 std::string DescribeCell(const CellEdit& cell) {
-  return fmt::format("{}, {}: \"{}\" -> \"{}\"", cell.service, cell.column,
-                     cell.old_text, cell.new_text);
+  return fmt::format("{}, {}: \"{}\" -> \"{}\"", RowLabel(cell.sheet, cell.row),
+                     cell.column, cell.old_text, cell.new_text);
 }
 
-std::optional<Table::Rows> ReadCsvFile(const std::string& path,
-                                       Failure* reason) {
+template <typename Row>
+std::optional<SheetRows<Row>> ReadCsvFile(const std::string& path,
+                                          Failure* reason) {
   std::ifstream file;
   if (path != "-") {
     file.open(path, std::ios::binary);
@@ -90,13 +82,18 @@
   std::string text(TableDocument::kMaxBytes + 1, '\0');
   input.read(text.data(), static_cast<std::streamsize>(text.size()));
   text.resize(static_cast<size_t>(input.gcount()));
-  std::optional<Table::Rows> rows = ParseCsv(text, reason);
+  std::optional<SheetRows<Row>> rows = ParseCsv<Row>(text, reason);
   if (!rows) {
     reason->subject = fmt::format("{}, {}", path, reason->subject);
   }
   return rows;
 }
 
+template std::optional<SheetRows<ServiceRow>> ReadCsvFile(const std::string&,
+                                                          Failure*);
+template std::optional<SheetRows<RouteRow>> ReadCsvFile(const std::string&,
+                                                        Failure*);
+
 ExitCode EditAndReport(TableEditor::MakeCells make_cells,
                        bool replace_unreadable,
                        bool wait,
--- a/src/cli/edit_report.h
+++ b/src/cli/edit_report.h
@@ -4,8 +4,6 @@
 #include <optional>
 #include <string>
 
-#include <nlohmann/json_fwd.hpp>
-
 #include "cli/exit_code.h"
 #include "store/table_editor.h"
 
@@ -20,15 +18,13 @@
                        bool wait,
                        ToolContext* context);
 
-// Returns the cells as JSON objects with "service", "column", "old" and "new".
-nlohmann::json CellsToJson(const CellEdits& cells);
-
-// Returns "service, column: old -> new" for people.
+// Returns "row, column: old -> new" for people.
 std::string DescribeCell(const CellEdit& cell);
 
-// Reads a CSV file, or standard input for "-".
-std::optional<Table::Rows> ReadCsvFile(const std::string& path,
-                                       Failure* reason);
+// Reads the rows of a sheet from a CSV file, or standard input for "-".
+template <typename Row>
+std::optional<SheetRows<Row>> ReadCsvFile(const std::string& path,
+                                          Failure* reason);
 
 }  // namespace dragonflytack
 
--- a/src/cli/explain_verb.cc
+++ b/src/cli/explain_verb.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cli/fleet.h"
+#include "cli/route_explanation.h"
 #include "cli/text_table.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
@@ -77,7 +78,9 @@
   std::string Notes() const override {
     return "Weights are those of the table, lowered while a target warms up. "
            "Calls stay near\ntheir caller as long as near targets can take "
-           "them.\n";
+           "them.\n\nHOST/PATH names the route that a call takes, and how its "
+           "calls "
+           "are divided.\n";
   }
 
   ExitCode Run(const Arguments& arguments,
@@ -88,6 +91,9 @@
     if (!node) {
       return context->Fail(reason);
     }
+    if (arguments[0].find('/') != std::string::npos) {
+      return ExplainRoute(arguments[0], *node, context);
+    }
     // Other names cannot be in the table and would need escapes in the path.
     const ServiceRow named{.service = arguments[0]};
     const Column& column = Columns().front();
--- a/src/cli/export_verb.cc
+++ b/src/cli/export_verb.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cli/sheet_option.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
 #include "table/table_csv.h"
@@ -13,24 +14,29 @@
 
 class ExportVerb final : public Verb {
  public:
+  void AddOptions(
+      boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
+  }
+
   ExitCode Run(const Arguments&,
-               const boost::program_options::variables_map&,
+               const boost::program_options::variables_map& options,
                ToolContext* context) const override {
     Failure reason;
     const auto table = context->ReadTable(&reason);
     if (!table) {
       return context->Fail(reason);
     }
-    if (!context->options().json) {
-      context->out() << FormatCsv(table->document.rows);
+    return OnSheet(options, [&]<typename Row>(const Row*) {
+      const SheetRows<Row>& rows = RowsOf<Row>(table->document);
+      if (context->options().json) {
+        context->PrintJson(
+            {{"version", table->version}, {"rows", RowsToJson(rows)}});
+      } else {
+        context->out() << FormatCsv(rows);
+      }
       return ExitCode::kDone;
-    }
-    nlohmann::json rows = nlohmann::json::array();
-    for (const auto& [service, row] : table->document.rows) {
-      rows.push_back(RowToJson(row));
-    }
-    context->PrintJson({{"version", table->version}, {"rows", rows}});
-    return ExitCode::kDone;
+    });
   }
 };
 
--- a/src/cli/history_verb.cc
+++ b/src/cli/history_verb.cc
@@ -7,6 +7,7 @@
 #include "cli/text_table.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
+#include "table/column.h"
 #include "table/table_json.h"
 
 namespace dragonflytack {
@@ -36,19 +37,20 @@
     if (!edits) {
       return context->Fail(reason);
     }
-    TextTable table({"time", "author", "service", "column", "old", "new"});
+    TextTable table({"time", "author", "row", "column", "old", "new"});
     nlohmann::json list = nlohmann::json::array();
     for (EditRecord& edit : *edits) {
       std::erase_if(edit.cells, [&](const CellEdit& cell) {
-        return !arguments.empty() && cell.service != arguments[0];
+        return !arguments.empty() && cell.row != arguments[0];
       });
       if (edit.cells.empty()) {
         continue;
       }
       list.push_back(EditToJson(edit));
       for (const CellEdit& cell : edit.cells) {
-        table.Add({FormatTime(edit.time_ms), edit.author, cell.service,
-                   cell.column, cell.old_text, cell.new_text});
+        table.Add({FormatTime(edit.time_ms), edit.author,
+                   RowLabel(cell.sheet, cell.row), cell.column, cell.old_text,
+                   cell.new_text});
       }
     }
     if (context->options().json) {
--- a/src/cli/import_verb.cc
+++ b/src/cli/import_verb.cc
@@ -1,6 +1,7 @@
 #include <boost/program_options.hpp>
 
 #include "cli/edit_report.h"
+#include "cli/sheet_option.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
 
@@ -12,6 +13,7 @@
  public:
   void AddOptions(
       boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
     options->add_options()(
         "force", boost::program_options::bool_switch(),
         "also replace a stored table that cannot be read at all")(
@@ -22,16 +24,19 @@
   ExitCode Run(const Arguments& arguments,
                const boost::program_options::variables_map& options,
                ToolContext* context) const override {
-    Failure reason;
-    const std::optional<Table::Rows> rows = ReadCsvFile(arguments[0], &reason);
-    if (!rows) {
-      return context->Fail(reason);
-    }
-    return EditAndReport(
-        [&rows](const Table::Rows& from, Failure*) {
-          return std::optional<CellEdits>(DiffRows(from, *rows));
-        },
-        options["force"].as<bool>(), options["wait"].as<bool>(), context);
+    return OnSheet(options, [&]<typename Row>(const Row*) {
+      Failure reason;
+      const auto rows = ReadCsvFile<Row>(arguments[0], &reason);
+      if (!rows) {
+        return context->Fail(reason);
+      }
+      return EditAndReport(
+          [&rows](const TableDocument& table, Failure*) {
+            return std::optional<CellEdits>(
+                DiffRows(RowsOf<Row>(table), *rows));
+          },
+          options["force"].as<bool>(), options["wait"].as<bool>(), context);
+    });
   }
 };
 
--- a/src/cli/remove_verb.cc
+++ b/src/cli/remove_verb.cc
@@ -1,4 +1,5 @@
 #include "cli/edit_report.h"
+#include "cli/sheet_option.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
 
@@ -8,12 +9,19 @@
 
 class RemoveVerb final : public Verb {
  public:
+  void AddOptions(
+      boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
+  }
+
   ExitCode Run(const Arguments& arguments,
-               const boost::program_options::variables_map&,
+               const boost::program_options::variables_map& options,
                ToolContext* context) const override {
     return EditAndReport(
-        [&](const Table::Rows& rows, Failure* reason) {
-          return RemoveRow(rows, arguments[0], reason);
+        [&](const TableDocument& table, Failure* reason) {
+          return OnSheet(options, [&]<typename Row>(const Row*) {
+            return RemoveRow(RowsOf<Row>(table), arguments[0], reason);
+          });
         },
         /*replace_unreadable=*/false, /*wait=*/false, context);
   }
--- /dev/null
+++ b/src/cli/route_explanation.cc
@@ -0,0 +1,120 @@
+#include "cli/route_explanation.h"
+
+#include <memory>
+#include <ostream>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "cli/admin_fetcher.h"
+#include "cli/fleet.h"
+#include "cli/text_table.h"
+#include "cli/tool_context.h"
+#include "dragonflytack/routing/route_index.h"
+#include "dragonflytack/table/table.h"
+#include "table/column.h"
+#include "table/table_json.h"
+
+namespace dragonflytack {
+
+namespace {
+
+using nlohmann::json;
+
+// Returns the table that a node says it has in force.
+std::shared_ptr<const Table> TableOf(const json& answer, Failure* reason) {
+  std::optional<Table::Rows> rows =
+      RowsFromJson<ServiceRow>(ListOf(answer, "rows"), reason);
+  std::optional<Table::Routes> routes =
+      RowsFromJson<RouteRow>(ListOf(answer, "routes"), reason);
+  if (!rows || !routes) {
+    return nullptr;
+  }
+  return Table::Make(static_cast<TableVersion>(NumberMember(answer, "version")),
+                     *std::move(rows), *std::move(routes), reason);
+}
+
+Failure NoRoute(const Table& table, std::string_view host) {
+  std::string known;
+  for (const auto& [name, route] : table.routes()) {
+    if (route.host == host) {
+      known += fmt::format("{}{} ({})", known.empty() ? "" : ", ", route.prefix,
+                           name);
+    }
+  }
+  return Failure{
+      FailureCode::kNotFound, std::string(host),
+      known.empty()
+          ? fmt::format("version {} has no route of this host; calls to it "
+                        "are answered 404",
+                        table.version())
+          : fmt::format("no route of this host has a prefix of the path in "
+                        "version {}; there are {}",
+                        table.version(), known)};
+}
+
+int64_t TotalWeight(const RouteRow& route) {
+  int64_t total = 0;
+  for (const RouteShare& share : route.shares) {
+    total += share.weight;
+  }
+  return total;
+}
+
+void Print(const RouteRow& route, const Table& table, ToolContext* context) {
+  const auto total = static_cast<double>(TotalWeight(route));
+  if (context->options().json) {
+    json parts = json::array();
+    for (const RouteShare& share : route.shares) {
+      parts.push_back({{"service", share.service},
+                       {"share", static_cast<double>(share.weight) / total}});
+    }
+    context->PrintJson({{"version", table.version()},
+                        {"route", RowToJson(route)},
+                        {"parts", std::move(parts)}});
+    return;
+  }
+  TextTable cells({"column", "value", "meaning"});
+  for (const RouteColumn& column : Columns<RouteRow>()) {
+    cells.Add({std::string(column.name), column.format_text(column, route),
+               std::string(column.meaning)});
+  }
+  TextTable parts({"service", "share of the calls"});
+  for (const RouteShare& share : route.shares) {
+    parts.Add({share.service,
+               fmt::format("{:.1f} %",
+                           100 * static_cast<double>(share.weight) / total)});
+  }
+  context->out() << fmt::format("version {}\n\n", table.version())
+                 << cells.ToString() << "\n"
+                 << parts.ToString();
+}
+
+}  // namespace
+
+ExitCode ExplainRoute(const std::string& call,
+                      const HostPort& node,
+                      ToolContext* context) {
+  AdminFetcher fetcher(context->loop(), context->options().shared_key);
+  const AdminAnswer answer =
+      fetcher.Fetch(node, "/table", context->options().timeout);
+  if (!answer.value) {
+    return context->Fail(answer.reason);
+  }
+  Failure reason;
+  const std::shared_ptr<const Table> table = TableOf(*answer.value, &reason);
+  if (table == nullptr) {
+    return context->Fail(reason);
+  }
+  const size_t slash = call.find('/');
+  const std::string host = call.substr(0, slash);
+  const RouteRow* route = RouteIndex(table).Find(host, call.substr(slash));
+  if (route == nullptr) {
+    return context->Fail(NoRoute(*table, host));
+  }
+  Print(*route, *table, context);
+  return ExitCode::kDone;
+}
+
+}  // namespace dragonflytack
--- a/src/cli/set_verb.cc
+++ b/src/cli/set_verb.cc
@@ -1,7 +1,7 @@
 #include <boost/program_options.hpp>
 
-#include "cli/column_notes.h"
 #include "cli/edit_report.h"
+#include "cli/sheet_option.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
 
@@ -13,6 +13,7 @@
  public:
   void AddOptions(
       boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
     options->add_options()(
         "expect",
         boost::program_options::value<std::string>()->value_name("OLD"),
@@ -31,9 +32,11 @@
       expect = options["expect"].as<std::string>();
     }
     return EditAndReport(
-        [&](const Table::Rows& rows, Failure* reason) {
-          return SetCell(rows, arguments[0], arguments[1], arguments[2], expect,
-                         reason);
+        [&](const TableDocument& table, Failure* reason) {
+          return OnSheet(options, [&]<typename Row>(const Row*) {
+            return SetCell(RowsOf<Row>(table), arguments[0], arguments[1],
+                           arguments[2], expect, reason);
+          });
         },
         /*replace_unreadable=*/false, options["wait"].as<bool>(), context);
   }
--- /dev/null
+++ b/src/cli/sheet_option.h
@@ -0,0 +1,40 @@
+#ifndef DRAGONFLYTACK_CLI_SHEET_OPTION_H_
+#define DRAGONFLYTACK_CLI_SHEET_OPTION_H_
+
+#include <type_traits>
+
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/variables_map.hpp>
+
+#include "dragonflytack/table/table_document.h"
+#include "table/table_edit.h"
+
+namespace dragonflytack {
+
+// Adds --routes, which makes a verb work on the sheet of routes.
+void AddSheetOption(boost::program_options::options_description* options);
+
+bool IsRoutesSheet(const boost::program_options::variables_map& options);
+
+template <typename Row>
+const SheetRows<Row>& RowsOf(const TableDocument& document) {
+  if constexpr (std::is_same_v<Row, RouteRow>) {
+    return document.routes;
+  } else {
+    return document.rows;
+  }
+}
+
+// Calls `work` with a null pointer to the row type of the chosen sheet.
+template <typename Work>
+auto OnSheet(const boost::program_options::variables_map& options, Work work) {
+  return IsRoutesSheet(options) ? work(static_cast<const RouteRow*>(nullptr))
+                                : work(static_cast<const ServiceRow*>(nullptr));
+}
+
+// Returns columns of both sheets with meaning, range and default, for --help.
+std::string ColumnNotes();
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_CLI_SHEET_OPTION_H_
--- a/src/cli/show_verb.cc
+++ b/src/cli/show_verb.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "cli/sheet_option.h"
 #include "cli/text_table.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
@@ -13,15 +14,16 @@
 
 namespace {
 
-std::string ShowRows(const Table::Rows& rows) {
+template <typename Row>
+std::string ShowRows(const SheetRows<Row>& rows) {
   std::vector<std::string> header;
-  for (const Column& column : Columns()) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     header.emplace_back(column.name);
   }
   TextTable table(std::move(header));
-  for (const auto& [service, row] : rows) {
+  for (const auto& [name, row] : rows) {
     std::vector<std::string> cells;
-    for (const Column& column : Columns()) {
+    for (const BasicColumn<Row>& column : Columns<Row>()) {
       cells.push_back(column.format_text(column, row));
     }
     table.Add(std::move(cells));
@@ -29,9 +31,10 @@
   return table.ToString();
 }
 
-std::string ShowRow(const ServiceRow& row) {
+template <typename Row>
+std::string ShowRow(const Row& row) {
   TextTable table({"column", "value", "meaning", "range"});
-  for (const Column& column : Columns()) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     table.Add({std::string(column.name), column.format_text(column, row),
                std::string(column.meaning), std::string(column.range)});
   }
@@ -40,33 +43,40 @@
 
 class ShowVerb final : public Verb {
  public:
+  void AddOptions(
+      boost::program_options::options_description* options) const override {
+    AddSheetOption(options);
+  }
+
   ExitCode Run(const Arguments& arguments,
-               const boost::program_options::variables_map&,
+               const boost::program_options::variables_map& options,
                ToolContext* context) const override {
     Failure reason;
     const auto table = context->ReadTable(&reason);
     if (!table) {
       return context->Fail(reason);
     }
-    const Table::Rows& all = table->document.rows;
-    if (!arguments.empty() && !all.contains(arguments[0])) {
-      return context->Fail(Failure{FailureCode::kNotFound, arguments[0],
-                                   "the table has no row of this service"});
-    }
-    if (context->options().json) {
-      nlohmann::json rows = nlohmann::json::array();
-      for (const auto& [service, row] : all) {
-        if (arguments.empty() || service == arguments[0]) {
-          rows.push_back(RowToJson(row));
+    return OnSheet(options, [&]<typename Row>(const Row*) {
+      SheetRows<Row> rows = RowsOf<Row>(table->document);
+      if (!arguments.empty()) {
+        std::erase_if(rows, [&arguments](const auto& item) {
+          return item.first != arguments[0];
+        });
+        if (rows.empty()) {
+          return context->Fail(Failure{FailureCode::kNotFound, arguments[0],
+                                       "the sheet has no row of this name"});
         }
       }
-      context->PrintJson({{"version", table->version}, {"rows", rows}});
+      if (context->options().json) {
+        context->PrintJson(
+            {{"version", table->version}, {"rows", RowsToJson(rows)}});
+      } else {
+        context->out() << (arguments.empty() ? ShowRows(rows)
+                                             : ShowRow(rows.begin()->second))
+                       << fmt::format("version {}\n", table->version);
+      }
       return ExitCode::kDone;
-    }
-    context->out() << (arguments.empty() ? ShowRows(all)
-                                         : ShowRow(all.at(arguments[0])))
-                   << fmt::format("version {}\n", table->version);
-    return ExitCode::kDone;
+    });
   }
 };
 
--- a/src/cli/tool_context.cc
+++ b/src/cli/tool_context.cc
@@ -45,7 +45,8 @@
   if (options_.json) {
     json list = json::array();
     for (const CellConflict& conflict : conflicts) {
-      list.push_back({{"service", conflict.service},
+      list.push_back({{conflict.sheet == Sheet::kRoutes ? "route" : "service",
+                       conflict.row},
                       {"column", conflict.column},
                       {"expected", conflict.expected},
                       {"found", conflict.found}});
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -196,11 +196,9 @@
   if (table == nullptr) {
     return std::nullopt;
   }
-  json rows = json::array();
-  for (const auto& [service, row] : table->rows()) {
-    rows.push_back(RowToJson(row));
-  }
-  return json{{"version", table->version()}, {"rows", std::move(rows)}};
+  return json{{"version", table->version()},
+              {"rows", RowsToJson(table->rows())},
+              {"routes", RowsToJson(table->routes())}};
 }
 
 std::vector<Span> FleetReport::Trace(const std::string& trace_id) {
--- a/src/store/table_editor.cc
+++ b/src/store/table_editor.cc
@@ -7,6 +7,7 @@
 
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/store/store_client.h"
+#include "table/column.h"
 
 namespace dragonflytack {
 
@@ -91,7 +92,7 @@
   if (!cells_made_) {
     first_version_ = version_;
     Failure reason;
-    std::optional<CellEdits> cells = make_cells_(document_.rows, &reason);
+    std::optional<CellEdits> cells = make_cells_(document_, &reason);
     if (!cells) {
       Finish(reason);
       return;
@@ -146,11 +147,11 @@
   applied_on_ = version_;
   next_ = document_;
   archive_.edits.clear();
-  outcome_.conflicts = ApplyCells(outcome_.edit.cells, &next_.rows);
+  outcome_.conflicts = ApplyEdit(outcome_.edit.cells, &next_);
   if (!outcome_.conflicts.empty()) {
     const CellConflict& first = outcome_.conflicts.front();
     Finish(Failure{FailureCode::kConflict,
-                   fmt::format("{}/{}", first.service, first.column),
+                   CellName(first.sheet, first.row, first.column),
                    fmt::format("expected \"{}\", found \"{}\"", first.expected,
                                first.found)});
     return;
--- a/src/store/table_editor.h
+++ b/src/store/table_editor.h
@@ -53,7 +53,7 @@
   };
   // Makes the cells of the edit from the table as first read.
   using MakeCells =
-      std::function<std::optional<CellEdits>(const Table::Rows&, Failure*)>;
+      std::function<std::optional<CellEdits>(const TableDocument&, Failure*)>;
   using Callback = std::function<void(const EditOutcome&)>;
 
   // The pointers must outlive the editor. Destroying it drops the answer; a
--- a/src/table/column.cc
+++ b/src/table/column.cc
@@ -1,18 +1,17 @@
-#include "table/column.h"
-
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <limits>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "table/column_parts.h"
+
 namespace dragonflytack {
 
 namespace {
 
 using nlohmann::json;
+using Parts = ColumnParts<ServiceRow>;
 
 constexpr size_t kMaxNameSize = 63;
 constexpr int kMaxWeight = 1000;
@@ -25,54 +24,6 @@
              std::string_view::npos;
 }
 
-std::optional<int> ParseInteger(std::string_view text) {
-  int value = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-std::optional<int> ParseInteger(const json& value) {
-  if (!value.is_number_integer()) {
-    return std::nullopt;
-  }
-  // An unsigned value above the range of int64_t would turn negative.
-  if (value.is_number_unsigned() &&
-      value.get<uint64_t>() > std::numeric_limits<int>::max()) {
-    return std::nullopt;
-  }
-  const auto number = value.get<int64_t>();
-  if (number < std::numeric_limits<int>::min() ||
-      number > std::numeric_limits<int>::max()) {
-    return std::nullopt;
-  }
-  return static_cast<int>(number);
-}
-
-bool ParseServiceText(const Column&, std::string_view text, ServiceRow* row) {
-  row->service = text;
-  return true;
-}
-
-std::string FormatServiceText(const Column&, const ServiceRow& row) {
-  return row.service;
-}
-
-bool ParseServiceJson(const Column&, const json& value, ServiceRow* row) {
-  if (!value.is_string()) {
-    return false;
-  }
-  row->service = value.get<std::string>();
-  return true;
-}
-
-json FormatServiceJson(const Column&, const ServiceRow& row) {
-  return row.service;
-}
-
 std::optional<std::string> ValidateService(const Column& column,
                                            const ServiceRow& row) {
   if (IsName(row.service)) {
@@ -81,32 +32,6 @@
   return fmt::format("\"{}\" is not {}", row.service, column.range);
 }
 
-bool ParseKindText(const Column&, std::string_view text, ServiceRow* row) {
-  if (text != "idempotent" && text != "one_time") {
-    return false;
-  }
-  row->kind =
-      text == "one_time" ? ServiceKind::kOneTime : ServiceKind::kIdempotent;
-  return true;
-}
-
-std::string FormatKindText(const Column&, const ServiceRow& row) {
-  return row.kind == ServiceKind::kOneTime ? "one_time" : "idempotent";
-}
-
-bool ParseKindJson(const Column& column, const json& value, ServiceRow* row) {
-  return value.is_string() &&
-         ParseKindText(column, value.get_ref<const std::string&>(), row);
-}
-
-json FormatKindJson(const Column& column, const ServiceRow& row) {
-  return FormatKindText(column, row);
-}
-
-std::optional<std::string> ValidateKind(const Column&, const ServiceRow&) {
-  return std::nullopt;
-}
-
 bool ParseWeightsText(const Column&, std::string_view text, ServiceRow* row) {
   row->weights.clear();
   while (!text.empty()) {
@@ -178,80 +103,16 @@
   return std::nullopt;
 }
 
-bool ParseNumberText(const Column& column,
-                     std::string_view text,
-                     ServiceRow* row) {
-  const std::optional<int> number = ParseInteger(text);
-  row->*column.number = number.value_or(0);
-  return number.has_value();
-}
-
-std::string FormatNumberText(const Column& column, const ServiceRow& row) {
-  return fmt::format("{}", row.*column.number);
-}
-
-bool ParseNumberJson(const Column& column, const json& value, ServiceRow* row) {
-  const std::optional<int> number = ParseInteger(value);
-  row->*column.number = number.value_or(0);
-  return number.has_value();
-}
-
-json FormatNumberJson(const Column& column, const ServiceRow& row) {
-  return row.*column.number;
-}
-
-std::optional<std::string> ValidateNumber(const Column& column,
-                                          const ServiceRow& row) {
-  const int number = row.*column.number;
-  if (number >= column.minimum && number <= column.maximum) {
-    return std::nullopt;
-  }
-  return fmt::format("{} is not in {}-{}", number, column.minimum,
-                     column.maximum);
-}
-
-constexpr Column NumberColumn(std::string_view name,
-                              int ServiceRow::*number,
-                              int minimum,
-                              int maximum,
-                              std::string_view default_text,
-                              std::string_view range,
-                              std::string_view meaning) {
-  return Column{.name = name,
-                .meaning = meaning,
-                .range = range,
-                .default_text = default_text,
-                .parse_text = ParseNumberText,
-                .format_text = FormatNumberText,
-                .parse_json = ParseNumberJson,
-                .format_json = FormatNumberJson,
-                .validate = ValidateNumber,
-                .number = number,
-                .minimum = minimum,
-                .maximum = maximum};
-}
-
 // The defaults are those of ServiceRow; a test compares them. Upper limits
 // refuse typing errors and keep products of two columns within an int64_t.
 constexpr std::array<Column, 10> kColumns = {
-    Column{.name = "service",
-           .meaning = "name of the service",
-           .range = "1-63 characters of a-z, 0-9 and -",
-           .default_text = std::nullopt,
-           .parse_text = ParseServiceText,
-           .format_text = FormatServiceText,
-           .parse_json = ParseServiceJson,
-           .format_json = FormatServiceJson,
-           .validate = ValidateService},
-    Column{.name = "kind",
-           .meaning = "call class",
-           .range = "idempotent or one_time",
-           .default_text = std::nullopt,
-           .parse_text = ParseKindText,
-           .format_text = FormatKindText,
-           .parse_json = ParseKindJson,
-           .format_json = FormatKindJson,
-           .validate = ValidateKind},
+    Parts::TextColumn("service",
+                      &ServiceRow::service,
+                      std::nullopt,
+                      "1-63 characters of a-z, 0-9 and -",
+                      "name of the service",
+                      ValidateService),
+    Parts::KindColumn(),
     Column{.name = "weights",
            .meaning = "weight of each region",
            .range = "region=weight pairs separated by ;, weight 0-1000, "
@@ -262,81 +123,62 @@
            .parse_json = ParseWeightsJson,
            .format_json = FormatWeightsJson,
            .validate = ValidateWeights},
-    NumberColumn("max_concurrency",
-                 &ServiceRow::max_concurrency,
-                 0,
-                 1'000'000,
-                 "0",
-                 "0-1000000 calls, 0 = unlimited",
-                 "calls in flight in the whole service"),
-    NumberColumn("max_queue",
-                 &ServiceRow::max_queue,
-                 0,
-                 100'000,
-                 "64",
-                 "0-100000 calls",
-                 "calls waiting beside one endpoint"),
-    NumberColumn("max_connections",
-                 &ServiceRow::max_connections,
-                 1,
-                 100'000,
-                 "120",
-                 "1-100000 connections",
-                 "connections to one endpoint"),
-    NumberColumn("slots",
-                 &ServiceRow::slots,
-                 1,
-                 10'000,
-                 "12",
-                 "1-10000 calls",
-                 "calls that one endpoint runs at a time"),
-    NumberColumn("rate_limit",
-                 &ServiceRow::rate_limit,
-                 0,
-                 10'000'000,
-                 "0",
-                 "0-10000000 calls/s, 0 = unlimited",
-                 "calls a second in the whole service"),
-    NumberColumn("deadline_ms",
-                 &ServiceRow::deadline_ms,
-                 1,
-                 600'000,
-                 "1000",
-                 "1-600000 ms",
-                 "time a call may take when the caller names none"),
-    NumberColumn("retry_limit",
-                 &ServiceRow::retry_limit,
-                 0,
-                 10,
-                 "1",
-                 "0-10 attempts",
-                 "further attempts after the first one"),
+    Parts::NumberColumn("max_concurrency",
+                        &ServiceRow::max_concurrency,
+                        0,
+                        1'000'000,
+                        "0",
+                        "0-1000000 calls, 0 = unlimited",
+                        "calls in flight in the whole service"),
+    Parts::NumberColumn("max_queue",
+                        &ServiceRow::max_queue,
+                        0,
+                        100'000,
+                        "64",
+                        "0-100000 calls",
+                        "calls waiting beside one endpoint"),
+    Parts::NumberColumn("max_connections",
+                        &ServiceRow::max_connections,
+                        1,
+                        100'000,
+                        "120",
+                        "1-100000 connections",
+                        "connections to one endpoint"),
+    Parts::NumberColumn("slots",
+                        &ServiceRow::slots,
+                        1,
+                        10'000,
+                        "12",
+                        "1-10000 calls",
+                        "calls that one endpoint runs at a time"),
+    Parts::NumberColumn("rate_limit",
+                        &ServiceRow::rate_limit,
+                        0,
+                        10'000'000,
+                        "0",
+                        "0-10000000 calls/s, 0 = unlimited",
+                        "calls a second in the whole service"),
+    Parts::NumberColumn("deadline_ms",
+                        &ServiceRow::deadline_ms,
+                        1,
+                        600'000,
+                        "1000",
+                        "1-600000 ms",
+                        "time a call may take when the caller names none"),
+    Parts::NumberColumn("retry_limit",
+                        &ServiceRow::retry_limit,
+                        0,
+                        10,
+                        "1",
+                        "0-10 attempts",
+                        "further attempts after the first one"),
 };
 
 }  // namespace
 
-std::span<const Column> Columns() {
+template <>
+std::span<const Column> Columns<ServiceRow>() {
   return kColumns;
 }
 
-const Column* FindColumn(std::string_view name) {
-  const auto found = std::find_if(
-      kColumns.begin(), kColumns.end(),
-      [name](const Column& column) { return column.name == name; });
-  return found == kColumns.end() ? nullptr : &*found;
-}
-
-std::string ColumnNames() {
-  std::string names;
-  for (const Column& column : kColumns) {
-    names += names.empty() ? "" : ", ";
-    names += column.name;
-  }
-  return names;
-}
-
-std::string CellName(std::string_view service, std::string_view column) {
-  return fmt::format("{}/{}", service, column);
-}
-
 }  // namespace dragonflytack
--- a/src/table/column.h
+++ b/src/table/column.h
@@ -8,20 +8,23 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "dragonflytack/table/route_row.h"
 #include "dragonflytack/table/service_row.h"
+#include "dragonflytack/table/sheet.h"
 
 namespace dragonflytack {
 
-// One column of the table. CSV, cell edits, JSON, validation and help texts all
+// One column of a sheet. CSV, cell edits, JSON, validation and help texts all
 // use Columns(), so that a column is described in one place.
-struct Column final {
-  using ParseText = bool (*)(const Column&, std::string_view, ServiceRow*);
-  using FormatText = std::string (*)(const Column&, const ServiceRow&);
-  using ParseJson = bool (*)(const Column&, const nlohmann::json&, ServiceRow*);
-  using FormatJson = nlohmann::json (*)(const Column&, const ServiceRow&);
+template <typename Row>
+struct BasicColumn final {
+  using ParseText = bool (*)(const BasicColumn&, std::string_view, Row*);
+  using FormatText = std::string (*)(const BasicColumn&, const Row&);
+  using ParseJson = bool (*)(const BasicColumn&, const nlohmann::json&, Row*);
+  using FormatJson = nlohmann::json (*)(const BasicColumn&, const Row&);
   // Returns what is wrong with the value, nothing when it is valid.
-  using Validate = std::optional<std::string> (*)(const Column&,
-                                                  const ServiceRow&);
+  using Validate = std::optional<std::string> (*)(const BasicColumn&,
+                                                  const Row&);
 
   std::string_view name;
   std::string_view meaning;
@@ -36,24 +39,67 @@
   ParseJson parse_json;
   FormatJson format_json;
   Validate validate;
-  // For columns that hold a number; null for the others.
-  int ServiceRow::*number = nullptr;
+  // For columns that hold a number or a text; null for the others.
+  int Row::*number = nullptr;
   int minimum = 0;
   int maximum = 0;
+  std::string Row::*text = nullptr;
 };
 
-// Returns all columns in the order of CSV files; the first one is "service".
-std::span<const Column> Columns();
+using Column = BasicColumn<ServiceRow>;
+using RouteColumn = BasicColumn<RouteRow>;
+
+// Returns all columns of a sheet in the order of CSV files; the first one names
+// the row.
+template <typename Row = ServiceRow>
+std::span<const BasicColumn<Row>> Columns();
+template <>
+std::span<const Column> Columns<ServiceRow>();
+template <>
+std::span<const RouteColumn> Columns<RouteRow>();
+
+// What distinguishes the sheets beside their columns.
+template <typename Row>
+inline constexpr Sheet kSheetOf = Sheet::kServices;
+template <>
+inline constexpr Sheet kSheetOf<RouteRow> = Sheet::kRoutes;
+
+// Returns the name of a row: the cell of its first column.
+template <typename Row>
+const std::string& RowName(const Row& row) {
+  return row.*(Columns<Row>().front().text);
+}
 
 // Returns nothing when there is no such column.
-const Column* FindColumn(std::string_view name);
+template <typename Row = ServiceRow>
+const BasicColumn<Row>* FindColumn(std::string_view name) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
+    if (column.name == name) {
+      return &column;
+    }
+  }
+  return nullptr;
+}
 
 // Returns the names of all columns, separated by commas, for error messages.
-std::string ColumnNames();
+template <typename Row = ServiceRow>
+std::string ColumnNames() {
+  std::string names;
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
+    names += names.empty() ? "" : ", ";
+    names += column.name;
+  }
+  return names;
+}
+
+// Returns the name of a row with its sheet: "name" or "route name".
+std::string RowLabel(Sheet sheet, std::string_view row);
 
 // Returns the name of a cell as failures use it in their subject:
-// "service/column".
-std::string CellName(std::string_view service, std::string_view column);
+// "service/column" or "route name/column".
+std::string CellName(Sheet sheet,
+                     std::string_view row,
+                     std::string_view column);
 
 }  // namespace dragonflytack
 
--- /dev/null
+++ b/src/table/column_parts.cc
@@ -0,0 +1,45 @@
+#include "table/column_parts.h"
+
+#include <charconv>
+#include <limits>
+
+namespace dragonflytack {
+
+std::optional<int> ParseInteger(std::string_view text) {
+  int value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<int> ParseInteger(const nlohmann::json& value) {
+  if (!value.is_number_integer()) {
+    return std::nullopt;
+  }
+  // An unsigned value above the range of int64_t would turn negative.
+  if (value.is_number_unsigned() &&
+      value.get<uint64_t>() > std::numeric_limits<int>::max()) {
+    return std::nullopt;
+  }
+  const auto number = value.get<int64_t>();
+  if (number < std::numeric_limits<int>::min() ||
+      number > std::numeric_limits<int>::max()) {
+    return std::nullopt;
+  }
+  return static_cast<int>(number);
+}
+
+std::string RowLabel(Sheet sheet, std::string_view row) {
+  return fmt::format("{}{}", sheet == Sheet::kRoutes ? "route " : "", row);
+}
+
+std::string CellName(Sheet sheet,
+                     std::string_view row,
+                     std::string_view column) {
+  return fmt::format("{}/{}", RowLabel(sheet, row), column);
+}
+
+}  // namespace dragonflytack
--- a/src/table/table.cc
+++ b/src/table/table.cc
@@ -29,12 +29,14 @@
 std::optional<Failure> ValidateRow(const std::string& key,
                                    const ServiceRow& row) {
   if (key != row.service) {
-    return Failure{FailureCode::kInvalidTable, CellName(key, "service"),
+    return Failure{FailureCode::kInvalidTable,
+                   CellName(Sheet::kServices, key, "service"),
                    fmt::format("the row is named \"{}\"", row.service)};
   }
   for (const Column& column : Columns()) {
     if (std::optional<std::string> fault = column.validate(column, row)) {
-      return Failure{FailureCode::kInvalidTable, CellName(key, column.name),
+      return Failure{FailureCode::kInvalidTable,
+                     CellName(Sheet::kServices, key, column.name),
                      *std::move(fault)};
     }
   }
--- a/src/table/table_csv.cc
+++ b/src/table/table_csv.cc
@@ -102,11 +102,13 @@
   int line_ = 1;
 };
 
-std::optional<std::vector<const Column*>> ParseHeader(const CsvRecord& header,
-                                                      Failure* reason) {
-  std::vector<const Column*> columns;
+template <typename Row>
+std::optional<std::vector<const BasicColumn<Row>*>> ParseHeader(
+    const CsvRecord& header,
+    Failure* reason) {
+  std::vector<const BasicColumn<Row>*> columns;
   for (const std::string& name : header.fields) {
-    const Column* column = FindColumn(name);
+    const BasicColumn<Row>* column = FindColumn<Row>(name);
     const bool again =
         std::find(columns.begin(), columns.end(), column) != columns.end();
     if (column == nullptr || again) {
@@ -114,12 +116,12 @@
           header.line,
           again ? fmt::format("the column \"{}\" is named twice", name)
                 : fmt::format("there is no column \"{}\"; the columns are {}",
-                              name, ColumnNames()));
+                              name, ColumnNames<Row>()));
       return std::nullopt;
     }
     columns.push_back(column);
   }
-  for (const Column& column : Columns()) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     if (!column.default_text &&
         std::find(columns.begin(), columns.end(), &column) == columns.end()) {
       *reason = CsvFailure(
@@ -130,18 +132,20 @@
   return columns;
 }
 
-std::optional<ServiceRow> ParseRecord(const std::vector<const Column*>& columns,
-                                      const CsvRecord& record,
-                                      Failure* reason) {
+template <typename Row>
+std::optional<Row> ParseRecord(
+    const std::vector<const BasicColumn<Row>*>& columns,
+    const CsvRecord& record,
+    Failure* reason) {
   if (record.fields.size() != columns.size()) {
     *reason = CsvFailure(record.line,
                          fmt::format("{} fields under a header of {}",
                                      record.fields.size(), columns.size()));
     return std::nullopt;
   }
-  ServiceRow row;
+  Row row;
   for (size_t i = 0; i < columns.size(); ++i) {
-    const Column& column = *columns[i];
+    const BasicColumn<Row>& column = *columns[i];
     const std::string_view text =
         record.fields[i].empty() && column.default_text
             ? *column.default_text
@@ -177,7 +181,9 @@
 
 }  // namespace
 
-std::optional<Table::Rows> ParseCsv(std::string_view text, Failure* reason) {
+template <typename Row>
+std::optional<std::map<std::string, Row>> ParseCsv(std::string_view text,
+                                                   Failure* reason) {
   if (text.size() > TableDocument::kMaxBytes) {
     *reason = Failure{FailureCode::kTooLarge, "CSV",
                       fmt::format("{} bytes are more than {}", text.size(),
@@ -196,39 +202,38 @@
     *reason = CsvFailure(1, "the header is missing");
     return std::nullopt;
   }
-  const auto columns = ParseHeader(records->front(), reason);
+  const auto columns = ParseHeader<Row>(records->front(), reason);
   if (!columns) {
     return std::nullopt;
   }
-  Table::Rows rows;
+  std::map<std::string, Row> rows;
   for (size_t i = 1; i < records->size(); ++i) {
-    std::optional<ServiceRow> row =
-        ParseRecord(*columns, (*records)[i], reason);
+    std::optional<Row> row = ParseRecord<Row>(*columns, (*records)[i], reason);
     if (!row) {
       return std::nullopt;
     }
-    const std::string service = row->service;
-    if (!rows.emplace(service, *std::move(row)).second) {
-      *reason =
-          CsvFailure((*records)[i].line,
-                     fmt::format("there are two rows of \"{}\"", service));
+    const std::string name = RowName(*row);
+    if (!rows.emplace(name, *std::move(row)).second) {
+      *reason = CsvFailure((*records)[i].line,
+                           fmt::format("there are two rows of \"{}\"", name));
       return std::nullopt;
     }
   }
   return rows;
 }
 
-std::string FormatCsv(const Table::Rows& rows) {
+template <typename Row>
+std::string FormatCsv(const std::map<std::string, Row>& rows) {
   std::string text;
-  for (const Column& column : Columns()) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     text += text.empty() ? "" : ",";
     text += column.name;
   }
   text += "\r\n";
-  for (const auto& [service, row] : rows) {
+  for (const auto& [name, row] : rows) {
     std::string line;
-    for (const Column& column : Columns()) {
-      if (&column != &Columns().front()) {
+    for (const BasicColumn<Row>& column : Columns<Row>()) {
+      if (&column != &Columns<Row>().front()) {
         line += ',';
       }
       AppendField(column.format_text(column, row), &line);
@@ -238,4 +243,13 @@
   return text;
 }
 
+template std::optional<std::map<std::string, ServiceRow>> ParseCsv(
+    std::string_view,
+    Failure*);
+template std::optional<std::map<std::string, RouteRow>> ParseCsv(
+    std::string_view,
+    Failure*);
+template std::string FormatCsv(const std::map<std::string, ServiceRow>&);
+template std::string FormatCsv(const std::map<std::string, RouteRow>&);
+
 }  // namespace dragonflytack
--- a/src/table/table_csv.h
+++ b/src/table/table_csv.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_TABLE_TABLE_CSV_H_
 #define DRAGONFLYTACK_TABLE_TABLE_CSV_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,18 +11,21 @@
 
 namespace dragonflytack {
 
-// The table as CSV (RFC 4180). The first line names the columns, in any order;
-// columns that have a default may be missing, and an empty cell means the
-// default.
+// A sheet of the table, of ServiceRow or RouteRow, as CSV (RFC 4180). The first
+// line names the columns, in any order; columns that have a default may be
+// missing, and an empty cell means the default.
 //
 // Reads at most TableDocument::kMaxBytes. Returns nothing with kInvalidCsv or
 // kTooLarge and "line N" or "line N, column NAME" as the subject when the text
-// is malformed, names an unknown column or holds a service twice. The rows are
+// is malformed, names an unknown column or holds a row twice. The rows are
 // checked by Table::Make(), not here.
-std::optional<Table::Rows> ParseCsv(std::string_view text, Failure* reason);
+template <typename Row = ServiceRow>
+std::optional<std::map<std::string, Row>> ParseCsv(std::string_view text,
+                                                   Failure* reason);
 
 // Returns all columns of all rows, lines ended by CR LF.
-std::string FormatCsv(const Table::Rows& rows);
+template <typename Row>
+std::string FormatCsv(const std::map<std::string, Row>& rows);
 
 }  // namespace dragonflytack
 
--- a/src/table/table_document.cc
+++ b/src/table/table_document.cc
@@ -5,8 +5,6 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "table/column.h"
-#include "table/route_json.h"
 #include "table/table_json.h"
 
 namespace dragonflytack {
@@ -41,22 +39,19 @@
     return std::nullopt;
   }
   TableDocument document;
-  for (const json& item : value["rows"]) {
-    std::optional<ServiceRow> row = RowFromJson(item, reason);
-    if (!row) {
-      return std::nullopt;
-    }
-    const std::string service = row->service;
-    if (!document.rows.emplace(service, *std::move(row)).second) {
-      *reason =
-          Failure{FailureCode::kInvalidTable, CellName(service, "service"),
-                  "there are two rows of this service"};
+  std::optional<Table::Rows> rows =
+      RowsFromJson<ServiceRow>(value["rows"], reason);
+  if (!rows) {
+    return std::nullopt;
+  }
+  document.rows = *std::move(rows);
+  if (has_routes) {
+    std::optional<Table::Routes> routes =
+        RowsFromJson<RouteRow>(value["routes"], reason);
+    if (!routes) {
       return std::nullopt;
     }
-  }
-  if (has_routes &&
-      !RoutesFromJson(value["routes"], &document.routes, reason)) {
-    return std::nullopt;
+    document.routes = *std::move(routes);
   }
   for (const json& item : value["recent"]) {
     std::optional<EditRecord> edit = EditFromJson(item, reason);
@@ -69,18 +64,13 @@
 }
 
 std::string TableDocument::ToJson() const {
-  json row_values = json::array();
-  for (const auto& [service, row] : rows) {
-    row_values.push_back(RowToJson(row));
-  }
   json edit_values = json::array();
   for (const EditRecord& edit : recent) {
     edit_values.push_back(EditToJson(edit));
   }
-  json value = {{"rows", std::move(row_values)},
-                {"recent", std::move(edit_values)}};
+  json value = {{"rows", RowsToJson(rows)}, {"recent", std::move(edit_values)}};
   if (!routes.empty()) {
-    value["routes"] = RoutesToJson(routes);
+    value["routes"] = RowsToJson(routes);
   }
   // Names and texts that are not UTF-8 are replaced rather than thrown on.
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/table/table_edit.cc
+++ b/src/table/table_edit.cc
@@ -12,14 +12,18 @@
 
 namespace {
 
-constexpr std::string_view kServiceColumn = "service";
+template <typename Row>
+std::string_view NameColumn() {
+  return Columns<Row>().front().name;
+}
 
-// Appends the cells of one service; a null row does not exist.
-void DiffRow(const std::string& service,
-             const ServiceRow* from,
-             const ServiceRow* to,
+// Appends the cells of one row; a null row does not exist.
+template <typename Row>
+void DiffRow(const std::string& name,
+             const Row* from,
+             const Row* to,
              CellEdits* cells) {
-  for (const Column& column : Columns()) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     std::string old_text =
         from == nullptr ? std::string() : column.format_text(column, *from);
     std::string new_text =
@@ -27,27 +31,30 @@
     const bool added_default =
         from == nullptr && new_text == column.default_text;
     if (old_text != new_text && !added_default) {
-      cells->push_back(CellEdit{service, std::string(column.name),
-                                std::move(old_text), std::move(new_text)});
+      cells->push_back(CellEdit{name, std::string(column.name),
+                                std::move(old_text), std::move(new_text),
+                                kSheetOf<Row>});
     }
   }
 }
 
-const ServiceRow* FindRow(const Table::Rows& rows, const std::string& service) {
-  const auto found = rows.find(service);
+template <typename Row>
+const Row* FindRow(const SheetRows<Row>& rows, const std::string& name) {
+  const auto found = rows.find(name);
   return found == rows.end() ? nullptr : &found->second;
 }
 
 // Sets a cell from its text and checks it.
+template <typename Row>
 bool ParseCell(const std::string& column_name,
                const std::string& text,
-               ServiceRow* row,
+               Row* row,
                Failure* reason) {
-  const Column* column = FindColumn(column_name);
+  const BasicColumn<Row>* column = FindColumn<Row>(column_name);
   std::optional<std::string> fault;
   if (column == nullptr) {
     fault = fmt::format("there is no such column; the columns are {}",
-                        ColumnNames());
+                        ColumnNames<Row>());
   } else if (!column->parse_text(*column, text, row)) {
     fault = fmt::format("\"{}\" is not {}", text, column->range);
   } else {
@@ -57,186 +64,200 @@
     return true;
   }
   *reason = Failure{FailureCode::kInvalidArgument,
-                    CellName(row->service, column_name), *std::move(fault)};
+                    CellName(kSheetOf<Row>, RowName(*row), column_name),
+                    *std::move(fault)};
   return false;
 }
 
-Failure NoSuchRow(const std::string& service) {
-  return Failure{FailureCode::kNotFound, service,
-                 "the table has no row of this service"};
+template <typename Row>
+Failure NoSuchRow(const std::string& name) {
+  return Failure{
+      FailureCode::kNotFound, name,
+      fmt::format("the table has no row of this {}",
+                  kSheetOf<Row> == Sheet::kRoutes ? "route" : "service")};
 }
 
-// Applies the cells of one service; they are in one run because edits list the
+// Applies the cells of one row; they are in one run because edits list the
 // cells of a row together.
+template <typename Row>
 class RowEdit final {
  public:
-  RowEdit(std::span<const CellEdit> cells, Table::Rows* rows)
-      : cells_(cells), service_(cells.front().service), rows_(rows) {}
+  RowEdit(std::span<const CellEdit> cells, SheetRows<Row>* rows)
+      : cells_(cells), name_(cells.front().row), rows_(rows) {}
 
   void Apply(std::vector<CellConflict>* conflicts) {
-    const bool whole_row = cells_.front().column == kServiceColumn;
+    const bool whole_row = cells_.front().column == NameColumn<Row>();
     const bool add = whole_row && cells_.front().old_text.empty();
-    const ServiceRow* found = FindRow(*rows_, service_);
+    const Row* found = FindRow(*rows_, name_);
     if (add ? found != nullptr : found == nullptr) {
       const CellEdit& cell = cells_.front();
-      conflicts->push_back(CellConflict{service_, cell.column, cell.old_text,
-                                        add ? service_ : std::string()});
+      conflicts->push_back(CellConflict{name_, cell.column, cell.old_text,
+                                        add ? name_ : std::string(),
+                                        kSheetOf<Row>});
       return;
     }
     if (whole_row && !add) {
       Compare(*found, conflicts);
-      rows_->erase(service_);
+      rows_->erase(name_);
       return;
     }
-    ServiceRow row;
+    Row row;
     if (found != nullptr) {
       row = *found;
       Compare(row, conflicts);
     }
     for (const CellEdit& cell : cells_) {
-      const Column* column = FindColumn(cell.column);
+      const BasicColumn<Row>* column = FindColumn<Row>(cell.column);
       if (column != nullptr) {
         column->parse_text(*column, cell.new_text, &row);
       }
     }
-    (*rows_)[service_] = std::move(row);
+    (*rows_)[name_] = std::move(row);
   }
 
  private:
-  void Compare(const ServiceRow& row,
-               std::vector<CellConflict>* conflicts) const {
+  void Compare(const Row& row, std::vector<CellConflict>* conflicts) const {
     for (const CellEdit& cell : cells_) {
-      const Column* column = FindColumn(cell.column);
+      const BasicColumn<Row>* column = FindColumn<Row>(cell.column);
       std::string text =
           column == nullptr ? std::string() : column->format_text(*column, row);
       if (column == nullptr || text != cell.old_text) {
-        conflicts->push_back(CellConflict{service_, cell.column, cell.old_text,
-                                          std::move(text)});
+        conflicts->push_back(CellConflict{name_, cell.column, cell.old_text,
+                                          std::move(text), kSheetOf<Row>});
       }
     }
   }
 
   const std::span<const CellEdit> cells_;
-  const std::string& service_;
-  Table::Rows* const rows_;
+  const std::string& name_;
+  SheetRows<Row>* const rows_;
 };
 
 }  // namespace
 
 std::string CellConflict::ToString() const {
-  return fmt::format("{}, column {}: expected \"{}\", found \"{}\"", service,
-                     column, expected, found);
+  return fmt::format("{}, column {}: expected \"{}\", found \"{}\"",
+                     RowLabel(sheet, row), column, expected, found);
 }
 
-CellEdits DiffRows(const Table::Rows& from, const Table::Rows& to) {
+template <typename Row>
+CellEdits DiffRows(const SheetRows<Row>& from, const SheetRows<Row>& to) {
   CellEdits cells;
-  for (const auto& [service, row] : from) {
-    DiffRow(service, &row, FindRow(to, service), &cells);
+  for (const auto& [name, row] : from) {
+    DiffRow(name, &row, FindRow(to, name), &cells);
   }
-  for (const auto& [service, row] : to) {
-    if (FindRow(from, service) == nullptr) {
-      DiffRow(service, nullptr, &row, &cells);
+  for (const auto& [name, row] : to) {
+    if (FindRow(from, name) == nullptr) {
+      DiffRow<Row>(name, nullptr, &row, &cells);
     }
   }
   return cells;
 }
 
-std::optional<CellEdits> SetCell(const Table::Rows& rows,
-                                 const std::string& service,
+template <typename Row>
+std::optional<CellEdits> SetCell(const SheetRows<Row>& rows,
+                                 const std::string& name,
                                  const std::string& column,
                                  const std::string& text,
                                  const std::optional<std::string>& expect,
                                  Failure* reason) {
-  const ServiceRow* old_row = FindRow(rows, service);
+  const Row* old_row = FindRow(rows, name);
   if (old_row == nullptr) {
-    *reason = NoSuchRow(service);
+    *reason = NoSuchRow<Row>(name);
     return std::nullopt;
   }
-  if (column == kServiceColumn) {
-    *reason = Failure{FailureCode::kInvalidArgument, CellName(service, column),
-                      "a service cannot be renamed; add and remove rows"};
+  if (column == NameColumn<Row>()) {
+    *reason = Failure{FailureCode::kInvalidArgument,
+                      CellName(kSheetOf<Row>, name, column),
+                      "a row cannot be renamed; add and remove rows"};
     return std::nullopt;
   }
-  ServiceRow row = *old_row;
+  Row row = *old_row;
   if (!ParseCell(column, text, &row, reason)) {
     return std::nullopt;
   }
   CellEdits cells;
-  DiffRow(service, old_row, &row, &cells);
+  DiffRow<Row>(name, old_row, &row, &cells);
   if (expect) {
-    const Column& edited = *FindColumn(column);
+    const BasicColumn<Row>& edited = *FindColumn<Row>(column);
     // Brings the text into the form of the table where it has one.
-    ServiceRow expected = *old_row;
+    Row expected = *old_row;
     const std::string old_text = edited.parse_text(edited, *expect, &expected)
                                      ? edited.format_text(edited, expected)
                                      : *expect;
     if (old_text != edited.format_text(edited, *old_row)) {
-      cells = {
-          CellEdit{service, column, old_text, edited.format_text(edited, row)}};
+      cells = {CellEdit{name, column, old_text, edited.format_text(edited, row),
+                        kSheetOf<Row>}};
     }
   }
   return cells;
 }
 
-std::optional<CellEdits> AddRow(const Table::Rows& rows,
-                                const std::string& service,
+template <typename Row>
+std::optional<CellEdits> AddRow(const SheetRows<Row>& rows,
+                                const std::string& name,
                                 const std::map<std::string, std::string>& cells,
                                 Failure* reason) {
-  if (FindRow(rows, service) != nullptr) {
-    *reason = Failure{FailureCode::kConflict, service,
-                      "the table already has a row of this service"};
+  if (FindRow(rows, name) != nullptr) {
+    *reason = Failure{FailureCode::kConflict, name,
+                      "the table already has a row of this name"};
     return std::nullopt;
   }
-  ServiceRow row;
-  row.service = service;
-  if (!ParseCell("service", service, &row, reason)) {
+  Row row;
+  if (!ParseCell(std::string(NameColumn<Row>()), name, &row, reason)) {
     return std::nullopt;
   }
   for (const auto& [column, text] : cells) {
-    if (column == kServiceColumn || !ParseCell(column, text, &row, reason)) {
-      if (column == kServiceColumn) {
-        *reason = Failure{FailureCode::kInvalidArgument, service,
-                          "the service is named twice"};
+    if (column == NameColumn<Row>() || !ParseCell(column, text, &row, reason)) {
+      if (column == NameColumn<Row>()) {
+        *reason = Failure{FailureCode::kInvalidArgument, name,
+                          "the row is named twice"};
       }
       return std::nullopt;
     }
   }
-  for (const Column& column : Columns()) {
-    if (!column.default_text && column.name != kServiceColumn &&
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
+    if (!column.default_text && column.name != NameColumn<Row>() &&
         !cells.contains(std::string(column.name))) {
       *reason =
-          Failure{FailureCode::kInvalidArgument, CellName(service, column.name),
+          Failure{FailureCode::kInvalidArgument,
+                  CellName(kSheetOf<Row>, name, column.name),
                   fmt::format("the value is missing; it is {}", column.range)};
       return std::nullopt;
     }
   }
   CellEdits edits;
-  DiffRow(service, nullptr, &row, &edits);
+  DiffRow<Row>(name, nullptr, &row, &edits);
   return edits;
 }
 
-std::optional<CellEdits> RemoveRow(const Table::Rows& rows,
-                                   const std::string& service,
+template <typename Row>
+std::optional<CellEdits> RemoveRow(const SheetRows<Row>& rows,
+                                   const std::string& name,
                                    Failure* reason) {
-  const ServiceRow* row = FindRow(rows, service);
+  const Row* row = FindRow(rows, name);
   if (row == nullptr) {
-    *reason = NoSuchRow(service);
+    *reason = NoSuchRow<Row>(name);
     return std::nullopt;
   }
   CellEdits cells;
-  DiffRow(service, row, nullptr, &cells);
+  DiffRow<Row>(name, row, nullptr, &cells);
   return cells;
 }
 
+template <typename Row>
 std::vector<CellConflict> ApplyCells(const CellEdits& cells,
-                                     Table::Rows* rows) {
+                                     SheetRows<Row>* rows) {
   std::vector<CellConflict> conflicts;
-  Table::Rows result = *rows;
+  SheetRows<Row> result = *rows;
   for (auto first = cells.begin(); first != cells.end();) {
-    const auto last = std::find_if(
-        first, cells.end(),
-        [&](const CellEdit& cell) { return cell.service != first->service; });
-    RowEdit({first, last}, &result).Apply(&conflicts);
+    const auto last =
+        std::find_if(first, cells.end(), [&](const CellEdit& cell) {
+          return cell.row != first->row || cell.sheet != first->sheet;
+        });
+    if (first->sheet == kSheetOf<Row>) {
+      RowEdit<Row>({first, last}, &result).Apply(&conflicts);
+    }
     first = last;
   }
   if (conflicts.empty()) {
@@ -245,4 +266,56 @@
   return conflicts;
 }
 
+std::vector<CellConflict> ApplyEdit(const CellEdits& cells,
+                                    TableDocument* document) {
+  Table::Rows rows = document->rows;
+  std::vector<CellConflict> conflicts = ApplyCells(cells, &rows);
+  Table::Routes routes = document->routes;
+  const std::vector<CellConflict> more = ApplyCells(cells, &routes);
+  conflicts.insert(conflicts.end(), more.begin(), more.end());
+  if (conflicts.empty()) {
+    document->rows = std::move(rows);
+    document->routes = std::move(routes);
+  }
+  return conflicts;
+}
+
+template CellEdits DiffRows(const SheetRows<ServiceRow>&,
+                            const SheetRows<ServiceRow>&);
+template std::optional<CellEdits> SetCell(const SheetRows<ServiceRow>&,
+                                          const std::string&,
+                                          const std::string&,
+                                          const std::string&,
+                                          const std::optional<std::string>&,
+                                          Failure*);
+template std::optional<CellEdits> AddRow(
+    const SheetRows<ServiceRow>&,
+    const std::string&,
+    const std::map<std::string, std::string>&,
+    Failure*);
+template std::optional<CellEdits> RemoveRow(const SheetRows<ServiceRow>&,
+                                            const std::string&,
+                                            Failure*);
+template std::vector<CellConflict> ApplyCells(const CellEdits&,
+                                              SheetRows<ServiceRow>*);
+
+template CellEdits DiffRows(const SheetRows<RouteRow>&,
+                            const SheetRows<RouteRow>&);
+template std::optional<CellEdits> SetCell(const SheetRows<RouteRow>&,
+                                          const std::string&,
+                                          const std::string&,
+                                          const std::string&,
+                                          const std::optional<std::string>&,
+                                          Failure*);
+template std::optional<CellEdits> AddRow(
+    const SheetRows<RouteRow>&,
+    const std::string&,
+    const std::map<std::string, std::string>&,
+    Failure*);
+template std::optional<CellEdits> RemoveRow(const SheetRows<RouteRow>&,
+                                            const std::string&,
+                                            Failure*);
+template std::vector<CellConflict> ApplyCells(const CellEdits&,
+                                              SheetRows<RouteRow>*);
+
 }  // namespace dragonflytack
--- a/src/table/table_json.cc
+++ b/src/table/table_json.cc
@@ -26,72 +26,127 @@
   if (!value.is_object()) {
     return std::nullopt;
   }
-  std::optional<std::string> service = StringMember(value, "service");
+  const bool is_route = value.contains("route");
+  std::optional<std::string> row =
+      StringMember(value, is_route ? "route" : "service");
   std::optional<std::string> column = StringMember(value, "column");
   std::optional<std::string> old_text = StringMember(value, "old");
   std::optional<std::string> new_text = StringMember(value, "new");
-  if (!service || !column || !old_text || !new_text) {
+  if (!row || !column || !old_text || !new_text) {
     return std::nullopt;
   }
-  return CellEdit{*std::move(service), *std::move(column), *std::move(old_text),
-                  *std::move(new_text)};
+  return CellEdit{*std::move(row), *std::move(column), *std::move(old_text),
+                  *std::move(new_text),
+                  is_route ? Sheet::kRoutes : Sheet::kServices};
 }
 
 }  // namespace
 
-json RowToJson(const ServiceRow& row) {
+template <typename Row>
+json RowToJson(const Row& row) {
   json value = json::object();
-  for (const Column& column : Columns()) {
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     value[std::string(column.name)] = column.format_json(column, row);
   }
   return value;
 }
 
-std::optional<ServiceRow> RowFromJson(const json& value, Failure* reason) {
+template <typename Row>
+std::optional<Row> RowFromJson(const json& value, Failure* reason) {
   if (!value.is_object()) {
     *reason =
         Failure{FailureCode::kInvalidTable, "table", "a row is not an object"};
     return std::nullopt;
   }
-  const std::string service =
-      StringMember(value, "service").value_or(std::string());
+  const std::string key(Columns<Row>().front().name);
+  const std::string row_name =
+      StringMember(value, key.c_str()).value_or(std::string());
   for (const auto& [name, cell] : value.items()) {
-    if (FindColumn(name) == nullptr) {
-      *reason = Failure{FailureCode::kInvalidTable, CellName(service, name),
+    if (FindColumn<Row>(name) == nullptr) {
+      *reason = Failure{FailureCode::kInvalidTable,
+                        CellName(kSheetOf<Row>, row_name, name),
                         "there is no such column"};
       return std::nullopt;
     }
   }
-  ServiceRow row;
-  for (const Column& column : Columns()) {
+  Row row;
+  for (const BasicColumn<Row>& column : Columns<Row>()) {
     const auto cell = value.find(column.name);
     if (cell == value.end() && column.default_text) {
       continue;
     }
     if (cell == value.end() || !column.parse_json(column, *cell, &row)) {
-      *reason =
-          Failure{FailureCode::kInvalidTable, CellName(service, column.name),
-                  cell == value.end()
-                      ? "the value is missing"
-                      : fmt::format("the value is not {}", column.range)};
+      *reason = Failure{FailureCode::kInvalidTable,
+                        CellName(kSheetOf<Row>, row_name, column.name),
+                        cell == value.end()
+                            ? "the value is missing"
+                            : fmt::format("the value is not {}", column.range)};
       return std::nullopt;
     }
   }
   return row;
 }
 
-json EditToJson(const EditRecord& edit) {
-  json cells = json::array();
-  for (const CellEdit& cell : edit.cells) {
-    cells.push_back({{"service", cell.service},
-                     {"column", cell.column},
-                     {"old", cell.old_text},
-                     {"new", cell.new_text}});
+template <typename Row>
+json RowsToJson(const std::map<std::string, Row>& rows) {
+  json array = json::array();
+  for (const auto& [name, row] : rows) {
+    array.push_back(RowToJson(row));
   }
+  return array;
+}
+
+template <typename Row>
+std::optional<std::map<std::string, Row>> RowsFromJson(const json& array,
+                                                       Failure* reason) {
+  std::map<std::string, Row> rows;
+  for (const json& item : array) {
+    std::optional<Row> row = RowFromJson<Row>(item, reason);
+    if (!row) {
+      return std::nullopt;
+    }
+    const std::string name = RowName(*row);
+    if (!rows.emplace(name, *std::move(row)).second) {
+      *reason =
+          Failure{FailureCode::kInvalidTable,
+                  CellName(kSheetOf<Row>, name, Columns<Row>().front().name),
+                  "there are two rows of this name"};
+      return std::nullopt;
+    }
+  }
+  return rows;
+}
+
+template json RowToJson(const ServiceRow&);
+template json RowToJson(const RouteRow&);
+template std::optional<ServiceRow> RowFromJson(const json&, Failure*);
+template std::optional<RouteRow> RowFromJson(const json&, Failure*);
+template json RowsToJson(const std::map<std::string, ServiceRow>&);
+template json RowsToJson(const std::map<std::string, RouteRow>&);
+template std::optional<std::map<std::string, ServiceRow>> RowsFromJson(
+    const json&,
+    Failure*);
+template std::optional<std::map<std::string, RouteRow>> RowsFromJson(
+    const json&,
+    Failure*);
+
+json CellsToJson(const std::vector<CellEdit>& cells) {
+  json list = json::array();
+  for (const CellEdit& cell : cells) {
+    list.push_back(
+        {{cell.sheet == Sheet::kRoutes ? "route" : "service", cell.row},
+         {"column", cell.column},
+         {"old", cell.old_text},
+         {"new", cell.new_text}});
+  }
+  return list;
+}
+
+json EditToJson(const EditRecord& edit) {
   return {{"edit_id", edit.edit_id},
           {"author", edit.author},
           {"time_ms", edit.time_ms},
-          {"cells", std::move(cells)}};
+          {"cells", CellsToJson(edit.cells)}};
 }
 
 std::optional<EditRecord> EditFromJson(const json& value, Failure* reason) {
--- a/tests/routes_test.cc
+++ b/tests/routes_test.cc
@@ -1,4 +1,5 @@
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -7,6 +8,9 @@
 #include "distribution/message_codec.h"
 #include "dragonflytack/routing/route_index.h"
 #include "dragonflytack/table/table_document.h"
+#include "table/column.h"
+#include "table/table_csv.h"
+#include "table/table_edit.h"
 
 namespace dragonflytack {
 
@@ -146,4 +150,85 @@
   cr_assert(*read == document);
 }
 
+// Guards against defaults of the columns that differ from those of RouteRow.
+Test(routes, column_defaults_are_those_of_the_row) {
+  for (const RouteColumn& column : Columns<RouteRow>()) {
+    if (column.default_text) {
+      cr_assert(column.format_text(column, RouteRow{}) == *column.default_text);
+    }
+  }
+}
+
+// Guards against a sheet of routes that an export and an import change.
+Test(routes, csv_both_ways) {
+  const Table::Routes routes = Routes({Route("a", "/a/"), Route("b", "/b/")});
+  Failure reason;
+  cr_assert(ParseCsv<RouteRow>(FormatCsv(routes), &reason) == routes, "%s",
+            reason.ToString().c_str());
+  const auto short_form = ParseCsv<RouteRow>(
+      "shares,kind,host,name\nbooking;roster=2,idempotent,shop.example,a\n",
+      &reason);
+  cr_assert(short_form.has_value(), "%s", reason.ToString().c_str());
+  cr_assert(short_form->at("a").shares ==
+            (std::vector<RouteShare>{{"booking", 1}, {"roster", 2}}));
+  cr_assert_eq(short_form->at("a").prefix, "/");
+  const std::string header = "name,host,prefix,kind,shares\n";
+  for (const auto& [line, column] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"a,Shop.example,/,idempotent,b=1", "host"},
+           {"a,shop.example,/a,idempotent,b=1", "prefix"},
+           {"a,shop.example,/,twice,b=1", "kind"},
+           {"a,shop.example,/,idempotent,b=x", "shares"},
+           {"a,shop.example,/,idempotent,b=1;", "shares"},
+           {"a,shop.example,/,idempotent,=1", "shares"},
+           {"a,shop.example,/,idempotent,b=0", "shares"},
+           {"a b,shop.example,/,idempotent,b=1", "name"}}) {
+    cr_expect_not(ParseCsv<RouteRow>(header + line, &reason).has_value());
+    cr_expect(reason.subject.ends_with(column), "%s: %s", line.c_str(),
+              reason.ToString().c_str());
+  }
+}
+
+// Guards against edits of routes that are lost, hit the service of the same
+// name, or overwrite the change of another operator.
+Test(routes, edits_merge_and_conflict) {
+  TableDocument document;
+  document.rows = Rows();
+  document.routes = Routes({Route("booking", "/a/")});
+  Failure reason;
+  const auto slower =
+      SetCell(document.routes, "booking", "timeout_ms", "77", {}, &reason);
+  const auto split = SetCell(document.routes, "booking", "shares",
+                             "booking=1;roster=1", {}, &reason);
+  const auto slots =
+      SetCell(document.rows, "booking", "slots", "5", {}, &reason);
+  const auto add = AddRow(document.routes, "b",
+                          {{"host", "shop.example"},
+                           {"prefix", "/b/"},
+                           {"kind", "one_time"},
+                           {"shares", "roster"}},
+                          &reason);
+  const auto remove = RemoveRow(document.routes, "booking", &reason);
+  cr_assert(slower && split && slots && add && remove);
+  for (const auto& cells : {slower, split, slots, add}) {
+    cr_assert(ApplyEdit(*cells, &document).empty());
+  }
+  cr_assert_eq(document.routes["booking"].timeout_ms, 77);
+  cr_assert_eq(document.routes["booking"].shares[0].weight, 1);
+  cr_assert_eq(document.rows["booking"].slots, 5);
+  cr_assert(document.routes["b"].kind == ServiceKind::kOneTime);
+  const TableDocument before = document;
+  const auto conflicts = ApplyEdit(*slower, &document);
+  cr_assert_eq(conflicts.size(), 1u);
+  cr_assert_eq(conflicts[0].ToString(),
+               "route booking, column timeout_ms: expected \"1000\", found "
+               "\"77\"");
+  // The removal was made before two of the cells changed.
+  cr_assert_eq(ApplyEdit(*remove, &document).size(), 2u);
+  cr_assert(document == before);
+  document.recent.push_back(EditRecord{"id", "ana", 1, *add});
+  const auto read = TableDocument::Parse(document.ToJson(), &reason);
+  cr_assert(read && *read == document, "%s", reason.ToString().c_str());
+}
+
 }  // namespace dragonflytack
--- a/tests/table_editor_test.cc
+++ b/tests/table_editor_test.cc
@@ -21,7 +21,8 @@
 }
 
 TableEditor::MakeCells Set(const std::string& column, const std::string& text) {
-  return [=](const Table::Rows& rows, Failure* reason) {
+  return [=](const TableDocument& table, Failure* reason) {
+    const Table::Rows& rows = table.rows;
     return SetCell(rows, "roster", column, text, {}, reason);
   };
 }
@@ -257,7 +258,8 @@
 
 Test(table_editor, bad_results_and_unreadable_tables_are_refused) {
   EditorBench bench;
-  const auto invalid = [](const Table::Rows& from, Failure*) {
+  const auto invalid = [](const TableDocument& table, Failure*) {
+    const Table::Rows& from = table.rows;
     Table::Rows rows = from;
     rows["roster"].slots = 0;
     return std::optional<CellEdits>(DiffRows(from, rows));
--- a/tests/tool_test.cc
+++ b/tests/tool_test.cc
@@ -95,7 +95,7 @@
       {{"frob"}, 2, "there is no verb \"frob\""},
       {{"--help"}, 0, "Exit codes"},
       {{"set", "--help"}, 0, "1-600000 ms"},
-      {{"set", "roster"}, 2, "set needs SERVICE COLUMN VALUE\nusage"},
+      {{"set", "roster"}, 2, "set needs ROW COLUMN VALUE\nusage"},
       {{"explain"}, 2, "\"dragonflytack explain --help\" describes"},
       {{"show", "a", "b"}, 2, "unexpected argument \"b\"\nusage"},
       {{"--json", "show"}, 0, "\"service\": \"roster\""},
@@ -125,7 +125,7 @@
       {{"show"}, 0, "roster   idempotent"},
       {{"show", "b"}, 1, "no row"},
       {{"export"}, 0, "roster,idempotent,,0,64,120,5,0,1000,1\r\n"},
-      {{"history", "roster"}, 0, "unknown  roster   slots     12  5"},
+      {{"history", "roster"}, 0, "unknown  roster  slots     12  5"},
       {{"history", "b"}, 0, "no edits of b"},
       {{"trace", "x"}, 2, "32 hexadecimal digits"},
       {{"explain", "a b"}, 2, "SERVICE"},
@@ -169,6 +169,87 @@
   std::remove(path.c_str());
 }
 
+// Guards against routes that operators cannot edit, export and import.
+Test(tool, routes_are_edited_like_services) {
+  ToolBench bench;
+  struct Case {
+    std::vector<std::string> arguments;
+    int code;
+    std::string text;
+  };
+  const std::vector<Case> cases = {
+      {{"add", "r", "host=shop.example", "kind=idempotent", "shares=booking",
+        "--routes"},
+       1,
+       "route r/shares: there is no service \"booking\""},
+      {{"add", "r", "host=shop.example", "kind=idempotent", "shares=roster",
+        "--routes"},
+       0,
+       "route r, host: \"\" -> \"shop.example\""},
+      {{"add", "r", "host=a.example", "kind=idempotent", "shares=roster",
+        "--routes"},
+       3,
+       "already"},
+      {{"set", "r", "attempts", "2", "--routes"}, 0, "route r, attempts"},
+      {{"set", "r", "slots", "2", "--routes"}, 2, "the columns are name, host"},
+      {{"set", "r", "attempts", "3", "--routes", "--expect", "1"},
+       3,
+       "route r, column attempts: expected \"1\", found \"2\""},
+      {{"show", "--routes"}, 0, "shop.example  /       idempotent"},
+      {{"show", "r", "--routes"}, 0, "targets that one call may reach"},
+      {{"show", "x", "--routes"}, 1, "no row"},
+      {{"show", "--routes", "--json"}, 0, "\"prefix\": \"/\""},
+      {{"remove", "roster"}, 1, "there is no service \"roster\""},
+      {{"history", "r"}, 0, "route r  attempts    1  2"},
+      {{"remove", "x", "--routes"}, 1, "no row of this route"},
+  };
+  for (const Case& item : cases) {
+    const int code = bench.Run(item.arguments);
+    cr_assert(code == item.code && bench.Says(item.text), "%s: %d\n%s%s",
+              item.text.c_str(), code, bench.out.c_str(), bench.err.c_str());
+  }
+  cr_assert_eq(bench.Run({"export", "--routes"}), 0);
+  const std::string path = TemporaryFile();
+  std::ofstream(path) << bench.out;
+  cr_assert_eq(bench.Run({"diff", path, "--routes"}), 0);
+  cr_assert(bench.Says("no difference"));
+  cr_assert_eq(bench.Run({"remove", "r", "--routes"}), 0);
+  cr_assert_eq(bench.Run({"import", path, "--routes"}), 0);
+  cr_assert_eq(bench.Run({"show", "r", "--routes"}), 0);
+  std::remove(path.c_str());
+}
+
+// Guards against an operator who cannot see which route a call takes, or why it
+// has none.
+Test(tool, explain_names_the_route_of_a_call) {
+  ToolBench bench;
+  const auto route = [](const char* name, const char* prefix) {
+    return json{{"name", name},
+                {"host", "shop.example"},
+                {"prefix", prefix},
+                {"kind", "idempotent"},
+                {"shares",
+                 {{{"service", "roster"}, {"weight", 3}},
+                  {{"service", "booking"}, {"weight", 1}}}}};
+  };
+  bench.node.answers["/table"] = {
+      {"version", 9},
+      {"rows",
+       {{{"service", "roster"}, {"kind", "idempotent"}},
+        {{"service", "booking"}, {"kind", "idempotent"}}}},
+      {"routes", {route("cart", "/cart/"), route("gifts", "/cart/gifts/")}}};
+  cr_assert_eq(bench.Run({"explain", "Shop.example:80/cart/gifts/7?x=/"}), 0,
+               "%s", bench.err.c_str());
+  cr_assert(bench.Says("gifts") && bench.Says("version 9") &&
+            bench.Says("75.0 %"));
+  cr_assert_eq(bench.Run({"explain", "shop.example/cart/7", "--json"}), 0);
+  cr_assert_eq(json::parse(bench.out)["route"]["name"], "cart");
+  cr_assert_eq(bench.Run({"explain", "shop.example/x"}), 1);
+  cr_assert(bench.Says("/cart/ (cart), /cart/gifts/ (gifts)"));
+  cr_assert_eq(bench.Run({"explain", "other.example/x"}), 1);
+  cr_assert(bench.Says("version 9 has no route of this host"));
+}
+
 // Waiting must end when all living nodes have the version, and name those that
 // have not in time. Dead nodes and those that left must not be waited for.
 Test(tool, set_waits_for_the_fleet) {
