Count the time that a host is suspended

Cause: SystemClock read std::chrono::steady_clock, which stands still while a host is suspended. A node that woke up took deadlines, ejections and the ages of its beliefs for current ones, and did not log loop_paused.

Ruled out: the time of day (it may step); comparing both clocks in one place (each age would need the correction).

--- a/include/dragonflytack/base/clock.h
+++ b/include/dragonflytack/base/clock.h
@@ -14,7 +14,8 @@
  public:
   virtual ~Clock() = default;
 
-  // Returns a monotonic time, for deadlines and intervals.
+  // Returns a monotonic time, for deadlines and intervals. It goes on while the
+  // host is suspended.
   virtual TimePoint Now() const = 0;
 
   // Returns milliseconds since the Unix epoch, for incarnations, expiry times
--- a/src/base/system_clock.cc
+++ b/src/base/system_clock.cc
@@ -3,7 +3,12 @@
 namespace dragonflytack {
 
 TimePoint SystemClock::Now() const {
-  return std::chrono::steady_clock::now();
+  timespec time{};
+  // Fails only for a clock that the kernel does not have.
+  clock_gettime(kClockId, &time);
+  return TimePoint(std::chrono::duration_cast<TimePoint::duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 int64_t SystemClock::WallMillis() const {
