Pass over endpoints that answer none of their calls

Cause: with one endpoint of a service in a data centre, calls went on to it while its host was frozen or dark, until five had run out of time or twelve were in flight. Its silence was known from the calls in flight.

An endpoint that has answered none of its calls in flight for 100 ms and 3 of its mean latencies is left out until any answer comes; when all of its calls have ended, one call at a time finds out. endpoint_silence_ended logs it.

Ruled out: a shorter time limit of attempts (a one-time call must not be given up while it may run); more second attempts (one-time calls get none).

Test: router/silent_targets_are_passed_over (fails without the check in IsUsable).

call_task/hang_up_cancels_downstream_and_frees_the_slot failed twice on a busy machine (closed() == 1): the target's thread read the end of the first connection after the second one was answered. It now waits for that, at most the half second in which a caller that left has to be noticed; still exactly one connection must have been closed.

--- a/bench/call_bench.cc
+++ b/bench/call_bench.cc
@@ -80,7 +80,7 @@
   for (int i = 0; i < kChoices; ++i) {
     const std::shared_ptr<ServicePool> pool = router.Find("s");
     const ServicePool::EndpointPtr chosen = pool->Choose({});
-    chosen->OnSent();
+    chosen->OnSent(clock.Now());
     pool->OnEnded(chosen.get(), AttemptEnd::kSuccess,
                   std::chrono::microseconds(900 + i % 200));
   }
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -131,7 +131,7 @@
       [this, attempt](ExchangeEnd end, HttpRequestPtr answer) {
         OnExchangeEnd(attempt, end, std::move(answer));
       });
-  attempt->target->OnSent();
+  attempt->target->OnSent(attempt->start);
   if (attempt->exchange == nullptr) {
     EndAttempt(attempt, AttemptEnd::kNeutral, "overloaded");
     return false;
@@ -291,6 +291,15 @@
                                   AttemptEnd* health) {
   const evkeyvalq* headers = evhttp_request_get_input_headers(answer.get());
   const TimePoint now = Now();
+  const Milliseconds silence = attempt.target->OnAnswer(now);
+  if (silence > Milliseconds::zero()) {
+    context_->logger->Info("endpoint_silence_ended",
+                           {{"service", request_.route->row.service},
+                            {"target", attempt.target->record().id},
+                            {"call", request_.call_id},
+                            {"silent_ms", int64_t{silence.count()}},
+                            {"in_flight", attempt.target->in_flight()}});
+  }
   if (const std::optional<double> load = FindLoad(headers)) {
     attempt.target->OnLoadReport(*load, now);
   }
--- a/src/routing/endpoint_state.cc
+++ b/src/routing/endpoint_state.cc
@@ -41,11 +41,38 @@
     ejection_ = Ejection();
     draining_until_ = TimePoint();
     overloaded_until_ = TimePoint();
+    unanswered_since_.reset();
   }
   record_ = record;
   slots_ = std::max(1, record.slots > 0 ? record.slots : slots);
 }
 
+void EndpointState::OnSent(TimePoint now) {
+  ++in_flight_;
+  if (!unanswered_since_) {
+    unanswered_since_ = now;
+  }
+}
+
+Milliseconds EndpointState::OnAnswer(TimePoint now) {
+  const Milliseconds silence =
+      IsSilent(now)
+          ? std::chrono::duration_cast<Milliseconds>(now - *unanswered_since_)
+          : Milliseconds::zero();
+  // The call that was answered is still counted.
+  unanswered_since_ = in_flight_ > 1 ? std::optional(now) : std::nullopt;
+  return silence;
+}
+
+bool EndpointState::IsSilent(TimePoint now) const {
+  if (in_flight_ == 0 || !unanswered_since_) {
+    return false;
+  }
+  const std::chrono::duration<double, std::micro> usual(kSilentLatencies *
+                                                        latency_us_);
+  return now - *unanswered_since_ > kSilentAtLeast + usual;
+}
+
 void EndpointState::OnEnded(AttemptEnd end, std::chrono::nanoseconds latency) {
   --in_flight_;
   if (end == AttemptEnd::kNeutral) {
--- a/src/routing/endpoint_state.h
+++ b/src/routing/endpoint_state.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/routing/endpoint.h"
@@ -22,6 +23,11 @@
   // What the node beside the target says of its queue holds for this long: a
   // few times the usual length of a call.
   static constexpr Milliseconds kOccupancyLife{300};
+  // An endpoint with calls in flight that has answered none of them for this
+  // time and kSilentLatencies of its mean latencies counts as silent. A call of
+  // the longest usual kind may take five times the mean.
+  static constexpr Milliseconds kSilentAtLeast{100};
+  static constexpr double kSilentLatencies = 3;
   // Older load reports count as none.
   static constexpr Milliseconds kLoadReportLife{5000};
   static constexpr Milliseconds kWarmUp{10'000};
@@ -42,7 +48,10 @@
   const NodeRecord& record() const { return record_; }
   int in_flight() const { return in_flight_; }
 
-  void OnSent() { ++in_flight_; }
+  void OnSent(TimePoint now);
+  // Takes note that an answer of any kind came. Returns how long the endpoint
+  // had answered nothing when it counted as silent, else zero.
+  Milliseconds OnAnswer(TimePoint now);
   void OnEnded(AttemptEnd end, std::chrono::nanoseconds latency);
   // `load` is 0 to 1; other values are cut.
   void OnLoadReport(double load, TimePoint now);
@@ -69,6 +78,10 @@
     return in_flight_ >= slots_ * occupancy_limit || now < overloaded_until_ ||
            (now < occupancy_until_ && occupancy_ >= occupancy_limit);
   }
+  // Whether its host may be dark or stand still. Only a call that is sent when
+  // none is in flight, as the last resort or after the others ran out of time,
+  // finds out that it answers again.
+  bool IsSilent(TimePoint now) const;
   bool IsDraining(TimePoint now) const { return now < draining_until_; }
 
   Ejection& ejection() { return ejection_; }
@@ -78,6 +91,9 @@
   NodeRecord record_;
   int slots_;
   int in_flight_ = 0;
+  // Since when calls are in flight without any answer; nothing when the last
+  // news of the endpoint was an answer and no call is in flight.
+  std::optional<TimePoint> unanswered_since_;
   double latency_us_;
   double load_ = 0;
   TimePoint load_until_{};
--- a/src/routing/service_pool.cc
+++ b/src/routing/service_pool.cc
@@ -32,7 +32,7 @@
               double occupancy_limit,
               TimePoint now) {
   return !state.IsFull(now, occupancy_limit) && !state.IsDraining(now) &&
-         !state.ejection().IsEjected(now);
+         !state.ejection().IsEjected(now) && !state.IsSilent(now);
 }
 
 }  // namespace
@@ -207,8 +207,8 @@
 const ServicePool::Candidate* ServicePool::LastResort(
     const std::vector<EndpointPtr>& excluded,
     TimePoint now) {
-  // Cold before full, full before ejected, ejected before draining; within one
-  // kind the nearest, and of these the lowest score.
+  // Cold before full, full before ejected or silent, these before draining;
+  // within one kind the nearest, and of these the lowest score.
   const Candidate* best = nullptr;
   int best_rank = 0;
   double best_score = 0;
@@ -222,7 +222,7 @@
       int rank = 0;
       if (state.IsDraining(now)) {
         rank = 3;
-      } else if (state.ejection().IsEjected(now)) {
+      } else if (state.ejection().IsEjected(now) || state.IsSilent(now)) {
         rank = 2;
       } else if (state.IsFull(now)) {
         rank = 1;
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -86,6 +86,12 @@
   const HttpReply reply = fixture.Call("next", 1000);
   cr_assert_eq(reply.status, 200, "%d", reply.status);
   cr_assert(reply.elapsed < Milliseconds(500));
+  // The target's thread may read the end of the first connection after the
+  // second one was answered. Half a second after the caller left is the limit.
+  const auto limit = std::chrono::steady_clock::now() + Milliseconds(500);
+  while (target.closed() == 0 && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
   cr_assert_eq(target.closed(), 1);
 }
 
--- a/tests/router_test.cc
+++ b/tests/router_test.cc
@@ -67,7 +67,8 @@
       cr_assert_not_null(chosen.get());
       const NodeRecord& record = chosen->record();
       ++counts[by_data_centre ? record.data_centre : record.id];
-      chosen->OnSent();
+      chosen->OnSent(clock_.Now());
+      chosen->OnAnswer(clock_.Now());
       End(chosen, AttemptEnd::kSuccess);
       if (loads_.contains(record.id)) {
         chosen->OnLoadReport(loads_[record.id], clock_.Now());
@@ -138,9 +139,9 @@
   using Effect = void (*)(RouterFixture*, EndpointState*);
   const std::map<std::string, Effect> effects = {
       {"slots in use",
-       [](RouterFixture*, EndpointState* state) {
+       [](RouterFixture* fixture, EndpointState* state) {
          for (int i = 0; i < 12; ++i) {
-           state->OnSent();
+           state->OnSent(fixture->clock_.Now());
          }
        }},
       {"overloaded",
@@ -178,7 +179,7 @@
   RouterFixture fixture({{"a", "a1", 2}});
   std::vector<ServicePool::EndpointPtr> tried;
   for (int i = 0; i < 24; ++i) {
-    fixture.Choose()->OnSent();
+    fixture.Choose()->OnSent(fixture.clock_.Now());
   }
   for (int i = 0; i < 2; ++i) {
     tried.push_back(fixture.pool_->Choose(tried));
@@ -206,7 +207,7 @@
     // With calls in flight the hint weighs less than the calls: the spread over
     // held calls stays within a factor of three.
     for (int i = 0; i < 36; ++i) {
-      fixture.Choose()->OnSent();
+      fixture.Choose()->OnSent(fixture.clock_.Now());
     }
     const int held = fixture.pool_->Choose({})->in_flight();
     cr_expect(held >= 1 && held <= 12, "load %f: %d", load, held);
@@ -258,7 +259,7 @@
   for (int i = 0; i < 2000; ++i) {
     const ServicePool::EndpointPtr chosen = fixture.Choose();
     cr_assert_not_null(chosen.get());
-    chosen->OnSent();
+    chosen->OnSent(fixture.clock_.Now());
     ejected += fixture.End(chosen, i % 2 == 0 ? AttemptEnd::kFailure
                                               : AttemptEnd::kTimeout)
                    ? 1
@@ -275,7 +276,7 @@
 Test(router, state_survives_a_new_snapshot) {
   RouterFixture fixture({{"a", "a1", 1}});
   const ServicePool::EndpointPtr before = fixture.Choose();
-  before->OnSent();
+  before->OnSent(fixture.clock_.Now());
   fixture.Publish();
   cr_assert(fixture.Choose() == before);
   cr_assert_eq(fixture.Choose()->in_flight(), 1);
@@ -344,13 +345,42 @@
   RouterFixture fixture({{"a", "a1", 4}});
   for (int i = 0; i < 3; ++i) {
     const ServicePool::EndpointPtr chosen = fixture.Choose();
-    chosen->OnSent();
+    chosen->OnSent(fixture.clock_.Now());
     cr_expect(fixture.End(chosen, AttemptEnd::kUnreachable));
   }
   const std::map<std::string, int> counts = fixture.Run(40, false);
   cr_expect_eq(counts.size(), 1);
 }
 
+// Guards against calls that go one after the other to a host that is dark or
+// stands still until the first of them have run out of time.
+Test(router, silent_targets_are_passed_over) {
+  RouterFixture fixture({{"a", "a1", 1}, {"a", "a2", 1}, {"b", "b1", 1}});
+  const Milliseconds limit = EndpointState::kSilentAtLeast + Milliseconds(10);
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+  const ServicePool::EndpointPtr still = fixture.Choose();
+  still->OnSent(fixture.clock_.Now());
+  still->OnSent(fixture.clock_.Now());
+  fixture.clock_.Advance(EndpointState::kSilentAtLeast);
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+  fixture.clock_.Advance(Milliseconds(10));
+  ExpectEqual(fixture.Choose()->record().id, "a2-0");
+  // Any answer shows that it lives.
+  still->OnAnswer(fixture.clock_.Now());
+  fixture.End(still, AttemptEnd::kNeutral);
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+  fixture.clock_.Advance(limit);
+  ExpectEqual(fixture.Choose()->record().id, "a2-0");
+  // Once all its calls have run out of time, one more finds out whether it
+  // answers again, and the next ones do not wait for that.
+  fixture.End(still, AttemptEnd::kNeutral);
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+  still->OnSent(fixture.clock_.Now());
+  ExpectEqual(fixture.Choose()->record().id, "a2-0");
+  still->OnAnswer(fixture.clock_.Now());
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+}
+
 // Guards against second attempts that leave the region, which is billed, or
 // that go to a full target.
 Test(router, second_attempts_stay_near) {
