Run the calls that can still meet their objective first

Cause: the queue beside a target went by deadline only. Under overload the oldest calls were run first, so that each answer came after its latency objective; the rank of a route was not used at all, and a full queue refused any newcomer.

WaitQueue replaces DeadlineQueue: calls that can still be answered within their objective come first, by that time, then the late ones by deadline; a step of rank counts like 50 ms; the last call of a full queue makes room for one that comes before it. x-objective and x-rank go from node to node.

--- a/src/calls/call_request.h
+++ b/src/calls/call_request.h
@@ -23,13 +23,15 @@
   int attempts = 1;
   // Time within which an answer serves the caller fully; 0 when none is stated.
   Milliseconds latency_objective{0};
+  // Urgency; 0 is the most urgent.
+  int rank = 0;
 
   static CallPolicy Of(const ServiceRow& row) {
     return {row.kind, Milliseconds(row.deadline_ms), row.retry_limit + 1};
   }
   static CallPolicy Of(const RouteRow& route) {
     return {route.kind, Milliseconds(route.timeout_ms), route.attempts,
-            Milliseconds(route.latency_objective_ms)};
+            Milliseconds(route.latency_objective_ms), route.rank};
   }
 };
 
--- a/src/calls/http_headers.cc
+++ b/src/calls/http_headers.cc
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::array<const char*, 29> kNotForwarded = {
+constexpr std::array<const char*, 31> kNotForwarded = {
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -31,6 +31,8 @@
     "content-length",
     kServiceHeader,
     kDeadlineHeader,
+    kObjectiveHeader,
+    kRankHeader,
     kOutcomeHeader,
     kReasonHeader,
     kAttemptHeader,
--- a/src/calls/http_headers.h
+++ b/src/calls/http_headers.h
@@ -14,6 +14,10 @@
 // nodes only and is neither taken from callers nor passed to them.
 inline constexpr char kServiceHeader[] = "x-service";
 inline constexpr char kDeadlineHeader[] = "x-deadline-ms";
+// Between nodes: time left to the latency objective in ms, and the rank of the
+// route. Left out where the objective is the deadline and the rank is 0.
+inline constexpr char kObjectiveHeader[] = "x-objective";
+inline constexpr char kRankHeader[] = "x-rank";
 inline constexpr char kKeyHeader[] = "idempotency-key";
 inline constexpr char kTraceHeader[] = "traceparent";
 inline constexpr char kOutcomeHeader[] = "x-outcome";
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -186,6 +186,14 @@
   evhttp_add_header(headers, kServiceHeader,
                     request_.route->row.service.c_str());
   AddHeader(headers, kDeadlineHeader, remaining.count());
+  if (request_.policy.latency_objective > Milliseconds::zero()) {
+    const auto left = std::chrono::floor<Milliseconds>(
+        request_.start + request_.policy.latency_objective - Now());
+    AddHeader(headers, kObjectiveHeader, std::max<int64_t>(left.count(), 0));
+  }
+  if (request_.policy.rank > 0) {
+    AddHeader(headers, kRankHeader, request_.policy.rank);
+  }
   AddHeader(headers, kAttemptHeader,
             arrivals_ + static_cast<int>(open_.size()) + 1);
   if (!request_.caller_service.empty()) {
--- a/src/calls/target_side.cc
+++ b/src/calls/target_side.cc
@@ -35,7 +35,7 @@
         }) {}
 
   InboundCall inbound;
-  TimePoint deadline;
+  WaitTerms terms;
   TraceContext trace;
   // "queue" while the call waits, "target" while it runs.
   std::unique_ptr<CallSpan> span;
@@ -122,8 +122,15 @@
     return CallResult::Refused(CallReason::kDraining, "the target starts");
   }
   const TimePoint now = context_->loop->clock().Now();
-  call->deadline = now + Milliseconds(FindNumber(headers, kDeadlineHeader)
-                                          .value_or(route_->row.deadline_ms));
+  const int64_t time_left =
+      FindNumber(headers, kDeadlineHeader).value_or(route_->row.deadline_ms);
+  call->terms.deadline = now + Milliseconds(time_left);
+  call->terms.objective =
+      now +
+      Milliseconds(FindNumber(headers, kObjectiveHeader).value_or(time_left));
+  constexpr int64_t kMaxRank = 1'000;
+  call->terms.rank = static_cast<int>(std::clamp<int64_t>(
+      FindNumber(headers, kRankHeader).value_or(0), 0, kMaxRank));
   call->trace = context_->tracer->Accept(FindHeader(headers, kTraceHeader));
   if (!rate_.TryTake(now)) {
     return CallResult::Refused(CallReason::kRateLimited,
@@ -140,18 +147,26 @@
     Run(call);
     return std::nullopt;
   }
-  if (queue_.size() >= static_cast<size_t>(route_->row.max_queue)) {
-    return CallResult::Refused(CallReason::kOverloaded, "the queue is full");
-  }
-  const int ahead = static_cast<int>(queue_.CountAhead(call->deadline));
+  const TimePoint useful = UsefulTime();
+  const int ahead = static_cast<int>(queue_.CountAhead(call->terms, useful));
   if (context_->loop->clock().Now() + slots_.ExpectedTime(ahead) >
-      call->deadline) {
+      call->terms.deadline) {
     return CallResult::Refused(CallReason::kDeadline,
                                "the deadline cannot be met");
   }
+  if (queue_.size() >= static_cast<size_t>(route_->row.max_queue)) {
+    Call* const last = queue_.PopBehind(call->terms, useful);
+    if (last == nullptr) {
+      return CallResult::Refused(CallReason::kOverloaded, "the queue is full");
+    }
+    Reply(last,
+          CallResult::Refused(CallReason::kOverloaded,
+                              "the queue is full of calls that come before"));
+    Remove(last);
+  }
   call->span = std::make_unique<CallSpan>(context_, call->trace, "queue",
                                           target_.service);
-  queue_.Push(call->deadline, call);
+  queue_.Push(call->terms, useful, call);
   context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
   ArmQueueTimer();
   return std::nullopt;
@@ -167,9 +182,9 @@
   call->sent_at = context_->loop->clock().Now();
   context_->repeats->OnRun(
       FindNumber(call->inbound.headers(), kAttemptHeader).value_or(1) > 1);
-  const Milliseconds limit =
-      std::max(std::chrono::floor<Milliseconds>(call->deadline - call->sent_at),
-               Milliseconds(1));
+  const Milliseconds limit = std::max(
+      std::chrono::floor<Milliseconds>(call->terms.deadline - call->sent_at),
+      Milliseconds(1));
   evhttp_request* in = call->inbound.request();
   call->exchange = context_->connections->Start(
       {target_.address, target_.port}, route_->row.max_connections, limit,
@@ -299,20 +314,22 @@
 void TargetSide::RunQueued() {
   ExpireQueued();
   while (!queue_.empty() && slots_.TryTake()) {
-    Call* call = queue_.Pop();
+    Call* call = queue_.Pop(UsefulTime());
     context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
     call->has_slot = true;
     Run(call);
   }
 }
 
+TimePoint TargetSide::UsefulTime() const {
+  return std::chrono::time_point_cast<TimePoint::duration>(
+      context_->loop->clock().Now() + slots_.average());
+}
+
 void TargetSide::ExpireQueued() {
-  const TimePoint now = context_->loop->clock().Now();
   // A call that is started too late to end in time takes a slot from one that
   // would. Under overload this keeps the useful work at the capacity.
-  const TimePoint useful = now + slots_.average();
-  while (queue_.EarliestDeadline() && *queue_.EarliestDeadline() <= useful) {
-    Call* call = queue_.Pop();
+  while (Call* call = queue_.PopExpired(UsefulTime())) {
     context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
     Reply(call, CallResult::Refused(CallReason::kDeadline,
                                     "the wait in the queue was too long"));
@@ -419,7 +436,7 @@
 }
 
 void TargetSide::OnHangUp(Call* call) {
-  if (queue_.Remove(call->deadline, call)) {
+  if (queue_.Remove(call)) {
     context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
     ArmQueueTimer();
   }
--- a/src/calls/target_side.h
+++ b/src/calls/target_side.h
@@ -9,10 +9,10 @@
 
 #include "calls/call_context.h"
 #include "calls/call_result.h"
-#include "calls/deadline_queue.h"
 #include "calls/exchange.h"
 #include "calls/rate_limiter.h"
 #include "calls/slot_limiter.h"
+#include "calls/wait_queue.h"
 #include "dragonflytack/base/timer_service.h"
 #include "dragonflytack/calls/call_dialect.h"
 #include "dragonflytack/calls/local_target.h"
@@ -66,6 +66,8 @@
   // Refuses queued calls whose deadline can no longer be met.
   void ExpireQueued();
   void ArmQueueTimer();
+  // When an answer to a call that is run now would come.
+  TimePoint UsefulTime() const;
   void ApplyLimits();
   void Reply(Call* call, const CallResult& result);
   // Calls running and waiting besides one that ends, in thousandths of the
@@ -83,7 +85,7 @@
   bool draining_ = false;
   SlotLimiter slots_;
   RateLimiter rate_;
-  DeadlineQueue<Call> queue_;
+  WaitQueue<Call> queue_;
   TimerId queue_timer_ = 0;
   std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
 };
