Keep log lines whole whatever a caller sends

Cause: a line over PIPE_BUF (4,096 bytes) was cut there, without its line end, so that a long path or call id made this line and the next one unreadable.

Ruled out: writing longer lines (a pipe may take a part and block or mix the rest).

Tests: logger/hostile_texts_stay_within_their_line failed before (2 lines instead of 3); logger/lines_of_an_event_are_limited_and_counted and logger/a_full_pipe_drops_lines_and_blocks_nobody pin the limits that stood without a test.

--- a/src/base/logger.cc
+++ b/src/base/logger.cc
@@ -3,6 +3,8 @@
 #include <poll.h>
 #include <unistd.h>
 #include <climits>
+#include <string>
+#include <type_traits>
 #include <utility>
 
 #include <fmt/chrono.h>
@@ -13,6 +15,11 @@
 
 namespace {
 
+// Longest texts of a line in bytes: of a usual one, and of one whose escaped
+// texts would not fit into a write that a pipe takes whole (PIPE_BUF, 4,096 on
+// Linux). With 16 fields of 24 bytes that take 6 each escaped, the latter fits.
+constexpr size_t kTextLimits[] = {512, 24};
+
 constexpr std::string_view LevelName(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -34,15 +41,26 @@
                      wall_millis % 1000);
 }
 
+// Returns the beginning of a text that is over the limit, with its length.
+std::string Cut(const std::string& text, size_t limit) {
+  return text.size() <= limit ? text
+                              : fmt::format("{}... ({} bytes)",
+                                            text.substr(0, limit), text.size());
+}
+
+std::string Dump(const nlohmann::ordered_json& line) {
+  return line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace) +
+         "\n";
+}
+
 // Returns whether the line was taken. A pipe is ready when it takes PIPE_BUF
-// bytes at once; a longer line is cut to that, which ends the line early but
-// never blocks.
-bool WriteIfReady(std::string_view text) {
+// bytes at once; a longer write could block or end within the line.
+bool WriteIfReady(std::string_view line) {
   pollfd output{STDOUT_FILENO, POLLOUT, 0};
   if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
     return false;
   }
-  const std::string_view line = text.substr(0, PIPE_BUF);
   return write(STDOUT_FILENO, line.data(), line.size()) ==
          static_cast<ssize_t>(line.size());
 }
@@ -81,17 +99,28 @@
   if (rate.suppressed > 0) {
     line["suppressed"] = std::exchange(rate.suppressed, 0);
   }
-  for (const auto& [name, value] : fields) {
-    std::visit([&line, key = std::string(name)](
-                   const auto& typed) { line[key] = typed; },
-               value);
-  }
   if (dropped_ > 0) {
     line["dropped"] = dropped_;
   }
-  std::string text = line.dump(
-      -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-  text += '\n';
+  std::string text;
+  for (const size_t limit : kTextLimits) {
+    nlohmann::ordered_json whole = line;
+    for (const auto& [name, value] : fields) {
+      std::visit(
+          [&whole, limit, key = std::string(name)](const auto& typed) {
+            if constexpr (std::is_same_v<decltype(typed), const std::string&>) {
+              whole[key] = Cut(typed, limit);
+            } else {
+              whole[key] = typed;
+            }
+          },
+          value);
+    }
+    text = Dump(whole);
+    if (text.size() <= PIPE_BUF) {
+      break;
+    }
+  }
   if (WriteIfReady(text)) {
     dropped_ = 0;
   } else {
--- /dev/null
+++ b/tests/logger_test.cc
@@ -0,0 +1,133 @@
+#include "dragonflytack/base/logger.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <climits>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include "dragonflytack/base/manual_clock.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Takes what the process writes to standard output while it lives.
+class OutputPipe final {
+ public:
+  OutputPipe() : before_(dup(STDOUT_FILENO)) {
+    cr_assert_eq(pipe(ends_), 0);
+    dup2(ends_[1], STDOUT_FILENO);
+    fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+  }
+  ~OutputPipe() {
+    dup2(before_, STDOUT_FILENO);
+    for (const int end : {ends_[0], ends_[1], before_}) {
+      close(end);
+    }
+  }
+  OutputPipe(const OutputPipe&) = delete;
+  OutputPipe& operator=(const OutputPipe&) = delete;
+
+  std::vector<std::string> TakeLines() {
+    char bytes[65'536];
+    std::string text;
+    for (ssize_t count = 0;
+         (count = read(ends_[0], bytes, sizeof(bytes))) > 0;) {
+      text.append(bytes, static_cast<size_t>(count));
+    }
+    std::vector<std::string> lines;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);) {
+      lines.push_back(line);
+    }
+    cr_expect(text.empty() || text.back() == '\n');
+    return lines;
+  }
+
+ private:
+  const int before_;
+  int ends_[2] = {};
+};
+
+}  // namespace
+
+// Guards against callers that forge a line or spoil the next one by what they
+// send: control bytes, text that looks like JSON, or megabytes.
+Test(logger, hostile_texts_stay_within_their_line) {
+  const ManualClock clock;
+  Logger logger(&clock, LogLevel::kInfo, "n1");
+  const std::string forged =
+      "x\"}\n{\"event\":\"stopped\",\"node\":\"n2\"}\r\n";
+  std::string control;
+  for (int i = 0; i < 100'000; ++i) {
+    control += static_cast<char>(i % 32);
+  }
+  OutputPipe output;
+  logger.Info("call_refused", {{"call", forged}});
+  logger.Info("call_refused", {{"call", std::string(2'000'000, 'a')},
+                               {"path", control},
+                               {"host", std::string(5'000, '\xff')},
+                               {"reason", control},
+                               {"table", uint64_t{7}}});
+  logger.Info("stopped", {});
+  const std::vector<std::string> lines = output.TakeLines();
+  cr_assert_eq(lines.size(), 3u, "%zu lines", lines.size());
+  const char* const events[] = {"call_refused", "call_refused", "stopped"};
+  for (size_t i = 0; i < lines.size(); ++i) {
+    cr_expect_leq(lines[i].size() + 1, static_cast<size_t>(PIPE_BUF));
+    const auto value = nlohmann::json::parse(lines[i], nullptr, false);
+    cr_assert_not(value.is_discarded(), "line %zu", i);
+    cr_expect(value["event"] == events[i] && value["node"] == "n1");
+  }
+  cr_expect(nlohmann::json::parse(lines[0])["call"] == forged);
+  cr_expect(nlohmann::json::parse(lines[1])["table"] == 7);
+}
+
+// Guards against a storm of calls that fills the disk behind the output, and
+// against lines that are left out unseen.
+Test(logger, lines_of_an_event_are_limited_and_counted) {
+  ManualClock clock;
+  Logger logger(&clock, LogLevel::kInfo, "n1");
+  OutputPipe output;
+  for (int i = 0; i < 10'000; ++i) {
+    logger.Info("call_failed", {{"call", std::to_string(i)}});
+  }
+  logger.Info("stopped", {});
+  cr_expect_eq(output.TakeLines().size(), Logger::kMaxPerSecond + 1u);
+  clock.Advance(Milliseconds(1'000));
+  logger.Info("call_failed", {{"call", "next"}});
+  const std::vector<std::string> lines = output.TakeLines();
+  cr_assert_eq(lines.size(), 1u);
+  cr_expect(nlohmann::json::parse(lines[0])["suppressed"] ==
+            10'000 - Logger::kMaxPerSecond);
+}
+
+// Guards against a daemon that waits for a reader of its output that reads
+// nothing.
+Test(logger, a_full_pipe_drops_lines_and_blocks_nobody, .timeout = 10) {
+  ManualClock clock;
+  Logger logger(&clock, LogLevel::kInfo, "n1");
+  OutputPipe output;
+  constexpr int kSeconds = 200;
+  for (int i = 0; i < kSeconds; ++i) {
+    for (int j = 0; j < Logger::kMaxPerSecond; ++j) {
+      logger.Info("call_failed", {{"path", std::string(300, 'p')}});
+    }
+    clock.Advance(Milliseconds(1'000));
+  }
+  const size_t kept = output.TakeLines().size();
+  cr_expect(kept > 0 && kept < kSeconds * Logger::kMaxPerSecond);
+  logger.Info("call_failed", {});
+  const std::vector<std::string> lines = output.TakeLines();
+  cr_assert_eq(lines.size(), 1u);
+  cr_expect(nlohmann::json::parse(lines[0])["dropped"] ==
+            kSeconds * Logger::kMaxPerSecond - kept);
+}
+
+}  // namespace dragonflytack
