Forget calls given up early when judging silence

Cause: a second attempt that was overtaken left the time at which it was sent as "unanswered since".

Only calls that ran out of time or made no connection keep the suspicion when none is in flight.

router/silent_targets_are_passed_over failed on the old code with the new lines (a2-0 instead of a1-0).

--- a/src/routing/endpoint_state.cc
+++ b/src/routing/endpoint_state.cc
@@ -75,6 +75,11 @@
 
 void EndpointState::OnEnded(AttemptEnd end, std::chrono::nanoseconds latency) {
   --in_flight_;
+  // Calls that were given up early say nothing about the endpoint.
+  if (in_flight_ == 0 && end != AttemptEnd::kTimeout &&
+      end != AttemptEnd::kUnreachable) {
+    unanswered_since_.reset();
+  }
   if (end == AttemptEnd::kNeutral) {
     return;
   }
--- a/src/routing/endpoint_state.h
+++ b/src/routing/endpoint_state.h
@@ -91,8 +91,8 @@
   NodeRecord record_;
   int slots_;
   int in_flight_ = 0;
-  // Since when calls are in flight without any answer; nothing when the last
-  // news of the endpoint was an answer and no call is in flight.
+  // Since when calls have had no answer of any kind; nothing when none is in
+  // flight, unless the last one ran out of time.
   std::optional<TimePoint> unanswered_since_;
   double latency_us_;
   double load_ = 0;
--- a/tests/router_test.cc
+++ b/tests/router_test.cc
@@ -373,11 +373,18 @@
   ExpectEqual(fixture.Choose()->record().id, "a2-0");
   // Once all its calls have run out of time, one more finds out whether it
   // answers again, and the next ones do not wait for that.
-  fixture.End(still, AttemptEnd::kNeutral);
+  fixture.End(still, AttemptEnd::kTimeout);
   ExpectEqual(fixture.Choose()->record().id, "a1-0");
   still->OnSent(fixture.clock_.Now());
   ExpectEqual(fixture.Choose()->record().id, "a2-0");
   still->OnAnswer(fixture.clock_.Now());
+  fixture.End(still, AttemptEnd::kSuccess);
+  ExpectEqual(fixture.Choose()->record().id, "a1-0");
+  // A call that was given up early leaves no suspicion for the next one.
+  still->OnSent(fixture.clock_.Now());
+  fixture.End(still, AttemptEnd::kOvertaken);
+  fixture.clock_.Advance(10 * limit);
+  still->OnSent(fixture.clock_.Now());
   ExpectEqual(fixture.Choose()->record().id, "a1-0");
 }
 
