Mend what a second reading of the change found

Queue: CountAhead() counted calls that had already missed their objective as before a new one, so that the new one could be refused as "the deadline cannot be met" although it would have been run at once. It moves them first; an index of objectives takes the place of a highest rank that never fell again.

Silence now counts from joining, or from the last news of a node that ranks before. GET /status shows `substitute`. distribution_version/starting_nodes_are_no_substitutes failed before (south1-0 after 110 ms).

Handover: a transfer that ended because another sender's commit came first left its records counted, until no transfer found room (onetime/handover_that_came_too_late_gives_its_room_back failed before).

Tool: explain HOST/PATH named a host in upper case or with a port as unknown, and said 404 of a table without routes. Log: a line over PIPE_BUF is dropped and counted, whatever its fields. OnSheet passes the row type, not a null pointer.

Nothing failed when objective and rank were not passed on or not used: call_task/entry_passes_on_objective_and_rank and waiting_calls_are_run_by_objective_and_rank fail with either left out.

--- a/include/dragonflytack/base/system_clock.h
+++ b/include/dragonflytack/base/system_clock.h
@@ -10,12 +10,18 @@
 // The operating system's clocks.
 class SystemClock final : public Clock {
  public:
-  // std::chrono::steady_clock stands still while a host is suspended: a node
-  // would take beliefs and deadlines from before for current ones.
-  static constexpr clockid_t kClockId = CLOCK_BOOTTIME;
+  // As clock_gettime(2).
+  using ReadClock = int (*)(clockid_t, timespec*);
+
+  // `read_clock` is the system's, except in tests.
+  explicit SystemClock(ReadClock read_clock = &clock_gettime)
+      : read_clock_(read_clock) {}
 
   TimePoint Now() const override;
   int64_t WallMillis() const override;
+
+ private:
+  const ReadClock read_clock_;
 };
 
 }  // namespace dragonflytack
--- a/include/dragonflytack/routing/route_index.h
+++ b/include/dragonflytack/routing/route_index.h
@@ -17,6 +17,10 @@
  public:
   explicit RouteIndex(std::shared_ptr<const Table> table);
 
+  // Returns the host of a header Host as routes name it: in lower case and
+  // without a port.
+  static std::string HostOf(std::string_view header);
+
   // Returns the route of a call, null when none matches. `host` is the value of
   // the header Host, a port included; `target` is path and query.
   const RouteRow* Find(std::string_view host, std::string_view target) const;
--- a/include/dragonflytack/table/route_row.h
+++ b/include/dragonflytack/table/route_row.h
@@ -21,6 +21,9 @@
 // which limits. A call takes the route of its host with the longest path prefix
 // that begins its path.
 struct RouteRow final {
+  // The least urgent rank.
+  static constexpr int kMaxRank = 1'000;
+
   std::string name;
   // Value of the header Host, in lower case and without a port.
   std::string host;
--- a/src/base/logger.cc
+++ b/src/base/logger.cc
@@ -58,7 +58,8 @@
 // bytes at once; a longer write could block or end within the line.
 bool WriteIfReady(std::string_view line) {
   pollfd output{STDOUT_FILENO, POLLOUT, 0};
-  if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+  if (line.size() > PIPE_BUF || poll(&output, 1, 0) != 1 ||
+      (output.revents & POLLOUT) == 0) {
     return false;
   }
   return write(STDOUT_FILENO, line.data(), line.size()) ==
--- a/src/base/system_clock.cc
+++ b/src/base/system_clock.cc
@@ -1,11 +1,15 @@
 #include "dragonflytack/base/system_clock.h"
 
+#include <cassert>
+
 namespace dragonflytack {
 
 TimePoint SystemClock::Now() const {
+  // CLOCK_MONOTONIC stands still while a host is suspended: a node would take
+  // beliefs and deadlines from before for current ones.
   timespec time{};
-  // Fails only for a clock that the kernel does not have.
-  clock_gettime(kClockId, &time);
+  [[maybe_unused]] const int failed = read_clock_(CLOCK_BOOTTIME, &time);
+  assert(failed == 0);
   return TimePoint(std::chrono::duration_cast<TimePoint::duration>(
       std::chrono::seconds(time.tv_sec) +
       std::chrono::nanoseconds(time.tv_nsec)));
--- a/src/calls/target_side.cc
+++ b/src/calls/target_side.cc
@@ -21,6 +21,7 @@
 #include "dragonflytack/calls/call_dialect.h"
 #include "dragonflytack/observe/tracer.h"
 #include "dragonflytack/routing/route_snapshot.h"
+#include "dragonflytack/table/route_row.h"
 #include "net/record_json.h"
 #include "onetime/attempt_guard.h"
 #include "routing/router.h"
@@ -128,9 +129,8 @@
   call->terms.objective =
       now +
       Milliseconds(FindNumber(headers, kObjectiveHeader).value_or(time_left));
-  constexpr int64_t kMaxRank = 1'000;
   call->terms.rank = static_cast<int>(std::clamp<int64_t>(
-      FindNumber(headers, kRankHeader).value_or(0), 0, kMaxRank));
+      FindNumber(headers, kRankHeader).value_or(0), 0, RouteRow::kMaxRank));
   call->trace = context_->tracer->Accept(FindHeader(headers, kTraceHeader));
   if (!rate_.TryTake(now)) {
     return CallResult::Refused(CallReason::kRateLimited,
--- a/src/calls/wait_queue.h
+++ b/src/calls/wait_queue.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYTACK_SRC_CALLS_WAIT_QUEUE_H_
 #define DRAGONFLYTACK_SRC_CALLS_WAIT_QUEUE_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
@@ -41,18 +40,21 @@
 
   // Number of items that a new one would wait behind. An answer to a call that
   // is run now comes at `useful`.
-  size_t CountAhead(const WaitTerms& terms, TimePoint useful) const {
+  size_t CountAhead(const WaitTerms& terms, TimePoint useful) {
+    MoveLate(useful);
     return static_cast<size_t>(std::distance(
         order_.begin(), order_.upper_bound(KeyOf(terms, useful, next_))));
   }
 
   void Push(const WaitTerms& terms, TimePoint useful, Item* item) {
-    const Key key = KeyOf(terms, useful, next_++);
-    order_.emplace(key, item);
-    deadlines_.emplace(std::pair(terms.deadline, std::get<uint64_t>(key)),
-                       item);
-    places_.emplace(item, Place{key, terms});
-    highest_rank_ = std::max(highest_rank_, terms.rank);
+    const Place place{KeyOf(terms, useful, next_), terms, next_};
+    ++next_;
+    order_.emplace(place.key, item);
+    deadlines_.emplace(std::pair(terms.deadline, place.arrival), item);
+    if (!IsLate(place.key)) {
+      objectives_.emplace(std::pair(terms.objective, place.arrival), item);
+    }
+    places_.emplace(item, place);
   }
 
   // Removes an item. Returns whether it was in the queue.
@@ -61,10 +63,10 @@
     if (place == places_.end()) {
       return false;
     }
-    const Key& key = place->second.key;
-    deadlines_.erase(
-        std::pair(place->second.terms.deadline, std::get<uint64_t>(key)));
-    order_.erase(key);
+    const Place& known = place->second;
+    order_.erase(known.key);
+    deadlines_.erase(std::pair(known.terms.deadline, known.arrival));
+    objectives_.erase(std::pair(known.terms.objective, known.arrival));
     places_.erase(place);
     return true;
   }
@@ -115,7 +117,11 @@
   struct Place {
     Key key;
     WaitTerms terms;
+    uint64_t arrival = 0;
   };
+  using ByTime = std::map<std::pair<TimePoint, uint64_t>, Item*>;
+
+  static bool IsLate(const Key& key) { return std::get<bool>(key); }
 
   static Key KeyOf(const WaitTerms& terms, TimePoint useful, uint64_t arrival) {
     const bool late = terms.objective < useful;
@@ -124,30 +130,24 @@
             arrival};
   }
 
-  // Puts those that can no longer meet their objective behind the others. A
-  // rank moves an item back by at most `highest_rank_` steps.
+  // Puts those that can no longer meet their objective behind the others.
   void MoveLate(TimePoint useful) {
-    const TimePoint end = useful + highest_rank_ * kRankStep;
-    for (auto entry = order_.begin();
-         entry != order_.end() && !std::get<bool>(entry->first) &&
-         std::get<TimePoint>(entry->first) < end;) {
-      Item* const item = entry->second;
-      ++entry;
+    while (!objectives_.empty() && objectives_.begin()->first.first < useful) {
+      Item* const item = objectives_.begin()->second;
+      objectives_.erase(objectives_.begin());
       Place& place = places_.at(item);
-      const Key key = KeyOf(place.terms, useful, std::get<uint64_t>(place.key));
-      if (key != place.key) {
-        order_.erase(place.key);
-        place.key = key;
-        order_.emplace(key, item);
-      }
+      order_.erase(place.key);
+      place.key = KeyOf(place.terms, useful, place.arrival);
+      order_.emplace(place.key, item);
     }
   }
 
   std::map<Key, Item*> order_;
-  std::map<std::pair<TimePoint, uint64_t>, Item*> deadlines_;
+  ByTime deadlines_;
+  // Those that can still meet their objective.
+  ByTime objectives_;
   std::unordered_map<Item*, Place> places_;
   uint64_t next_ = 0;
-  int highest_rank_ = 0;
 };
 
 }  // namespace dragonflytack
--- a/src/cli/add_verb.cc
+++ b/src/cli/add_verb.cc
@@ -36,7 +36,7 @@
     }
     return EditAndReport(
         [&](const TableDocument& table, Failure* reason) {
-          return OnSheet(options, [&]<typename Row>(const Row*) {
+          return OnSheet(options, [&]<typename Row>(std::type_identity<Row>) {
             return AddRow(RowsOf<Row>(table), arguments[0], cells, reason);
           });
         },
--- a/src/cli/remove_verb.cc
+++ b/src/cli/remove_verb.cc
@@ -19,7 +19,7 @@
                ToolContext* context) const override {
     return EditAndReport(
         [&](const TableDocument& table, Failure* reason) {
-          return OnSheet(options, [&]<typename Row>(const Row*) {
+          return OnSheet(options, [&]<typename Row>(std::type_identity<Row>) {
             return RemoveRow(RowsOf<Row>(table), arguments[0], reason);
           });
         },
--- a/src/cli/route_explanation.cc
+++ b/src/cli/route_explanation.cc
@@ -36,6 +36,12 @@
 }
 
 Failure NoRoute(const Table& table, std::string_view host) {
+  if (table.routes().empty()) {
+    return Failure{FailureCode::kNotFound, std::string(host),
+                   fmt::format("version {} has no routes; the path of a call "
+                               "names its service",
+                               table.version())};
+  }
   std::string known;
   for (const auto& [name, route] : table.routes()) {
     if (route.host == host) {
@@ -108,7 +114,7 @@
     return context->Fail(reason);
   }
   const size_t slash = call.find('/');
-  const std::string host = call.substr(0, slash);
+  const std::string host = RouteIndex::HostOf(call.substr(0, slash));
   const RouteRow* route = RouteIndex(table).Find(host, call.substr(slash));
   if (route == nullptr) {
     return context->Fail(NoRoute(*table, host));
--- a/src/cli/set_verb.cc
+++ b/src/cli/set_verb.cc
@@ -33,7 +33,7 @@
     }
     return EditAndReport(
         [&](const TableDocument& table, Failure* reason) {
-          return OnSheet(options, [&]<typename Row>(const Row*) {
+          return OnSheet(options, [&]<typename Row>(std::type_identity<Row>) {
             return SetCell(RowsOf<Row>(table), arguments[0], arguments[1],
                            arguments[2], expect, reason);
           });
--- a/src/cli/sheet_option.h
+++ b/src/cli/sheet_option.h
@@ -25,11 +25,11 @@
   }
 }
 
-// Calls `work` with a null pointer to the row type of the chosen sheet.
+// Calls `work` with the row type of the chosen sheet as a std::type_identity.
 template <typename Work>
 auto OnSheet(const boost::program_options::variables_map& options, Work work) {
-  return IsRoutesSheet(options) ? work(static_cast<const RouteRow*>(nullptr))
-                                : work(static_cast<const ServiceRow*>(nullptr));
+  return IsRoutesSheet(options) ? work(std::type_identity<RouteRow>())
+                                : work(std::type_identity<ServiceRow>());
 }
 
 // Returns columns of both sheets with meaning, range and default, for --help.
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -123,6 +123,7 @@
           {"refused", RefusalToJson(status)},
           {"links", Links(status)},
           {"speaker", status.speaker},
+          {"substitute", status.substitute},
           {"store",
            {{"contact", parts_.store->contact()},
             {"calls", status.store_calls},
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -261,6 +261,7 @@
   }
   status.suspects = records_.suspects();
   status.speaker = joined() && IsSpeaker();
+  status.substitute = is_substitute_;
   status.last_store_contact_ms = store_.last_contact_ms();
   status.store_calls = store_.calls();
   status.snapshots_served = snapshots_.served();
--- a/src/distribution/link_keeper.cc
+++ b/src/distribution/link_keeper.cc
@@ -32,7 +32,8 @@
       clock_(clock),
       random_(random),
       logger_(logger),
-      on_unreachable_(std::move(on_unreachable)) {}
+      on_unreachable_(std::move(on_unreachable)),
+      before_heard_(clock->Now()) {}
 
 void LinkKeeper::Refresh() {
   if (!registry_->TakeMembershipChanged()) {
@@ -60,12 +61,19 @@
 }
 
 bool LinkKeeper::IsSubstituteNeeded() const {
-  const std::set<NodeId>& before = overlay_.ranked_before;
-  return !before.empty() &&
-         std::none_of(before.begin(), before.end(), [this](const NodeId& id) {
-           const LinkState* link = links_->FindUp(id);
-           return link != nullptr && !link->IsQuiet(clock_->Now());
-         });
+  return clock_->Now() - before_heard_ > LinkState::kQuiet;
+}
+
+void LinkKeeper::NoteHeardBefore(bool joined) {
+  if (!joined || overlay_.ranked_before.empty()) {
+    before_heard_ = clock_->Now();
+    return;
+  }
+  for (const NodeId& id : overlay_.ranked_before) {
+    if (const LinkState* link = links_->FindUp(id)) {
+      before_heard_ = std::max(before_heard_, link->last_heard);
+    }
+  }
 }
 
 bool LinkKeeper::IsRegionGateway() const {
@@ -118,6 +126,7 @@
 
 void LinkKeeper::Tick(bool joined) {
   const TimePoint now = clock_->Now();
+  NoteHeardBefore(joined);
   std::set<NodeId> wanted = overlay_.successors;
   if (joined) {
     wanted.insert(overlay_.ranked_before.begin(), overlay_.ranked_before.end());
--- a/src/distribution/link_keeper.h
+++ b/src/distribution/link_keeper.h
@@ -61,7 +61,7 @@
   // Whether every neighbour has said hello or failed to answer.
   bool NeighboursSettled() const;
   // Whether this node is a substitute for the speakers of its data centre and
-  // hears none of the nodes that rank before it.
+  // has heard none of the nodes that rank before it, as of the last Tick().
   bool IsSubstituteNeeded() const;
   // Whether this node may repair across regions.
   bool IsRegionGateway() const;
@@ -73,6 +73,7 @@
   };
 
   bool IsRingNeighbour(const NodeId& id) const;
+  void NoteHeardBefore(bool joined);
   void DialPeer(const NodeId& id);
   void DialOneDead();
   void NoteFailure(const NodeId& id);
@@ -91,6 +92,10 @@
   // Ring neighbours whose link was lost and that are dialled once to see
   // whether they live.
   std::set<NodeId> probes_;
+  // When a node that ranks before this one was last heard. It begins anew when
+  // this node joins or becomes a substitute, so that the links have time to
+  // come up.
+  TimePoint before_heard_;
   // When a link to each data centre was last up.
   std::map<std::string, TimePoint> reached_;
   TimePoint dead_dialled_;
--- a/src/onetime/handover_receiver.cc
+++ b/src/onetime/handover_receiver.cc
@@ -30,7 +30,7 @@
   // A process that is stopping must not collect records that it would lose, and
   // never takes back those that it gave away.
   if (records_->draining() || records_->Knows(message.home)) {
-    staged_.erase({message.from, message.home});
+    Drop(staged_.find({message.from, message.home}));
     return HandoverReply::kDraining;
   }
   return message.kind == HandoverMessage::Kind::kChunk
@@ -70,8 +70,7 @@
         set.Add(id, std::move(record), message.time_ms);
       }
     }
-    staged_records_ -= it->second.records;
-    staged_.erase(it);
+    Drop(it);
   }
   records_->Install(message.home, std::move(set));
   senders_.emplace(message.home, message.from);
@@ -79,6 +78,13 @@
   return HandoverReply::kAccepted;
 }
 
+void HandoverReceiver::Drop(std::map<Transfer, Staged>::iterator transfer) {
+  if (transfer != staged_.end()) {
+    staged_records_ -= transfer->second.records;
+    staged_.erase(transfer);
+  }
+}
+
 void HandoverReceiver::Sweep(TimePoint now) {
   std::erase_if(staged_, [this, now](const auto& entry) {
     if (now - entry.second.last_message <= kStagedRetention) {
--- a/src/onetime/handover_receiver.h
+++ b/src/onetime/handover_receiver.h
@@ -41,6 +41,8 @@
 
   HandoverReply OnChunk(HandoverMessage message, TimePoint now);
   HandoverReply OnCommit(const HandoverMessage& message, TimePoint now);
+  // Forgets a transfer, if it is there.
+  void Drop(std::map<Transfer, Staged>::iterator transfer);
 
   HomeRecords* const records_;
   const InheritedCallback on_inherited_;
--- a/src/routing/route_index.cc
+++ b/src/routing/route_index.cc
@@ -15,13 +15,18 @@
   }
 }
 
+std::string RouteIndex::HostOf(std::string_view header) {
+  std::string host(header.substr(0, header.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return host;
+}
+
 const RouteRow* RouteIndex::Find(std::string_view host,
                                  std::string_view target) const {
   const size_t path_end = std::min(target.find_first_of("?#"), target.size());
-  std::string key(host.substr(0, host.find(':')));
-  std::transform(key.begin(), key.end(), key.begin(), [](char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  });
+  std::string key = HostOf(host);
   const size_t host_length = key.size();
   key += target.substr(0, path_end);
   // Prefixes end with '/', so only the cuts after a '/' can match; the longest
--- a/src/store/http_store_client.cc
+++ b/src/store/http_store_client.cc
@@ -53,9 +53,8 @@
                                  Milliseconds timeout,
                                  Logger* logger)
     : loop_(loop),
-      store_(store),
       timeout_(timeout),
-      logger_(logger),
+      answers_(store, StoreProtocol::kMaxAnswerBytes, logger),
       calls_(std::make_unique<HttpPool>(loop,
                                         store,
                                         kMaxConnections,
@@ -69,63 +68,32 @@
 
 Failure HttpStoreClient::Judge(const HttpAnswer& answer,
                                const std::string& key) const {
-  const std::string subject = fmt::format("{} at {}", key, store_.ToString());
-  const auto failed = [&](FailureCode code, std::string detail) {
-    logger_->Log(LogLevel::kDebug, "store_call_failed",
-                 {{"key", key},
-                  {"code", std::string(FailureCodeName(code))},
-                  {"detail", detail}});
-    return Failure{code, subject, std::move(detail)};
-  };
-  switch (answer.end) {
-    case HttpEnd::kNotSent:
-      return failed(FailureCode::kStoreUnreachable,
-                    "no connection to the store was made");
-    case HttpEnd::kTimeout:
-      return failed(FailureCode::kStoreTimeout,
-                    "the store did not answer in time");
-    case HttpEnd::kLost:
-      return failed(FailureCode::kStoreTimeout,
-                    "the connection closed before the whole answer");
-    case HttpEnd::kTooLarge:
-      return failed(FailureCode::kStoreTimeout,
-                    fmt::format("the answer has more than {} bytes",
-                                StoreProtocol::kMaxAnswerBytes));
-    case HttpEnd::kAnswered:
-      break;
+  if (std::optional<Failure> loss = answers_.FindLoss(answer, key)) {
+    return *std::move(loss);
   }
   if (answer.status == kOk) {
     return Failure{};
   }
   if (answer.status == kConditionFailed) {
-    return failed(FailureCode::kConflict,
-                  fmt::format("the object is at version {}",
-                              VersionOf(answer).value_or(0)));
+    return answers_.Failed(FailureCode::kConflict, key,
+                           fmt::format("the object is at version {}",
+                                       VersionOf(answer).value_or(0)));
   }
   if (answer.status == kPayloadTooLarge) {
-    return failed(FailureCode::kTooLarge, "the store refused the size");
+    return answers_.Failed(FailureCode::kTooLarge, key,
+                           "the store refused the size");
   }
   // Any other status leaves open whether a write took effect.
-  return failed(IsRefusal(answer.status) ? FailureCode::kStoreRejected
-                                         : FailureCode::kStoreTimeout,
-                fmt::format("the store answered status {}", answer.status));
+  return answers_.Failed(
+      IsRefusal(answer.status) ? FailureCode::kStoreRejected
+                               : FailureCode::kStoreTimeout,
+      key, fmt::format("the store answered status {}", answer.status));
 }
 
 void HttpStoreClient::AnswerVersion(const HttpAnswer& answer,
                                     const std::string& key,
                                     const VersionCallback& callback) const {
-  const Failure failure = Judge(answer, key);
-  if (failure.code != FailureCode::kNone) {
-    callback(std::nullopt, failure);
-    return;
-  }
-  const std::optional<StoreVersion> version = VersionOf(answer);
-  if (!version) {
-    callback(std::nullopt, Failure{FailureCode::kStoreTimeout, key,
-                                   "the answer has no valid version"});
-    return;
-  }
-  callback(version, Failure{});
+  answers_.GiveVersion(Judge(answer, key), VersionOf(answer), key, callback);
 }
 
 void HttpStoreClient::Refuse(std::function<void()> report) {
--- a/src/store/http_store_client.h
+++ b/src/store/http_store_client.h
@@ -8,6 +8,7 @@
 
 #include "dragonflytack/base/host_port.h"
 #include "dragonflytack/store/store_client.h"
+#include "store/store_answers.h"
 
 namespace dragonflytack {
 
@@ -73,9 +74,8 @@
                 ListCallback callback);
 
   EventLoop* const loop_;
-  const HostPort store_;
   const Milliseconds timeout_;
-  Logger* const logger_;
+  const StoreAnswers answers_;
   // Timers of Refuse() hold it weakly and do nothing once it is gone.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   std::unique_ptr<HttpPool> calls_;
--- a/src/table/route_column.cc
+++ b/src/table/route_column.cc
@@ -20,7 +20,6 @@
 constexpr size_t kMaxShares = 64;
 constexpr int kMaxWeight = 1'000'000;
 constexpr int kMaxTimeoutMs = 600'000;
-constexpr int kMaxRank = 1'000;
 constexpr int kMaxAttempts = 100;
 
 bool IsPrintable(std::string_view text) {
@@ -176,7 +175,7 @@
     Parts::NumberColumn("rank",
                         &RouteRow::rank,
                         0,
-                        kMaxRank,
+                        RouteRow::kMaxRank,
                         "0",
                         "0-1000, 0 = most urgent",
                         "urgency"),
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -95,6 +96,91 @@
   cr_assert_eq(target.closed(), 1);
 }
 
+// Guards against a queue beside the target that does not know the objective and
+// the rank of a call, because the entry does not pass them on.
+Test(call_task, entry_passes_on_objective_and_rank) {
+  const ServiceRow row = Row(ServiceKind::kIdempotent);
+  CallFixture fixture(1, row);
+  fixture.Kill(1);
+  std::mutex mutex;
+  std::vector<std::string> heads;
+  ScriptedTarget node(fixture.Address(1), CallFixture::kMeshPort,
+                      [&](int fd, const std::string& head, int) {
+                        const std::lock_guard<std::mutex> lock(mutex);
+                        heads.push_back(head);
+                        const std::string answer =
+                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                            "x-outcome: done\r\n\r\n";
+                        return send(fd, answer.data(), answer.size(),
+                                    MSG_NOSIGNAL) > 0;
+                      });
+  RouteRow route{.name = "r", .host = "h"};
+  route.kind = ServiceKind::kIdempotent;
+  route.shares = {{"s", 1}};
+  for (const int rank : {0, 3}) {
+    route.rank = rank;
+    route.latency_objective_ms = 400 * rank;
+    fixture.Publish(row, {{"r", route}});
+    std::this_thread::sleep_for(Milliseconds(20));
+    // What a caller says of them does not count.
+    cr_assert_eq(
+        fixture.Call("1", 800, "x-rank: 9\r\nx-objective: 1\r\n").status, 200);
+  }
+  const std::lock_guard<std::mutex> lock(mutex);
+  cr_assert_eq(heads.size(), 2);
+  const auto header = [&](size_t i, const char* name) {
+    return HttpReply{0, heads[i], "", Milliseconds(0)}.Header(name);
+  };
+  ExpectEqual(header(0, "x-rank"), "");
+  ExpectEqual(header(0, "x-objective"), "");
+  ExpectEqual(header(1, "x-rank"), "3");
+  const int left = std::stoi(header(1, "x-objective"));
+  cr_expect(left > 0 && left <= 1200, "%d", left);
+}
+
+// Guards against a node beside the target that runs waiting calls in the order
+// of their deadlines alone.
+Test(call_task, waiting_calls_are_run_by_objective_and_rank) {
+  ServiceRow row = Row(ServiceKind::kIdempotent);
+  row.slots = 1;
+  CallFixture fixture(1, row);
+  std::mutex mutex;
+  std::vector<std::string> order;
+  ScriptedTarget target(
+      fixture.Address(1), CallFixture::kTargetPort,
+      [&](int fd, const std::string& head, int n) {
+        {
+          const std::lock_guard<std::mutex> lock(mutex);
+          order.push_back(RequestId(head));
+        }
+        std::this_thread::sleep_for(Milliseconds(n == 1 ? 400 : 1));
+        return AnswerOwn(fd, head, n);
+      });
+  const auto request = [](const char* id, int objective, int deadline,
+                          int rank) {
+    return fmt::format(
+        "GET / HTTP/1.1\r\nHost: h\r\nx-service: s\r\nx-request-id: {}\r\n"
+        "x-deadline-ms: {}\r\nx-objective: {}\r\nx-rank: {}\r\n\r\n",
+        id, deadline, objective, rank);
+  };
+  // The times differ by more than a busy machine adds between the sends.
+  const std::string requests[] = {
+      request("running", 9'000, 9'000, 0), request("late", 0, 5'000, 0),
+      request("on time", 8'000, 9'000, 40), request("urgent", 8'900, 9'000, 0)};
+  std::vector<std::unique_ptr<Socket>> callers;
+  for (const std::string& text : requests) {
+    callers.push_back(
+        std::make_unique<Socket>(fixture.Address(1), CallFixture::kMeshPort));
+    callers.back()->Send(text);
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+  for (const auto& caller : callers) {
+    cr_expect_eq(caller->Receive(Milliseconds(9'000)).status, 200);
+  }
+  cr_assert(order ==
+            (std::vector<std::string>{"running", "urgent", "on time", "late"}));
+}
+
 // Guards against a drain that cuts off calls or goes on taking them.
 Test(call_task, drain_refuses_new_calls_and_finishes_the_others) {
   ServiceRow row = Row(ServiceKind::kOneTime);
--- a/tests/distribution_version_test.cc
+++ b/tests/distribution_version_test.cc
@@ -172,6 +172,43 @@
   }
 }
 
+// Guards against nodes that stand in for the speakers of their data centre
+// although these live: each one costs a watch at the store, and one that joins
+// would ask the store before its peers had their time.
+Test(distribution_version, starting_nodes_are_no_substitutes) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    CoreFleet fleet(seed);
+    fleet.StartMany({"north1", "south1"}, 12);
+    const TableVersion version = fleet.WriteTable({"roster"});
+    cr_assert(fleet.RunUntil(30 * kSecond, [&] {
+      return fleet.AllKnow(24) && fleet.AllAt(version);
+    }));
+    fleet.Run(2 * LinkKeeper::kUnwantedTime);
+    std::vector<NodeId> restarted;
+    for (const auto& [id, node] : fleet.nodes) {
+      if (!node.core->Status().speaker) {
+        restarted.push_back(id);
+      }
+    }
+    cr_assert_eq(restarted.size(), 20);
+    for (const NodeId& id : restarted) {
+      fleet.Crash(id);
+    }
+    fleet.Run(Milliseconds(300));
+    for (const NodeId& id : restarted) {
+      fleet.Boot(id);
+    }
+    for (int i = 0; i < 500; ++i) {
+      fleet.Run(Milliseconds(10));
+      for (const auto& [id, node] : fleet.nodes) {
+        cr_assert_not(node.core->Status().substitute,
+                      "seed %lu: %s after %d ms", seed, id.c_str(), 10 * i);
+      }
+    }
+    cr_expect(fleet.AllAt(version));
+  }
+}
+
 // Guards against a bad version that is applied in part or stops a node (I3),
 // and against a restarted node that waits for it for ever.
 Test(distribution_version, bad_version_is_refused_whole) {
--- a/tests/object_store_test.cc
+++ b/tests/object_store_test.cc
@@ -126,6 +126,16 @@
 
 }  // namespace
 
+// Guards against a change that is missed because its event cannot be read: the
+// watch goes on behind it.
+Test(platform_object_store, unreadable_event_makes_the_node_read_again) {
+  StoreFixture fixture({{200, Configuration(7, "roster")},
+                        {200, Event(R"({"metadata":{"name":"main"}})", 9)}});
+  cr_assert(fixture.Watch(0, Milliseconds(0)) == 7);
+  cr_assert_not(fixture.Watch(7, Milliseconds(100)).has_value());
+  cr_assert(fixture.reason_.code == FailureCode::kStoreTimeout);
+}
+
 // Guards against a configuration that costs a second call after the first
 // answer or a watch has brought it, and against a watch from a wrong place.
 Test(platform_object_store, answers_bring_the_table) {
--- a/tests/onetime_test.cc
+++ b/tests/onetime_test.cc
@@ -245,6 +245,31 @@
   cr_assert(receiver.OnMessage(message, kStart) == HandoverReply::kDraining);
 }
 
+// Guards against room that is never given back: a transfer that ends because
+// another sender's commit came first left its records counted.
+Test(onetime, handover_that_came_too_late_gives_its_room_back) {
+  HomeRecords home = MakeHome("n", {.max_records = 4});
+  HandoverReceiver receiver(&home, [](const HomeIncarnation&) {});
+  const auto message = [](HandoverMessage::Kind kind, const NodeId& from,
+                          uint64_t incarnation) {
+    return HandoverMessage{.kind = kind,
+                           .from = {from, incarnation},
+                           .to = {"n", 5},
+                           .home = {"m", incarnation}};
+  };
+  for (uint64_t i = 1; i <= 10; ++i) {
+    HandoverMessage chunk = message(HandoverMessage::Kind::kChunk, "m", i);
+    chunk.records = {{RecordId{}, Record{}}};
+    cr_assert(receiver.OnMessage(chunk, kStart) == HandoverReply::kAccepted,
+              "transfer %lu", i);
+    // Another node already has the records and stops as well.
+    cr_assert(receiver.OnMessage(
+                  message(HandoverMessage::Kind::kCommit, "x", i), kStart) ==
+              HandoverReply::kAccepted);
+    cr_assert(receiver.OnMessage(chunk, kStart) == HandoverReply::kDraining);
+  }
+}
+
 // Guards against a second owner: after a commit was sent, only its receiver may
 // get it again.
 Test(onetime, handover_stays_with_the_receiver_of_a_commit) {
--- a/tests/tool_test.cc
+++ b/tests/tool_test.cc
@@ -244,10 +244,13 @@
             bench.Says("75.0 %"));
   cr_assert_eq(bench.Run({"explain", "shop.example/cart/7", "--json"}), 0);
   cr_assert_eq(json::parse(bench.out)["route"]["name"], "cart");
-  cr_assert_eq(bench.Run({"explain", "shop.example/x"}), 1);
+  cr_assert_eq(bench.Run({"explain", "Shop.example:80/x"}), 1);
   cr_assert(bench.Says("/cart/ (cart), /cart/gifts/ (gifts)"));
   cr_assert_eq(bench.Run({"explain", "other.example/x"}), 1);
   cr_assert(bench.Says("version 9 has no route of this host"));
+  bench.node.answers["/table"]["routes"] = json::array();
+  cr_assert_eq(bench.Run({"explain", "shop.example/x"}), 1);
+  cr_assert(bench.Says("the path of a call names its service"));
 }
 
 // Waiting must end when all living nodes have the version, and name those that
