Report the end of a link only from the event loop

Cause: WebSocketLink::Send() reported the end of its link from within the call if the peer had already closed the session. The core removed the link's state, which the sender, for example RegistrySync::Flush(), still used. link_layer.h excluded that for Connect() only, and the fake network of the tests never does it.

The rule now holds for the whole interface and is kept in one place: the layer posts the end of a link to its own loop. A Close() before the report suppresses it, as before. LinkTable asserts that neither MarkUp() nor Remove() runs from within a call of the layer, so that a breach of the rule by any layer fails in the tests.

Ruled out: the two checks in Send() for the sizes of frame and queue, which already deferred the end, and Connect(), which starts links on a later turn.

--- a/include/dragonflytack/distribution/link_layer.h
+++ b/include/dragonflytack/distribution/link_layer.h
@@ -13,15 +13,19 @@
 // reports events through DistributionCore::OnLinkUp(), OnFrame() and
 // OnLinkDown(). It does not detect unresponsive links: the core does, because
 // it determines which messages are due.
+//
+// No event is reported from within a call of this interface, so that the caller
+// may keep the state of its links over the call. Until the end of a link is
+// reported, frames for it are dropped.
 class LinkLayer {
  public:
   virtual ~LinkLayer() = default;
 
-  // Starts to connect. OnLinkUp() or OnLinkDown() is called later, never from
-  // within this call.
+  // Starts to connect. OnLinkUp() or OnLinkDown() is called later.
   virtual LinkId Connect(const HostPort& peer) = 0;
 
-  // Closes a link. No further events are reported for it.
+  // Closes a link. No further events are reported for it, including an end that
+  // has not been reported yet.
   virtual void Close(LinkId link) = 0;
 
   // Queues a frame. Frames for a link that no longer exists are dropped.
--- a/src/distribution/link_table.cc
+++ b/src/distribution/link_table.cc
@@ -1,6 +1,7 @@
 #include "distribution/link_table.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "distribution/message_codec.h"
@@ -22,7 +23,9 @@
       data_centre_(std::move(data_centre)) {}
 
 void LinkTable::Dial(const HostPort& address, const NodeId& peer) {
+  is_calling_layer_ = true;
   const LinkId id = layer_->Connect(address);
+  is_calling_layer_ = false;
   LinkState& link = links_[id];
   link.id = id;
   link.address = address;
@@ -32,6 +35,7 @@
 }
 
 LinkState* LinkTable::MarkUp(LinkId id, const NodeRecord& peer, bool outgoing) {
+  assert(!is_calling_layer_);
   LinkState& link = links_[id];
   link.id = id;
   link.address = HostPort{peer.address, peer.peer_port};
@@ -50,10 +54,17 @@
 
 void LinkTable::Close(LinkId id) {
   if (links_.erase(id) != 0) {
+    is_calling_layer_ = true;
     layer_->Close(id);
+    is_calling_layer_ = false;
   }
 }
 
+void LinkTable::Remove(LinkId id) {
+  assert(!is_calling_layer_);
+  links_.erase(id);
+}
+
 void LinkTable::Send(LinkState* link, const Message& message) {
   SendFrame(link, message.index(), MessageCodec::Encode(message));
 }
@@ -65,7 +76,9 @@
       traffic_.sent[kind][static_cast<size_t>(link->link_class)];
   ++count.frames;
   count.bytes += frame.size();
+  is_calling_layer_ = true;
   layer_->Send(link->id, frame);
+  is_calling_layer_ = false;
 }
 
 void LinkTable::CountReceived(const LinkState& link,
--- a/src/distribution/link_table.h
+++ b/src/distribution/link_table.h
@@ -27,12 +27,13 @@
 
   // Starts a connection. `peer` is empty if only the address is known.
   void Dial(const HostPort& address, const NodeId& peer);
-  // Marks a link as up and returns it.
+  // Marks a link as up and returns it. Like Remove(), must not be called from
+  // within a call of the layer.
   LinkState* MarkUp(LinkId id, const NodeRecord& peer, bool outgoing);
   // Closes a link; no further events are reported for it.
   void Close(LinkId id);
   // Removes a link that the layer reported as down.
-  void Remove(LinkId id) { links_.erase(id); }
+  void Remove(LinkId id);
 
   void Send(LinkState* link, const Message& message);
   // Sends an encoded frame, so that several links can share one encoding.
@@ -43,7 +44,8 @@
   LinkState* Find(LinkId id);
   // Returns the link to a peer if it is up, null otherwise.
   LinkState* FindUp(const NodeId& peer);
-  // Returns all links that are up. A pointer is valid until its link is closed.
+  // Returns all links that are up. A pointer is valid until its link is closed
+  // or removed; sending does neither.
   std::vector<LinkState*> Up();
   bool IsDialling(const HostPort& address) const;
   bool IsLinkedOrDialling(const HostPort& address) const;
@@ -60,6 +62,7 @@
   const std::string data_centre_;
   std::map<LinkId, LinkState> links_;
   TrafficCounters traffic_;
+  bool is_calling_layer_ = false;
 };
 
 }  // namespace dragonflytack
--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -130,6 +130,7 @@
 }
 
 void WebSocketLink::Close() {
+  closed_locally_ = true;
   down_reported_ = true;
   reason_ = {FailureCode::kCancelled, remote_.ToString(), "closed"};
   machine_.Handle("closed");
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -38,7 +38,7 @@
     virtual void OnUp(WebSocketLink* link) = 0;
     virtual void OnFrame(WebSocketLink* link, const std::string& frame) = 0;
     // The link ended without Close(). `was_up` is true if OnUp() was called
-    // before.
+    // before. May be called from within Send().
     virtual void OnDown(WebSocketLink* link,
                         const Failure& reason,
                         bool was_up) = 0;
@@ -62,10 +62,12 @@
   void Start();
 
   // Queues a frame if the link is up. If the frame is too large or the queue
-  // full, the link fails and calls OnDown() on a later turn of the loop.
+  // full, the link fails on a later turn of the loop. If the peer has closed
+  // the session, the link fails from within this call.
   void Send(const std::string& frame);
 
-  // Ends the link without a call of OnDown().
+  // Ends the link without a call of OnDown(), also if the end was not reported
+  // yet.
   void Close();
 
   LinkId id() const { return id_; }
@@ -76,6 +78,8 @@
   const std::string& state() const { return machine_.state(); }
   bool is_up() const;
   bool was_up() const { return up_reported_; }
+  // Whether Close() was called.
+  bool is_closed_locally() const { return closed_locally_; }
   size_t queued_bytes() const;
   uint64_t sent_bytes() const { return sent_bytes_; }
   uint64_t received_bytes() const { return received_bytes_; }
@@ -110,8 +114,8 @@
   bool IsClosing() const;
   void Fail(FailureCode code, const std::string& detail);
   void Fail(Failure reason);
-  // Fails on the next turn of the loop, because Send() must not call OnDown()
-  // of its own caller.
+  // Fails on the next turn of the loop, because the session must not be closed
+  // while it writes.
   void FailLater(FailureCode code, const std::string& detail);
 
   const LinkId id_;
@@ -128,6 +132,7 @@
   Failure reason_;
   bool up_reported_ = false;
   bool down_reported_ = false;
+  bool closed_locally_ = false;
   bool failure_pending_ = false;
   uint64_t sent_bytes_ = 0;
   uint64_t received_bytes_ = 0;
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -218,9 +218,18 @@
   ++end_counts_[std::string(FailureCodeName(reason.code))];
   // An accepted link was not reported to `events_` before its handshake
   // succeeded.
-  if (link->outgoing() || was_up) {
-    events_.on_down(link->id(), reason);
+  if (!link->outgoing() && !was_up) {
+    return;
   }
+  // A link can end from within Send(), for example when the peer has already
+  // closed it. A synchronous event would delete the link's state under the
+  // sender.
+  deferred_tasks_.Post([this, id = link->id(), reason] {
+    const auto found = links_.find(id);
+    if (found != links_.end() && !found->second->is_closed_locally()) {
+      events_.on_down(id, reason);
+    }
+  });
 }
 
 void WebSocketLinkLayer::OnReleased(WebSocketLink* link) {
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -112,7 +112,8 @@
   std::map<std::string, Traffic> ended_traffic_;
   std::map<std::string, uint64_t> end_counts_;
   std::function<void()> on_closed_;
-  // Tasks that must not run within the call that causes them.
+  // Tasks that must not run within the call that causes them. They run in
+  // order, so that the end of a link is reported before the link is destroyed.
   Mailbox<Task> deferred_tasks_;
 };
 
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -1,8 +1,5 @@
 #include "net/websocket_link_layer.h"
 
-#include <csignal>
-#include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -12,9 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "dragonflytack/base/event_loop.h"
-#include "dragonflytack/base/logger.h"
-#include "dragonflytack/base/system_clock.h"
+#include "link_fixture.h"
 
 namespace dragonflytack {
 
@@ -24,96 +19,6 @@
     "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
     "Upgrade\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
     "Sec-WebSocket-Version: 13\r\n\r\n";
-constexpr char kKey[] = "0123456789abcdef";
-
-// Each test runs in its own process, several at a time, and other programs use
-// ports above 32768 on 127.0.0.1. So each process uses its own address.
-std::string ProcessAddress() {
-  const int pid = getpid();
-  return "127." + std::to_string(1 + (pid >> 14) % 200) + "." +
-         std::to_string((pid >> 7) & 127) + "." +
-         std::to_string(1 + (pid & 127));
-}
-
-// A node with a link layer, and the events that the layer reported.
-struct LinkNode {
-  LinkNode(EventLoop* loop, Logger* logger, int index, LinkOptions options)
-      : address{ProcessAddress(), static_cast<uint16_t>(21'000 + index)} {
-    self.id = "n" + std::to_string(index);
-    self.region = "r";
-    self.data_centre = "d" + std::to_string(index);
-    self.address = address.address;
-    Failure reason;
-    layer = WebSocketLinkLayer::Make(loop, address, std::move(options), logger,
-                                     &reason);
-    cr_assert(layer != nullptr, "%s", reason.ToString().c_str());
-    layer->set_events(
-        {[this]() -> const NodeRecord& { return self; },
-         [this](LinkId id, const NodeRecord& peer, bool outgoing) {
-           link = id;
-           peers.push_back(peer.id + (outgoing ? " out" : " in"));
-         },
-         [this](LinkId, std::string_view frame) { frames.emplace_back(frame); },
-         [this](LinkId, const Failure& why) { downs.push_back(why); }});
-  }
-
-  uint64_t EndCount(const char* code) const {
-    const auto found = layer->end_counts().find(code);
-    return found == layer->end_counts().end() ? 0 : found->second;
-  }
-
-  HostPort address;
-  NodeRecord self;
-  std::unique_ptr<WebSocketLinkLayer> layer;
-  LinkId link = 0;
-  std::vector<std::string> peers;
-  std::vector<std::string> frames;
-  std::vector<Failure> downs;
-};
-
-LinkOptions OptionsWithKey(const std::string& key = kKey) {
-  LinkOptions options;
-  options.shared_key = key;
-  return options;
-}
-
-struct LinkFixture {
-  explicit LinkFixture(const LinkOptions& first = OptionsWithKey(),
-                       const LinkOptions& second = OptionsWithKey())
-      : loop(EventLoop::Make(&clock)),
-        a(loop.get(), &logger, 0, first),
-        b(loop.get(), &logger, 1, second) {
-    // A write to a connection that the peer closed raises SIGPIPE.
-    std::signal(SIGPIPE, SIG_IGN);
-  }
-
-  // Runs the loop until `done` returns true, for at most 5 s. Returns whether
-  // it did.
-  bool Run(const std::function<bool()>& done) {
-    bool reached = false;
-    const TimePoint end = clock.Now() + Milliseconds(5000);
-    const TimerId timer = loop->timers().SubscribeEvery(Milliseconds(1), [&] {
-      reached = done();
-      if (reached || clock.Now() > end) {
-        loop->Stop();
-      }
-    });
-    loop->Run();
-    loop->timers().Cancel(timer);
-    return reached;
-  }
-
-  bool LinkUp() {
-    a.layer->Connect(b.address);
-    return Run([this] { return a.link != 0 && b.link != 0; });
-  }
-
-  SystemClock clock;
-  Logger logger{&clock, LogLevel::kError, ""};
-  std::unique_ptr<EventLoop> loop;
-  LinkNode a;
-  LinkNode b;
-};
 
 // Opens a plain TCP connection, sends `bytes` and returns the socket.
 int ConnectRaw(const HostPort& peer, const std::string& bytes) {
@@ -160,11 +65,11 @@
     const char* first;
     const char* second;
     bool up;
-  } cases[] = {{kKey, kKey, true},
+  } cases[] = {{kLinkKey, kLinkKey, true},
                {"", "", true},
-               {kKey, "fedcba9876543210", false},
-               {kKey, "", false},
-               {"", kKey, false}};
+               {kLinkKey, "fedcba9876543210", false},
+               {kLinkKey, "", false},
+               {"", kLinkKey, false}};
   for (const auto& keys : cases) {
     LinkFixture fixture(OptionsWithKey(keys.first),
                         OptionsWithKey(keys.second));
