End a link when the peer's close frame arrives

What callers saw: nothing directly. A node that had dialled a peer counted the link as up until the peer's stream ended, although the peer had closed it. All frames for it were lost, and the first one ended the link as a protocol error ("invalid state") instead of a planned close.

Cause: a client connection of websocketpp answers a close frame, but calls its close handler only at the end of the stream. The session now looks for the peer's close code after each read, so EndOfStream() is not needed any more.

Evidence: close_frame_ends_link_before_end_of_stream fails before (the link is still up) and passes with this commit.

--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -181,9 +181,6 @@
   // Bytes that arrived before the end of the stream may contain the peer's
   // close reason.
   OnReadable(socket, self);
-  if (link->session_ != nullptr) {
-    link->session_->EndOfStream();
-  }
   if ((what & BEV_EVENT_EOF) != 0) {
     link->Fail(FailureCode::kPeerUnreachable, "the peer closed the connection");
   } else {
--- a/src/net/websocketpp_session.cc
+++ b/src/net/websocketpp_session.cc
@@ -85,7 +85,6 @@
   virtual ~Impl() = default;
   virtual void Start() = 0;
   virtual void Read(const char* data, size_t size) = 0;
-  virtual void EndOfStream() = 0;
   virtual void Send(const std::string& payload) = 0;
   virtual void Close(const std::string& reason) = 0;
   virtual void SetMaxMessageBytes(size_t size) = 0;
@@ -140,15 +139,9 @@
 
   void Read(const char* data, size_t size) override {
     const size_t taken = connection_->read_all(data, size);
-    if (taken < size && !ended_) {
-      EndWithError();
-    }
-  }
-
-  void EndOfStream() override {
-    // A client connection of websocketpp handles the peer's close frame only
-    // once the stream has ended.
-    if (HasPeerClosed()) {
+    // A client connection of websocketpp calls its close handler only once the
+    // stream has ended, but accepts no message after the peer's close frame.
+    if (taken < size || HasPeerClosed()) {
       EndWithError();
     }
   }
@@ -253,10 +246,6 @@
   impl_->Read(data, size);
 }
 
-void WebsocketppSession::EndOfStream() {
-  impl_->EndOfStream();
-}
-
 void WebsocketppSession::Send(const std::string& payload) {
   impl_->Send(payload);
 }
--- a/src/net/websocketpp_session.h
+++ b/src/net/websocketpp_session.h
@@ -55,9 +55,6 @@
   // destroy the session from within that call.
   void Read(const char* data, size_t size);
 
-  // Must be called when the peer has ended the byte stream.
-  void EndOfStream();
-
   // Sends a binary message.
   void Send(const std::string& payload);
 
--- a/tests/link_end_test.cc
+++ b/tests/link_end_test.cc
@@ -84,6 +84,16 @@
   cr_assert(fixture.Run([&] { return core.Status().links.empty(); }));
 }
 
+// Guards against a link that counts as up after the peer has closed it, so that
+// frames for it are lost until the end of the stream.
+Test(link_end, close_frame_ends_link_before_end_of_stream) {
+  ClosedByPeer fixture;
+  fixture.LinkUpAndClose();
+  cr_assert_eq(fixture.a.downs.size(), 1u);
+  cr_assert(fixture.a.downs[0].code == FailureCode::kCancelled, "%s",
+            fixture.a.downs[0].ToString().c_str());
+}
+
 // Guards against events from within a call of the link layer, at queue limits
 // and with links that either side closes at any moment.
 Test(link_end, no_event_is_reported_from_within_a_call) {
