Check lookups of nodes that the overlay names

MakeOwnSeedEntry() dereferenced the result of Registry::Find() for a name of the overlay, and RegionPeers() used at() for the own region. The overlay is computed in Refresh(), the registry changes in between.

--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -319,8 +319,11 @@
   const auto own_ranks = ranks.find(settings_.data_centre);
   if (own_ranks != ranks.end()) {
     for (const NodeId& id : own_ranks->second) {
-      const RegistryEntry* entry = registry_.Find(id);
-      own_seeds.peers.push_back(HostPort{entry->address, entry->peer_port});
+      // The overlay is updated by Refresh(), so that it can name a node that
+      // the registry has removed since.
+      if (const RegistryEntry* entry = registry_.Find(id)) {
+        own_seeds.peers.push_back(HostPort{entry->address, entry->peer_port});
+      }
     }
   }
   // A listed peer without a live node in the registry may belong to another
--- a/src/distribution/link_manager.cc
+++ b/src/distribution/link_manager.cc
@@ -97,8 +97,12 @@
     if (overlay_.data_centre_rank != 0) {
       return peers;
     }
+    const auto own_ranks = overlay_.region_ranks.find(*own->region);
+    if (own_ranks == overlay_.region_ranks.end()) {
+      return peers;
+    }
+    const std::vector<NodeId>& ranks = own_ranks->second;
     for (size_t i = 0; i < Overlay::kGateways; ++i) {
-      const std::vector<NodeId>& ranks = overlay_.region_ranks.at(*own->region);
       const RegistryEntry* gateway =
           i < ranks.size() ? registry_->Find(ranks[i]) : nullptr;
       if (gateway != nullptr && (gateway->data_centre == own->data_centre ||
