--- a/tests/fake_network.h
+++ b/tests/fake_network.h
@@ -35,6 +35,10 @@
   double drop = 0;
   double duplicate = 0;
   bool reorder = false;
+  // Share of sends, 0 to 1, that end the link. Both cores receive the event
+  // right after the call that sent, which is the earliest moment that LinkLayer
+  // allows.
+  double end_on_send = 0;
   // Returns whether no frame passes between two hosts.
   std::function<bool(const HostPort&, const HostPort&)> is_partitioned =
       [](const HostPort&, const HostPort&) { return false; };
@@ -182,12 +186,30 @@
     }
   }
 
+  // Ends one end of a link by a failure.
+  void End(LinkId link) {
+    peers_.erase(link);
+    events_.emplace(
+        TimePoint::min(),
+        std::pair(link_hosts_[link], [this, link](DistributionCore* core) {
+          if (!closed_.contains(link)) {
+            core->OnLinkDown(link,
+                             {FailureCode::kPeerUnreachable, "peer", "ended"});
+          }
+        }));
+  }
+
   void Send(LinkId link, std::string frame) {
     const auto found = peers_.find(link);
     if (found == peers_.end() || blackholed_.contains(link)) {
       return;
     }
     const LinkId to = found->second;
+    if (end_on_send > 0 && random_.Unit() < end_on_send) {
+      End(link);
+      End(to);
+      return;
+    }
     const int copies =
         random_.Unit() < drop ? 0 : (random_.Unit() < duplicate ? 2 : 1);
     for (int i = 0; i < copies; ++i) {
