Start no link after the link layer has shut down

Its calls had ended before.

Cause: WebSocketLinkLayer::Shutdown() closes all links and waits until none is left, but Connect() still added new ones. The core dials a replacement for each ring neighbour that it loses, also for those of this shutdown.

The test fails before (the shutdown does not end within 5 s) and passes with this commit. Connect() now fails with kCancelled.

--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -83,6 +83,14 @@
 }
 
 LinkId WebSocketLinkLayer::Connect(const HostPort& peer) {
+  if (listener_ == nullptr) {
+    const LinkId refused = next_id_++;
+    deferred_tasks_.Post([this, refused, peer] {
+      events_.on_down(refused, {FailureCode::kCancelled, peer.ToString(),
+                                "this node is stopping"});
+    });
+    return refused;
+  }
   const LinkId id = Add(-1, /*outgoing=*/true, peer)->id();
   StartLater(id);
   return id;
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -58,7 +58,9 @@
   void Send(LinkId link, std::string frame) override;
   size_t QueuedBytes(LinkId link) const override;
 
-  // Stops accepting links, and closes all links after sending their queues.
+  // Stops accepting and starting links, and closes all links after sending
+  // their queues. A later Connect() fails: the core still replaces lost links,
+  // and a new one would delay the end of the stop until its peer closes it.
   // Calls `on_closed` when all links are closed, at the latest after the linger
   // timeout.
   void Shutdown(std::function<void()> on_closed);
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -235,6 +235,21 @@
   cr_assert(fixture.a.downs.empty() && fixture.a.frames.empty());
 }
 
+// Guards against a stop that does not end because the core dials a peer after
+// its links were closed.
+Test(websocket_link_layer, connect_after_shutdown_does_not_delay_its_end) {
+  LinkFixture fixture;
+  cr_assert(fixture.LinkUp());
+  bool closed = false;
+  fixture.a.layer->Shutdown([&] { closed = true; });
+  fixture.a.layer->Connect(fixture.b.address);
+  cr_assert(fixture.a.downs.empty());
+  cr_assert(fixture.Run([&] { return closed; }));
+  cr_assert(fixture.Run([&] { return fixture.a.downs.size() == 1; }));
+  cr_assert(fixture.a.downs[0].code == FailureCode::kCancelled);
+  cr_assert_eq(fixture.b.peers.size(), 1u);
+}
+
 // Guards against events within Connect(), events for closed links, and missing
 // events.
 Test(websocket_link_layer,
