Write a log line with the stack when the process ends by a fault

A process that ended by a signal wrote nothing: its log stopped in the middle, as after SIGKILL or a loss of power, and neither the kind of the fault nor its place was known.

Now SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT and std::terminate() write one line `crashed` with the signal, the thread, the address, the type of an uncaught exception, and the stack as offsets that addr2line resolves. Both threads of the daemon have an alternate signal stack, so that a stack overflow is reported too.

The page test of the log events now also finds lines that are written without the logger.

--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -23,6 +23,7 @@
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/base/mailbox.h"
 #include "dragonflytack/base/settings.h"
+#include "dragonflytack/base/signal_stack.h"
 #include "dragonflytack/routing/route_snapshot.h"
 #include "routing/router.h"
 
@@ -145,7 +146,10 @@
     if (mesh_server_ == nullptr) {
       return false;
     }
-    thread_ = std::thread([this] { loop_->Run(); });
+    thread_ = std::thread([this] {
+      const SignalStack signal_stack;
+      loop_->Run();
+    });
     return true;
   }
 
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -11,8 +11,10 @@
 #include <boost/program_options/variables_map.hpp>
 
 #include "daemon/control_task.h"
+#include "dragonflytack/base/crash_handler.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/base/settings.h"
+#include "dragonflytack/base/signal_stack.h"
 #include "dragonflytack/base/system_clock.h"
 
 namespace dragonflytack {
@@ -86,6 +88,8 @@
   environment.reload = [config](Failure* failure) {
     return Settings::Load(config, failure);
   };
+  const SignalStack signal_stack;
+  CrashHandler::Install(settings->node_id);
   const SystemClock clock;
   Logger logger(&clock, settings->log_level, settings->node_id);
   const std::unique_ptr<ControlTask> task =
--- a/tests/metrics_page_test.cc
+++ b/tests/metrics_page_test.cc
@@ -140,6 +140,10 @@
                    found[call[3]].insert(level);
                  });
   });
+  // The crash handler writes its line without the logger.
+  ForEachMatch(
+      sources, R"re("level":"([a-z]+)","event":"([a-z_]+)")re",
+      [&](const std::smatch& line) { found[line[2]].insert(line[1]); });
   ExpectSame(found, ReadPage("docs/logs.md"));
 }
 
