Log how a stop ends and how many calls it cuts off

`stop_requested` now has the calls in progress and whether the stop had already begun; `ended` has the outcome (drained, drain_timeout, second_signal, call_ports_failed) and the calls that are cut off. The counts are also the gauge dragonflytack_calls_in_progress by side.

The reader of the log in logger_test.cc is now tests/output_pipe.h, unchanged.

--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -45,6 +45,14 @@
     std::function<void()> on_target_lost;
   };
 
+  // Calls that have no response yet.
+  struct CallsInProgress {
+    // Those that arrived at the call port.
+    int64_t entry = 0;
+    // Those for the local target.
+    int64_t target = 0;
+  };
+
   // Binds the ports and starts the thread. Returns null if a port cannot be
   // bound. The pointers must outlive the task. `incarnation` is that of this
   // node's record.
@@ -64,6 +72,9 @@
   CallTask(const CallTask&) = delete;
   CallTask& operator=(const CallTask&) = delete;
 
+  // May be called from any thread.
+  CallsInProgress calls_in_progress() const;
+
   // Messages to the task; they may be posted from any thread.
 
   // Puts a snapshot in force for all calls that arrive after this message.
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -117,6 +117,7 @@
   auto owned = std::make_unique<Call>(this, request);
   Call* call = owned.get();
   calls_.emplace(call, std::move(owned));
+  context_->metrics->entry_calls()->Set(static_cast<int64_t>(calls_.size()));
   if (std::optional<CallResult> refusal = Prepare(request, call)) {
     context_->metrics->CountFailure("entry", refusal->reason);
     const auto& routes = context_->router->routes();
@@ -323,6 +324,7 @@
   const auto found = calls_.find(call);
   context_->deleter->Add(std::shared_ptr<void>(std::move(found->second)));
   calls_.erase(found);
+  context_->metrics->entry_calls()->Set(static_cast<int64_t>(calls_.size()));
   on_call_ended_();
 }
 
--- a/src/calls/call_metrics.cc
+++ b/src/calls/call_metrics.cc
@@ -4,8 +4,20 @@
 
 namespace dragonflytack {
 
+namespace {
+
+Gauge* GetCallsInProgress(MetricsRegistry* registry, const char* side) {
+  return registry->GetGauge("dragonflytack_calls_in_progress",
+                            "Calls that have no response yet",
+                            {{"side", side}});
+}
+
+}  // namespace
+
 CallMetrics::CallMetrics(MetricsRegistry* registry)
     : registry_(registry),
+      entry_calls_(GetCallsInProgress(registry, "entry")),
+      target_calls_(GetCallsInProgress(registry, "target")),
       queue_length_(
           registry->GetGauge("dragonflytack_queue_length",
                              "Calls that wait for a slot of the local target")),
--- a/src/calls/call_metrics.h
+++ b/src/calls/call_metrics.h
@@ -37,6 +37,10 @@
   // disconnected, by its reason. `side` is "entry" or "target".
   void CountFailure(const char* side, CallReason reason);
 
+  // Calls that arrived at the call port and have no response yet.
+  Gauge* entry_calls() { return entry_calls_; }
+  // Calls for the local target that have no response yet.
+  Gauge* target_calls() { return target_calls_; }
   Gauge* queue_length() { return queue_length_; }
   Gauge* slots_in_use() { return slots_in_use_; }
   Gauge* one_time_records() { return one_time_records_; }
@@ -44,6 +48,8 @@
  private:
   MetricsRegistry* const registry_;
   std::unordered_map<std::string, Service> services_;
+  Gauge* const entry_calls_;
+  Gauge* const target_calls_;
   Gauge* const queue_length_;
   Gauge* const slots_in_use_;
   Gauge* const one_time_records_;
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -153,6 +153,10 @@
     return true;
   }
 
+  CallsInProgress calls_in_progress() {
+    return {metrics_.entry_calls()->value(), metrics_.target_calls()->value()};
+  }
+
   void Post(Message message) { mailbox_.Post(std::move(message)); }
 
  private:
@@ -319,6 +323,10 @@
   return std::unique_ptr<CallTask>(new CallTask(std::move(impl)));
 }
 
+CallTask::CallsInProgress CallTask::calls_in_progress() const {
+  return impl_->calls_in_progress();
+}
+
 void CallTask::PostRoutes(std::shared_ptr<const RouteSnapshot> routes) {
   impl_->Post(std::move(routes));
 }
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -67,6 +67,7 @@
   auto owned = std::make_unique<Call>(this, request);
   Call* call = owned.get();
   calls_.emplace(call, std::move(owned));
+  context_->metrics->target_calls()->Set(static_cast<int64_t>(calls_.size()));
   std::optional<CallResult> refusal = AdmitAttempt(call);
   if (!refusal) {
     refusal = Validate(call);
@@ -470,6 +471,7 @@
   const auto found = calls_.find(call);
   context_->deleter->Add(std::shared_ptr<void>(std::move(found->second)));
   calls_.erase(found);
+  context_->metrics->target_calls()->Set(static_cast<int64_t>(calls_.size()));
   on_call_ended_();
 }
 
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -194,7 +194,11 @@
   core_->Start();
   loop_->timers().SubscribeEvery(kTrimPeriod, [] { malloc_trim(0); });
   loop_->Run();
-  logger_->Info("ended", {{"exit_code", int64_t{exit_code_}}});
+  const CallTask::CallsInProgress cut_off = CallsInProgress();
+  logger_->Info("ended", {{"exit_code", int64_t{exit_code_}},
+                          {"outcome", std::string(outcome_)},
+                          {"entry_calls", cut_off.entry},
+                          {"target_calls", cut_off.target}});
   return exit_code_;
 }
 
@@ -222,7 +226,7 @@
   Failure reason;
   if (!MakeCallTask(&reason)) {
     logger_->Error("call_ports_failed", {{"reason", reason.ToString()}});
-    StopLoop(1);
+    StopLoop(1, "call_ports_failed");
     return;
   }
   call_task_->PostRoutes(std::move(routes));
@@ -305,13 +309,17 @@
 }
 
 void ControlTask::BeginStop(int signal) {
-  logger_->Info("stop_requested", {{"signal", int64_t{signal}}});
+  const CallTask::CallsInProgress in_progress = CallsInProgress();
+  logger_->Info("stop_requested", {{"signal", int64_t{signal}},
+                                   {"repeated", stopping_},
+                                   {"entry_calls", in_progress.entry},
+                                   {"target_calls", in_progress.target}});
   if (std::exchange(stopping_, true)) {
     // A node may be part of two planned stops, each of which sends SIGTERM.
     // Only SIGINT, sent from a terminal, requests an immediate end; automation
     // uses SIGKILL for that.
     if (signal == SIGINT) {
-      StopLoop(1);
+      StopLoop(1, "second_signal");
     }
     return;
   }
@@ -327,10 +335,15 @@
       Milliseconds(settings_.drain_timeout_ms) + kHandoverGracePeriod, [this] {
         logger_->Error("drain_timeout",
                        {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
-        StopLoop(1);
+        StopLoop(1, "drain_timeout");
       });
 }
 
+CallTask::CallsInProgress ControlTask::CallsInProgress() const {
+  return call_task_ == nullptr ? CallTask::CallsInProgress()
+                               : call_task_->calls_in_progress();
+}
+
 void ControlTask::OnNoMoreCallers() {
   if (stopping_ && call_task_ != nullptr) {
     call_task_->PostNoMoreCallers();
@@ -338,13 +351,16 @@
 }
 
 void ControlTask::OnCallsStopped(const NodeId& successor) {
-  const int exit_code = clock_->Now() < stop_deadline_ ? 0 : 1;
+  const bool in_time = clock_->Now() < stop_deadline_;
   core_->AnnounceSuccessor(successor);
-  links_->Shutdown([this, exit_code] { StopLoop(exit_code); });
+  links_->Shutdown([this, in_time] {
+    StopLoop(in_time ? 0 : 1, in_time ? "drained" : "drain_timeout");
+  });
 }
 
-void ControlTask::StopLoop(int exit_code) {
+void ControlTask::StopLoop(int exit_code, std::string_view outcome) {
   exit_code_ = exit_code;
+  outcome_ = outcome;
   loop_->Stop();
 }
 
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "daemon/admin_api.h"
 #include "daemon/admin_server.h"
@@ -81,7 +82,9 @@
   // Called when callers are no longer directed to this node.
   void OnNoMoreCallers();
   void OnCallsStopped(const NodeId& successor);
-  void StopLoop(int exit_code);
+  // `outcome` is the cause of the end for the log.
+  void StopLoop(int exit_code, std::string_view outcome);
+  CallTask::CallsInProgress CallsInProgress() const;
 
   Settings settings_;
   const Environment environment_;
@@ -114,6 +117,7 @@
   // When the calls that are still in flight are aborted.
   TimePoint stop_deadline_;
   int exit_code_ = 0;
+  std::string_view outcome_;
   // Destroyed first: its thread posts to the mailbox.
   std::unique_ptr<CallTask> call_task_;
 };
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -14,6 +14,7 @@
 #include "call_fixture.h"
 #include "dragonflytack/base/admin_authorization.h"
 #include "dragonflytack/base/logger.h"
+#include "log_reader.h"
 #include "raw_server.h"
 #include "store/store_standin.h"
 
@@ -31,8 +32,10 @@
 // control and call tasks.
 class NodeFixture {
  public:
-  explicit NodeFixture(ScriptedTarget::Script script)
-      : address_(LoopbackAddress(0)),
+  explicit NodeFixture(ScriptedTarget::Script script,
+                       LogLevel log_level = LogLevel::kError)
+      : logger_(&clock_, log_level, ""),
+        address_(LoopbackAddress(0)),
         target_(address_, 7005, std::move(script)),
         store_loop_(EventLoop::Make(&clock_)) {
     Failure reason;
@@ -139,7 +142,7 @@
 
   std::atomic<int> reloads_ = 0;
   const SystemClock clock_;
-  Logger logger_{&clock_, LogLevel::kError, ""};
+  Logger logger_;
   const std::string address_;
   ScriptedTarget target_;
   const std::unique_ptr<EventLoop> store_loop_;
@@ -151,6 +154,12 @@
   int exit_code_ = -1;
 };
 
+// Expects the counts of calls in progress of a line.
+void ExpectCalls(const nlohmann::json& line, int entry, int target) {
+  cr_expect(line["entry_calls"] == entry && line["target_calls"] == target,
+            "%s", line.dump().c_str());
+}
+
 bool RespondLate(int fd, const std::string& /*head*/, int /*n*/) {
   std::this_thread::sleep_for(Milliseconds(300));
   return ScriptedTarget::Respond(fd, "late");
@@ -211,6 +220,57 @@
   cr_expect(std::chrono::steady_clock::now() - start >= Milliseconds(1000));
 }
 
+// Guards against a log that does not show whether a stop ended the calls that
+// were in progress when it began.
+Test(control_task, log_names_the_calls_and_the_end_of_a_graceful_stop) {
+  LogReader log;
+  std::atomic<bool> released = false;
+  NodeFixture fixture(
+      [&released](int fd, const std::string&, int) {
+        released.wait(false);
+        return ScriptedTarget::Respond(fd, "ok");
+      },
+      LogLevel::kInfo);
+  const std::unique_ptr<Socket> call = fixture.BeginCall();
+  raise(SIGTERM);
+  const nlohmann::json requested = log.WaitFor("stop_requested");
+  released = true;
+  released.notify_all();
+  cr_expect(requested["signal"] == SIGTERM && requested["repeated"] == false);
+  ExpectCalls(requested, 1, 1);
+  cr_expect_eq(call->Receive(kReceiveTimeout).status, 200);
+  cr_expect_eq(fixture.Join(), 0);
+  const nlohmann::json ended = log.WaitFor("ended");
+  cr_expect(ended["exit_code"] == 0 && ended["outcome"] == "drained", "%s",
+            ended.dump().c_str());
+  ExpectCalls(ended, 0, 0);
+}
+
+// Guards against a stop that is cut short by a second signal or by the drain
+// timeout and looks alike in the log, or hides how many calls it ended.
+Test(control_task, log_names_the_calls_that_a_stop_cuts_off) {
+  for (const bool second_signal : {true, false}) {
+    LogReader log;
+    NodeFixture fixture(NeverRespond, LogLevel::kInfo);
+    const std::unique_ptr<Socket> call = fixture.BeginCall();
+    raise(SIGTERM);
+    log.WaitFor("stop_requested");
+    if (second_signal) {
+      raise(SIGINT);
+      const nlohmann::json repeated = log.WaitFor("stop_requested", 2);
+      cr_expect(repeated["signal"] == SIGINT && repeated["repeated"] == true);
+      ExpectCalls(repeated, 1, 1);
+    }
+    cr_expect_eq(fixture.Join(), 1);
+    const nlohmann::json ended = log.WaitFor("ended");
+    cr_expect(ended["exit_code"] == 1 &&
+                  ended["outcome"] ==
+                      (second_signal ? "second_signal" : "drain_timeout"),
+              "%s", ended.dump().c_str());
+    ExpectCalls(ended, 1, 1);
+  }
+}
+
 // Guards against malformed admin requests that terminate the process, and
 // against responses without the fields that operators and the tool read.
 Test(control_task, admin_port_rejects_malformed_requests_and_shows_the_node) {
--- a/tests/logger_test.cc
+++ b/tests/logger_test.cc
@@ -1,10 +1,6 @@
 #include "dragonflytack/base/logger.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <climits>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -12,51 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflytack/base/manual_clock.h"
+#include "output_pipe.h"
 
 namespace dragonflytack {
 
-namespace {
-
-// Captures the standard output of the process while it exists.
-class OutputPipe final {
- public:
-  OutputPipe() : saved_stdout_(dup(STDOUT_FILENO)) {
-    cr_assert_eq(pipe(ends_), 0);
-    dup2(ends_[1], STDOUT_FILENO);
-    fcntl(ends_[0], F_SETFL, O_NONBLOCK);
-  }
-  ~OutputPipe() {
-    dup2(saved_stdout_, STDOUT_FILENO);
-    for (const int end : {ends_[0], ends_[1], saved_stdout_}) {
-      close(end);
-    }
-  }
-  OutputPipe(const OutputPipe&) = delete;
-  OutputPipe& operator=(const OutputPipe&) = delete;
-
-  std::vector<std::string> TakeLines() {
-    char bytes[65'536];
-    std::string text;
-    for (ssize_t count = 0;
-         (count = read(ends_[0], bytes, sizeof(bytes))) > 0;) {
-      text.append(bytes, static_cast<size_t>(count));
-    }
-    std::vector<std::string> lines;
-    std::istringstream stream(text);
-    for (std::string line; std::getline(stream, line);) {
-      lines.push_back(line);
-    }
-    cr_expect(text.empty() || text.back() == '\n');
-    return lines;
-  }
-
- private:
-  const int saved_stdout_;
-  int ends_[2] = {};
-};
-
-}  // namespace
-
 // Guards against callers that forge a log line or corrupt the next one by
 // sending control bytes, text that looks like JSON, or megabytes of text.
 Test(logger, untrusted_text_stays_within_its_line) {
