Log calls whose connection ends without a response

A call at the call port whose connection ended before its response was only counted, with one reason for every cause, and a call that a stop cut off left no line at all.

`caller_disconnected` names the call, whether the caller or this node closed the connection, and whether a target may have received the call. `call_failed` with the reason `stopping` names each call that a stop cuts off; `ended` comes after these lines, because the call task is now destroyed before it.

--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -67,6 +67,10 @@
   return {std::string(uri.substr(1, end - 1)), std::move(rest)};
 }
 
+int64_t ToMillis(TimePoint::duration time) {
+  return std::chrono::duration_cast<Milliseconds>(time).count();
+}
+
 }  // namespace
 
 class CallEntry::Call final {
@@ -86,6 +90,11 @@
   const CallRequest& request() const {
     return keyed != nullptr ? keyed->request() : routed->request();
   }
+  // Whether a target may have received the call.
+  bool maybe_dispatched() const {
+    return keyed != nullptr ? keyed->maybe_forwarded()
+                            : routed->maybe_dispatched();
+  }
 };
 
 CallEntry::CallEntry(const CallContext* context,
@@ -97,15 +106,17 @@
 
 CallEntry::~CallEntry() {
   for (auto& [pointer, call] : calls_) {
-    const bool dispatched =
-        (call->routed != nullptr && call->routed->maybe_dispatched()) ||
-        (call->keyed != nullptr && call->keyed->maybe_forwarded());
+    const bool dispatched = call->maybe_dispatched();
+    CallResult result =
+        dispatched
+            ? CallResult::Unknown(CallReason::kStopping, "the node is stopping")
+            : CallResult::Refused(CallReason::kStopping,
+                                  "the node is stopping");
+    context_->metrics->CountFailure("entry", result.reason);
+    LogFailure(call->request(), result);
     call->routed.reset();
     call->keyed.reset();
-    if (dispatched) {
-      call->inbound.Reply(
-          CallResult::Unknown(CallReason::kStopping, "the node is stopping"));
-    }
+    call->inbound.Reply(result);
   }
 }
 
@@ -285,12 +296,8 @@
        {"outcome", std::string(CallOutcomeName(result.outcome))},
        {"reason", std::string(CallReasonName(result.reason))},
        {"detail", result.detail},
-       {"after_ms", int64_t{std::chrono::duration_cast<Milliseconds>(
-                                clock.Now() - request.start)
-                                .count()}},
-       {"deadline_ms", int64_t{std::chrono::duration_cast<Milliseconds>(
-                                   request.deadline - request.start)
-                                   .count()}},
+       {"after_ms", ToMillis(clock.Now() - request.start)},
+       {"deadline_ms", ToMillis(request.deadline - request.start)},
        {"endpoints", static_cast<uint64_t>(request.pool->size())},
        {"table", uint64_t{context_->router->routes()->version}}});
 }
@@ -310,6 +317,17 @@
 
 void CallEntry::OnCallerDisconnected(Call* call) {
   context_->metrics->CountFailure("entry", CallReason::kCallerDisconnected);
+  const CallRequest& request = call->request();
+  const TimePoint now = context_->loop->clock().Now();
+  context_->logger->Info(
+      "caller_disconnected",
+      {{"call", request.call_id},
+       {"service", request.route->row.service},
+       {"cause", call->inbound.closed_by_peer() ? "closed by the caller"
+                                                : "closed by this node"},
+       {"dispatched", call->maybe_dispatched()},
+       {"after_ms", ToMillis(now - request.start)},
+       {"deadline_ms", ToMillis(request.deadline - request.start)}});
   if (call->span != nullptr) {
     call->span->End(CallReasonName(CallReason::kCallerDisconnected));
   }
--- a/src/calls/inbound_call.cc
+++ b/src/calls/inbound_call.cc
@@ -1,5 +1,8 @@
 #include "calls/inbound_call.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <string>
 #include <utility>
 
@@ -21,6 +24,16 @@
       .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// Returns whether the end of the stream or an error of the socket has come from
+// the peer. Otherwise the connection is still open at the peer.
+bool IsClosedByPeer(evhttp_connection* connection) {
+  const evutil_socket_t socket =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  char byte = 0;
+  const ssize_t size = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 }  // namespace
 
 InboundCall::InboundCall(evhttp_request* request,
@@ -102,8 +115,9 @@
   evbuffer_free(buffer);
 }
 
-void InboundCall::OnClosed(evhttp_connection* /*connection*/, void* self) {
+void InboundCall::OnClosed(evhttp_connection* connection, void* self) {
   auto* call = static_cast<InboundCall*>(self);
+  call->closed_by_peer_ = IsClosedByPeer(connection);
   call->connection_ = nullptr;
   const std::function<void()> on_disconnect =
       std::exchange(call->on_disconnect_, nullptr);
--- a/src/calls/inbound_call.h
+++ b/src/calls/inbound_call.h
@@ -36,6 +36,9 @@
   evkeyvalq* response_headers() const {
     return evhttp_request_get_output_headers(request_);
   }
+  // Set when `on_disconnect` is called: whether the peer closed the connection
+  // or its sending direction, and not this node.
+  bool closed_by_peer() const { return closed_by_peer_; }
   bool replied() const { return request_ == nullptr; }
 
   // Sends the result: the unchanged response of the target, or a JSON body
@@ -55,6 +58,7 @@
   const CallHeaderCodec* const header_codec_;
   evhttp_connection* connection_;
   std::function<void()> on_disconnect_;
+  bool closed_by_peer_ = false;
 };
 
 }  // namespace dragonflytack
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -195,6 +195,8 @@
   loop_->timers().SubscribeEvery(kTrimPeriod, [] { malloc_trim(0); });
   loop_->Run();
   const CallTask::CallsInProgress cut_off = CallsInProgress();
+  // Logs each call that is cut off.
+  call_task_.reset();
   logger_->Info("ended", {{"exit_code", int64_t{exit_code_}},
                           {"outcome", std::string(outcome_)},
                           {"entry_calls", cut_off.entry},
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -268,9 +268,36 @@
                       (second_signal ? "second_signal" : "drain_timeout"),
               "%s", ended.dump().c_str());
     ExpectCalls(ended, 1, 1);
+    const nlohmann::json failed = log.WaitFor("call_failed");
+    cr_expect(failed["reason"] == "stopping" && failed["outcome"] == "unknown",
+              "%s", failed.dump().c_str());
+    cr_expect_eq(log.Find("call_failed").size(), 1u);
+    cr_expect_eq(log.Find("caller_disconnected").size(), 0u);
   }
 }
 
+// Guards against a call whose connection ends without a response and without a
+// line, so that a caller who gave up looks like a node that lost the call.
+Test(control_task, log_names_a_call_whose_caller_disconnects) {
+  LogReader log;
+  std::atomic<bool> released = false;
+  NodeFixture fixture(
+      [&released](int, const std::string&, int) {
+        released.wait(false);
+        return false;
+      },
+      LogLevel::kInfo);
+  fixture.BeginCall().reset();
+  const nlohmann::json line = log.WaitFor("caller_disconnected");
+  cr_expect(line["cause"] == "closed by the caller" && line["service"] == "s" &&
+                line["dispatched"] == true && line["deadline_ms"] == 60'000,
+            "%s", line.dump().c_str());
+  released = true;
+  released.notify_all();
+  raise(SIGTERM);
+  cr_expect_eq(fixture.Join(), 0);
+}
+
 // Guards against malformed admin requests that terminate the process, and
 // against responses without the fields that operators and the tool read.
 Test(control_task, admin_port_rejects_malformed_requests_and_shows_the_node) {
