--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -23,6 +23,7 @@
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/base/mailbox.h"
 #include "dragonflytack/base/settings.h"
+#include "dragonflytack/base/signal_stack.h"
 #include "dragonflytack/routing/route_snapshot.h"
 #include "routing/router.h"
 
@@ -145,10 +146,17 @@
     if (mesh_server_ == nullptr) {
       return false;
     }
-    thread_ = std::thread([this] { loop_->Run(); });
+    thread_ = std::thread([this] {
+      const SignalStack signal_stack;
+      loop_->Run();
+    });
     return true;
   }
 
+  CallsInProgress calls_in_progress() {
+    return {metrics_.entry_calls()->value(), metrics_.target_calls()->value()};
+  }
+
   void Post(Message message) { mailbox_.Post(std::move(message)); }
 
  private:
@@ -315,6 +323,10 @@
   return std::unique_ptr<CallTask>(new CallTask(std::move(impl)));
 }
 
+CallTask::CallsInProgress CallTask::calls_in_progress() const {
+  return impl_->calls_in_progress();
+}
+
 void CallTask::PostRoutes(std::shared_ptr<const RouteSnapshot> routes) {
   impl_->Post(std::move(routes));
 }
