Finish waiting calls after their service leaves the table

Callers saw all connections of a node end at once: if the row of the target's service was removed from the table while calls waited for a slot, the node beside the target ended by a segmentation fault as soon as a running call ended. The same happened if a deregistration without a service arrived while calls waited.

Cause: TargetProxy::OnRoutes() resets `route_` when the table has no such row, and Run() read the connection limit of a waiting call from it. Waiting calls were admitted under the row; nothing kept what they needed of it.

The proxy now keeps the connection limit of the last row beside the limits for slots and rate, which stayed in force already. The header states it.

Other reads of `route_` were checked: Validate() and StartOrEnqueue() run in one call after the check for null, ApplyLimits() is called with a row only.

--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -190,7 +190,7 @@
       Milliseconds(1));
   evhttp_request* in = call->inbound.request();
   call->exchange = context_->connections->Start(
-      {target_.address, target_.port}, route_->row.max_connections, remaining,
+      {target_.address, target_.port}, max_connections_, remaining,
       evhttp_request_get_command(in), evhttp_request_get_uri(in),
       [&](evhttp_request* out) {
         evkeyvalq* headers = evhttp_request_get_output_headers(out);
@@ -381,8 +381,9 @@
 void TargetProxy::ApplyLimits() {
   const ServiceRow& row = route_->row;
   const ServiceShare service_share = ServiceShare::Of(*route_, context_->node);
+  max_connections_ = row.max_connections;
   int limit = target_.slots > 0 ? target_.slots : row.slots;
-  limit = std::min(limit, row.max_connections);
+  limit = std::min(limit, max_connections_);
   if (row.max_concurrency > 0) {
     limit = std::min(limit, service_share.OfCount(row.max_concurrency));
   }
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -43,7 +43,9 @@
   // warming nor ready receives no new calls; queued and running calls finish.
   void SetTarget(const LocalTarget& target);
 
-  // Applies the row and the limits of the snapshot that is now in force.
+  // Applies the row and the limits of the snapshot that is now in force. If the
+  // table has no row of the target's service, new calls are refused; queued and
+  // running calls finish under the limits of the last row.
   void OnRoutes();
 
   // Starts the drain: new calls are refused as not run from now on.
@@ -93,6 +95,8 @@
   // such service.
   std::shared_ptr<const ServiceRoute> route_;
   bool draining_ = false;
+  // The limits of the last row, which also hold while `route_` is null.
+  int max_connections_ = 0;
   SlotLimiter slots_;
   RateLimiter rate_;
   WaitQueue<Call> queue_;
