Keep a node running when bytes arrive before the response

Any caller that sent bytes on its connection while the response to its last request was pending, for example the next request as a pipelining client does, ended the node with exit code 1: all its connections closed in one instant, and stderr showed "evhttp_read_cb: illegal connection state 7". The mesh port was affected too, because its calls use the same class.

Cause: evhttp disables reading while a response is pending, and its read callback calls event_errx() in that state. InboundCall enables reading again to detect a disconnect, but left the read callback in place. Two requests in one segment worked, since both were in the buffer before the first one was handled; this is the only case that a test covered.

InboundCall now removes the read callback while the response is pending. evhttp sets its callbacks again when it sends the response and then reads the buffered bytes. The limit for these bytes is unchanged.

Ruled out: connections to targets and nodes, for which evhttp itself removes the read callback while it writes.

--- a/src/calls/inbound_call.cc
+++ b/src/calls/inbound_call.cc
@@ -39,6 +39,14 @@
   // requests.
   bufferevent_setwatermark(bufev, EV_READ, 0,
                            2 * (kMaxBodyBytes + kMaxHeaderBytes));
+  // evhttp ends the process if its read callback is called while a response is
+  // pending. It sets its callbacks again when the response is sent, and then
+  // reads the bytes that arrived in the meantime.
+  bufferevent_data_cb on_write = nullptr;
+  bufferevent_event_cb on_event = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(bufev, nullptr, &on_write, &on_event, &argument);
+  bufferevent_setcb(bufev, nullptr, on_write, on_event, argument);
   bufferevent_enable(bufev, EV_READ);
 }
 
--- a/src/calls/inbound_call.h
+++ b/src/calls/inbound_call.h
@@ -14,7 +14,8 @@
 class CallHeaderCodec;
 
 // A request that one of this node's servers received and must respond to
-// exactly once. Detects if the peer disconnects before the response.
+// exactly once. Detects if the peer disconnects before the response. Bytes that
+// the peer sends in the meantime are read after the response.
 class InboundCall final {
  public:
   // `on_disconnect` is called from evhttp's callbacks at most once, and never
--- a/tests/call_task_changes_test.cc
+++ b/tests/call_task_changes_test.cc
@@ -1,4 +1,5 @@
-// Changes of the table and of the target while calls are in progress.
+// Changes of the table and the target, and bytes of callers, while calls are in
+// progress.
 
 #include "dragonflytack/calls/call_task.h"
 
@@ -80,4 +81,20 @@
   ExpectEqual(calls.queued().Receive(Milliseconds(1000)).body, "queued");
 }
 
+// Guards against a node that ends because a caller sends bytes before it has
+// received the response to its last request.
+Test(call_task, bytes_that_arrive_while_a_response_is_pending_are_read_later) {
+  QueuedCall calls;
+  const std::string next = CallFixture::Request("next", 1000);
+  const size_t half = next.size() / 2;
+  for (const std::string& part : {next.substr(0, half), next.substr(half)}) {
+    calls.running().Send(part);
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+  calls.EndRunningCall();
+  ExpectEqual(calls.running().Receive(Milliseconds(1000)).body, "running");
+  ExpectEqual(calls.running().Receive(Milliseconds(1000)).body, "next");
+  ExpectEqual(calls.queued().Receive(Milliseconds(1000)).body, "queued");
+}
+
 }  // namespace dragonflytack
