Refuse waiting calls when the target changes its service

A call that waited for a slot was sent to a target of another service if the target beside the node was replaced in the meantime: callers could receive the response of a service that they did not call. With a deregistration that names no service, the waiting calls were kept for a target that had left.

Cause: TargetProxy::SetTarget() replaces the target, but the calls in the queue were admitted for the earlier one and were started without a further check.

SetTarget() now refuses the queued calls as not run, with the same reason as new calls for another service, so that their nodes can retry them elsewhere. Running calls are not changed. The header states the rule.

--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -344,6 +344,17 @@
   ArmQueueTimer();
 }
 
+void TargetProxy::RefuseQueued() {
+  while (Call* call = queue_.Pop(ExpectedResponseTime())) {
+    context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
+    Reply(call,
+          CallResult::Refused(CallReason::kWrongService,
+                              "the local target serves another service now"));
+    Remove(call);
+  }
+  ArmQueueTimer();
+}
+
 void TargetProxy::ArmQueueTimer() {
   const std::optional<TimePoint> earliest = queue_.EarliestDeadline();
   context_->loop->timers().Cancel(queue_timer_);
@@ -363,6 +374,7 @@
   target_ = target;
   if (!same_service) {
     route_ = nullptr;
+    RefuseQueued();
   }
   OnRoutes();
 }
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -41,6 +41,7 @@
 
   // Sets the local target as it last announced itself. A target that is neither
   // warming nor ready receives no new calls; queued and running calls finish.
+  // If its service changes, the queued calls are refused as not run.
   void SetTarget(const LocalTarget& target);
 
   // Applies the row and the limits of the snapshot that is now in force. If the
@@ -76,6 +77,8 @@
   void RunQueued();
   // Refuses queued calls whose deadline can no longer be met.
   void ExpireQueued();
+  // Refuses all queued calls, which are for another service than the target's.
+  void RefuseQueued();
   void ArmQueueTimer();
   // Returns when the response to a call started now is expected.
   TimePoint ExpectedResponseTime() const;
--- a/tests/call_task_changes_test.cc
+++ b/tests/call_task_changes_test.cc
@@ -81,6 +81,22 @@
   ExpectEqual(calls.queued().Receive(Milliseconds(1000)).body, "queued");
 }
 
+// Guards against a waiting call that is sent to a target of another service,
+// because the target was replaced while the call waited.
+Test(call_task, waiting_call_is_refused_after_the_target_changes_its_service) {
+  QueuedCall calls;
+  calls.fixture().task(1)->PostTarget({"other", calls.fixture().Address(1),
+                                       CallFixture::kTargetPort,
+                                       TargetState::kReady, 0});
+  const HttpReply refused = calls.queued().Receive(Milliseconds(1000));
+  cr_expect_eq(refused.status, 503, "%d", refused.status);
+  ExpectEqual(refused.Header("x-outcome"), "not-run");
+  ExpectEqual(refused.Header("x-reason"), "wrong_service");
+  calls.EndRunningCall();
+  ExpectEqual(calls.running().Receive(Milliseconds(1000)).body, "running");
+  cr_expect_eq(calls.requests(), 1);
+}
+
 // Guards against a node that ends because a caller sends bytes before it has
 // received the response to its last request.
 Test(call_task, bytes_that_arrive_while_a_response_is_pending_are_read_later) {
