State when callbacks are called and what they must not destroy

The headers of the base, call, one-time, store and daemon interfaces now state for each callback whether it may be called before a function of the caller returns, and whether it may destroy the object that calls it. No behaviour is changed: all rules were checked against the implementations and their users.

--- a/include/dragonflytack/base/mailbox.h
+++ b/include/dragonflytack/base/mailbox.h
@@ -12,7 +12,8 @@
 
 // The queue through which other tasks send messages to the task that owns
 // `loop`. Messages are handled in the order in which they were posted, on the
-// loop's thread.
+// loop's thread and never from within Post(). The handler must not destroy the
+// mailbox.
 template <typename Message>
 class Mailbox final {
  public:
--- a/include/dragonflytack/base/timer_service.h
+++ b/include/dragonflytack/base/timer_service.h
@@ -15,7 +15,7 @@
 
 // Runs callbacks when they are due. It belongs to one task: all its functions
 // must be called on that task's thread. An event loop or a test drives it
-// through RunDue().
+// through RunDue(); no callback is called from within another function.
 class TimerService final {
  public:
   using Callback = std::function<void()>;
@@ -33,8 +33,9 @@
   // `callback` runs once for all of them.
   TimerId SubscribeEvery(Milliseconds period, Callback callback);
 
-  // Removes a subscription. Unknown ids are ignored. A callback may cancel its
-  // own subscription.
+  // Removes a subscription. Unknown ids are ignored. A callback may add
+  // subscriptions and cancel any, its own included; one that is cancelled is
+  // not called even if it is due in the same RunDue().
   void Cancel(TimerId id);
 
   // Runs every callback that is due and returns how many were run.
@@ -45,7 +46,8 @@
   std::optional<TimePoint> NextDue() const;
 
   // Sets the function that is called whenever NextDue() may have become
-  // earlier, so that an event loop can update its timer.
+  // earlier, so that an event loop can update its timer. It is called from
+  // within the functions that subscribe and must not change subscriptions.
   void set_on_changed(Callback on_changed) {
     on_changed_ = std::move(on_changed);
   }
--- a/include/dragonflytack/base/wakeup.h
+++ b/include/dragonflytack/base/wakeup.h
@@ -10,7 +10,8 @@
 class EventLoop;
 
 // Lets any thread run a function on a loop's thread. Calls of Signal() before
-// the function runs are coalesced into one run.
+// the function runs are coalesced into one run. The function is never called
+// from within Signal() and must not destroy the object.
 class Wakeup final {
  public:
   // `loop` must outlive the object.
--- a/include/dragonflytack/statechart/chart_machine.h
+++ b/include/dragonflytack/statechart/chart_machine.h
@@ -21,7 +21,8 @@
 };
 
 // Runs one instance of a state chart whose actions are member functions of
-// `Owner`.
+// `Owner`. The actions are called from within Start() and Handle() and must not
+// destroy the machine.
 template <typename Owner>
 class ChartMachine final {
  public:
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -40,7 +40,9 @@
   // dispatches, and the guard of those that it receives.
   AttemptIdGenerator* attempt_ids = nullptr;
   AttemptGuard* attempt_guard = nullptr;
-  // Reports an endpoint that is ejected for `period`. May be empty.
+  // Reports an endpoint that is ejected for `period`. May be empty. This and
+  // the next function are called in the middle of the processing of a call, so
+  // they must not act on the objects of the call task.
   std::function<void(const std::string& service,
                      const NodeId& target,
                      Milliseconds period)>
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -28,7 +28,8 @@
   static constexpr char kKeysPath[] = "/-/keys";
 
   // `context` and `one_time` must outlive the entry. `on_call_ended` is called
-  // after each call.
+  // after each call, also from within OnRequest(). It must not destroy the
+  // entry.
   CallEntry(const CallContext* context,
             OneTime* one_time,
             std::function<void()> on_call_ended);
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -30,8 +30,9 @@
 // can stop and a late response is discarded.
 class Exchange final {
  public:
-  // `response` is set for kCompleted only. The callback may destroy the
-  // exchange.
+  // `response` is set for kCompleted only. The callback is called at most once,
+  // never from within ConnectionPool::Start() or the destructor. It may destroy
+  // the exchange.
   using Callback =
       std::function<void(ExchangeOutcome outcome, HttpRequestPtr response)>;
 
--- a/src/calls/forwarded_call_server.h
+++ b/src/calls/forwarded_call_server.h
@@ -20,7 +20,7 @@
 class ForwardedCallServer final {
  public:
   // The pointers must outlive the object. `on_call_ended` is called after each
-  // call.
+  // call, also from within OnRequest(). It must not destroy the object.
   ForwardedCallServer(const CallContext* context,
                       OneTimeDispatcher* dispatcher,
                       std::string shared_key,
--- a/src/calls/handover_runner.h
+++ b/src/calls/handover_runner.h
@@ -26,7 +26,8 @@
 
   // The pointers must outlive the runner. `done` is called once, never from
   // within Start(), with the node that took over, or may have taken over, the
-  // records of this process; empty if there is none.
+  // records of this process; empty if there is none. It must not destroy the
+  // runner.
   HandoverRunner(const CallContext* context,
                  std::string shared_key,
                  OneTimeRecords* records,
--- a/src/calls/http_server.h
+++ b/src/calls/http_server.h
@@ -20,8 +20,9 @@
 // between.
 class HttpServer final {
  public:
-  // Called with each complete request. The handler must send the response
-  // through evhttp.
+  // Called with each complete request from evhttp's callbacks. The handler must
+  // send the response through evhttp, before it returns or later. It may call
+  // StopListening() but must not destroy the server.
   using Handler = std::function<void(evhttp_request*)>;
 
   // Returns null if the address cannot be bound.
--- a/src/calls/inbound_call.h
+++ b/src/calls/inbound_call.h
@@ -18,8 +18,9 @@
 // the peer sends in the meantime are read after the response.
 class InboundCall final {
  public:
-  // `on_disconnect` is called from evhttp's callbacks at most once, and never
-  // after the response was sent. `header_codec` must outlive the call.
+  // `on_disconnect` is called from evhttp's callbacks at most once, never from
+  // within a function of this class, and never after the response was sent. It
+  // must not destroy the call. `header_codec` must outlive the call.
   InboundCall(evhttp_request* request,
               const CallHeaderCodec* header_codec,
               std::function<void()> on_disconnect);
--- a/src/calls/one_time.h
+++ b/src/calls/one_time.h
@@ -30,8 +30,11 @@
 class OneTime final {
  public:
   struct Events {
+    // Called from within OnMeshRequest().
     std::function<void(const OwnerIncarnation& owner)> on_takeover;
-    // Called when a call with a key whose owner is this node has ended.
+    // Called when a call with a key whose owner is this node has ended, also
+    // from within OnMeshRequest() and HandOver(). It must not destroy the
+    // object.
     std::function<void()> on_call_ended;
   };
 
@@ -66,7 +69,8 @@
   }
   // Ends the calls in progress as unknown and sends the records to a successor.
   // Passes `done` the successor for the records of this process; empty if there
-  // is none.
+  // is none. `done` is never called from within this function. Must be called
+  // only once.
   void HandOver(std::function<void(const NodeId& successor)> done);
 
   const std::string& shared_key() const { return settings_.shared_key; }
--- a/src/calls/one_time_dispatcher.h
+++ b/src/calls/one_time_dispatcher.h
@@ -22,12 +22,16 @@
 // that its response is recorded.
 class OneTimeDispatcher final {
  public:
+  // Called at most once, from the event loop or from within EndAllAsUnknown(),
+  // and never from within Handle() or RemoveWaiter(). It must not destroy the
+  // dispatcher or another waiting call.
   using Callback = std::function<void(CallResult)>;
   // Identifies a waiting call for RemoveWaiter().
   using WaiterId = uint64_t;
 
   // Both pointers must outlive the object. `on_call_ended` is called after each
-  // dispatched call.
+  // dispatched call, also from within EndAllAsUnknown(). It must not destroy
+  // the dispatcher.
   OneTimeDispatcher(const CallContext* context,
                     OneTimeRecords* records,
                     std::function<void()> on_call_ended);
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -28,7 +28,8 @@
 class TargetProxy final {
  public:
   // `context` must outlive the object. `on_call_ended` is called after each
-  // call.
+  // call, also from within OnRequest(), SetTarget() and OnRoutes(). It must not
+  // destroy the object.
   TargetProxy(const CallContext* context, std::function<void()> on_call_ended);
   // Replies to all calls in progress: kUnknown for those that were sent to the
   // target, kNotRun for the others.
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -24,7 +24,8 @@
 class UpstreamConnection final {
  public:
   // Notifies the pool. All functions may be called from within evhttp's
-  // callbacks.
+  // callbacks, and from within Send(), OnExchangeTimeout() and Abandon(). They
+  // may abandon other connections but must not delete any.
   struct Events {
     // A complete response was received and the connection can be reused.
     std::function<void(UpstreamConnection*)> on_idle;
--- a/src/daemon/environment.h
+++ b/src/daemon/environment.h
@@ -21,7 +21,8 @@
 // client, the headers of calls and the announcements of targets.
 struct Environment final {
   // Handles an announcement. Returns a failure other than kNone if it is
-  // refused.
+  // refused. It is called from within AdminHandler::Handle() and must not
+  // destroy the handler.
   using AnnouncementCallback = std::function<Failure(const LocalTarget&)>;
 
   // Returns null if the store client does not support the settings.
--- a/src/daemon/readiness_handler.h
+++ b/src/daemon/readiness_handler.h
@@ -17,7 +17,8 @@
   // callers to this node.
   static constexpr int kUnreadyThreshold = 2;
 
-  // `on_no_more_callers` is called after kUnreadyThreshold 503 responses.
+  // `on_no_more_callers` is called after kUnreadyThreshold 503 responses, from
+  // within Handle().
   explicit ReadinessHandler(std::function<void()> on_no_more_callers)
       : on_no_more_callers_(std::move(on_no_more_callers)) {}
 
--- a/src/daemon/target_life_cycle.h
+++ b/src/daemon/target_life_cycle.h
@@ -19,7 +19,9 @@
   using ChangedCallback = std::function<void(const LocalTarget&)>;
 
   // `on_changed` is called for each change of the state or another field, not
-  // for announcements that repeat the previous one. A target without an
+  // for announcements that repeat the previous one. It is also called from
+  // within HandleAnnouncement() and OnUnreachable() and must not destroy the
+  // object. A target without an
   // announcement for `announcement_timeout` is considered starting, so that it
   // gets no calls.
   TargetLifeCycle(TimerService* timers,
--- a/src/onetime/handover_receiver.h
+++ b/src/onetime/handover_receiver.h
@@ -22,7 +22,7 @@
   using TakeoverCallback = std::function<void(const OwnerIncarnation& owner)>;
 
   // `records` must outlive the receiver. `on_takeover` is called once for each
-  // owner whose records this process takes over.
+  // owner whose records this process takes over, from within OnMessage().
   HandoverReceiver(OneTimeRecords* records, TakeoverCallback on_takeover);
 
   HandoverReply OnMessage(HandoverMessage message, TimePoint now);
--- a/src/store/table_editor.h
+++ b/src/store/table_editor.h
@@ -56,6 +56,7 @@
   // read. Returns std::nullopt and sets the failure to end the edit.
   using MakeCells =
       std::function<std::optional<CellEdits>(const TableDocument&, Failure*)>;
+  // Called at most once, never from within Edit(). It may destroy the editor.
   using Callback = std::function<void(const EditOutcome&)>;
 
   // `store` and `timers` must outlive the editor. After its destruction the
--- a/src/store/table_history.h
+++ b/src/store/table_history.h
@@ -20,6 +20,7 @@
 // Reads the edits, oldest first, from the archives and the table.
 class TableHistory final {
  public:
+  // Called at most once, never from within Read(). It may destroy the object.
   using Callback = std::function<void(std::optional<std::vector<EditRecord>>,
                                       const Failure& reason)>;
 
