--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -28,7 +28,8 @@
 class TargetProxy final {
  public:
   // `context` must outlive the object. `on_call_ended` is called after each
-  // call.
+  // call, also from within OnRequest(), SetTarget() and OnRoutes(). It must not
+  // destroy the object.
   TargetProxy(const CallContext* context, std::function<void()> on_call_ended);
   // Replies to all calls in progress: kUnknown for those that were sent to the
   // target, kNotRun for the others.
@@ -41,9 +42,12 @@
 
   // Sets the local target as it last announced itself. A target that is neither
   // warming nor ready receives no new calls; queued and running calls finish.
+  // If its service changes, the queued calls are refused as not run.
   void SetTarget(const LocalTarget& target);
 
-  // Applies the row and the limits of the snapshot that is now in force.
+  // Applies the row and the limits of the snapshot that is now in force. If the
+  // table has no row of the target's service, new calls are refused; queued and
+  // running calls finish under the limits of the last row.
   void OnRoutes();
 
   // Starts the drain: new calls are refused as not run from now on.
@@ -74,6 +78,8 @@
   void RunQueued();
   // Refuses queued calls whose deadline can no longer be met.
   void ExpireQueued();
+  // Refuses all queued calls, which are for another service than the target's.
+  void RefuseQueued();
   void ArmQueueTimer();
   // Returns when the response to a call started now is expected.
   TimePoint ExpectedResponseTime() const;
@@ -93,6 +99,8 @@
   // such service.
   std::shared_ptr<const ServiceRoute> route_;
   bool draining_ = false;
+  // The limits of the last row, which also hold while `route_` is null.
+  int max_connections_ = 0;
   SlotLimiter slots_;
   RateLimiter rate_;
   WaitQueue<Call> queue_;
