Keep a leaving run leaving while it announces or falls silent

Callers saw calls passed on to a target that had acknowledged its departure: a run with an instance name that announced `draining` became `starting` 15 s after the first `draining`, although it repeated it every 5 s, and the next `ready` of that run got it calls again. A connection that could not be made to a draining run had the same effect at once.

Cause: the chart of the target led from `draining` to `starting` on `lost`, so the state that marks a run as leaving was itself forgotten, and HandleAnnouncement returned for such a run before it restarted the timer. Both are the same fault: the finality of a departure depended on a state that silence could end. Now silence and an unreachable address don't end `draining`, as they never ended `left`, and every accepted announcement takes the same way: it restarts the timer, and changes of other fields of a leaving run are reported, which they were not.

Ruled out: restarting the timer alone, since a run that falls silent or can't be reached would still be forgotten; `left` instead of `draining` after a silence, since a node whose record says `left` loses its links to peers.

--- a/src/daemon/target_life_cycle.cc
+++ b/src/daemon/target_life_cycle.cc
@@ -68,11 +68,13 @@
   }
   target_.sequence = same_run ? std::max(previous.sequence, announced.sequence)
                               : announced.sequence;
-  if (same_run && was_leaving && !announced.instance.empty() &&
-      announced.state != TargetState::kLeft) {
-    return true;
-  }
-  const bool state_changed = machine_.Handle(TargetStateName(announced.state));
+  // A run that leaves may still announce that it has left, but nothing else
+  // changes its state.
+  const bool keeps_state = same_run && was_leaving &&
+                           !announced.instance.empty() &&
+                           announced.state != TargetState::kLeft;
+  const bool state_changed =
+      !keeps_state && machine_.Handle(TargetStateName(announced.state));
   previous.sequence = target_.sequence;
   if (!state_changed && target_ != previous) {
     Publish();
--- a/src/daemon/target_life_cycle.h
+++ b/src/daemon/target_life_cycle.h
@@ -21,7 +21,7 @@
   // `on_changed` is called for each change of the state or another field, not
   // for announcements that repeat the previous one. A target without an
   // announcement for `announcement_timeout` is considered starting, so that it
-  // gets no calls.
+  // gets no calls, unless it drains or has left.
   TargetLifeCycle(TimerService* timers,
                   Milliseconds announcement_timeout,
                   ChangedCallback on_changed);
@@ -34,8 +34,8 @@
   // `draining` or `left` never gets calls again, whatever it announces later.
   bool HandleAnnouncement(const LocalTarget& announced);
 
-  // Called when no connection to the target can be made. The target gets calls
-  // again after its next announcement.
+  // Called when no connection to the target can be made. A target that does not
+  // leave gets calls again after its next announcement.
   void OnUnreachable() { machine_.Handle("lost"); }
 
   const LocalTarget& target() const { return target_; }
--- a/tests/target_life_cycle_test.cc
+++ b/tests/target_life_cycle_test.cc
@@ -1,5 +1,6 @@
 #include "daemon/target_life_cycle.h"
 
+#include <string_view>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -118,6 +119,75 @@
   cr_expect(state() == TargetState::kReady);
 }
 
+// Regression test: a run that repeated `draining` was considered starting 15 s
+// after the first one, and its next `ready` got it calls again. Leaving is
+// final for a run, whether it repeats its announcement, falls silent or cannot
+// be reached; only a later run is ready.
+Test(target_life_cycle, leaving_run_keeps_leaving_until_another_run_starts) {
+  constexpr int kRepeatMs = 5000;
+  constexpr int64_t kStarted = 100;
+  for (const TargetState leaving :
+       {TargetState::kDraining, TargetState::kLeft}) {
+    for (const char* end : {"repeats", "silent", "unreachable"}) {
+      Fixture fixture;
+      int64_t sequence = 0;
+      const auto announce = [&](const char* instance, int64_t started,
+                                TargetState state, int slots) {
+        LocalTarget target = Target(state);
+        target.instance = instance;
+        target.started_ms = started;
+        target.sequence = ++sequence;
+        target.slots = slots;
+        return fixture.life_cycle.HandleAnnouncement(target);
+      };
+      announce("i-1", kStarted, TargetState::kReady, 12);
+      announce("i-1", kStarted, leaving, 12);
+      for (int i = 0; i < 8; ++i) {
+        fixture.Advance(kRepeatMs);
+        if (std::string_view(end) == "repeats") {
+          cr_expect(announce("i-1", kStarted, leaving, 12));
+        } else if (std::string_view(end) == "unreachable") {
+          fixture.life_cycle.OnUnreachable();
+        }
+        cr_expect(fixture.life_cycle.target().state == leaving, "%s: %d", end,
+                  i);
+      }
+      cr_expect(announce("i-1", kStarted, TargetState::kReady, 12));
+      cr_expect(fixture.life_cycle.target().state == leaving, "%s", end);
+      cr_expect_eq(fixture.changes.size(), 2u, "%s", end);
+      // Other fields of a leaving run are still reported.
+      cr_expect(announce("i-1", kStarted, leaving, 13));
+      cr_expect_eq(fixture.changes.size(), 3u, "%s", end);
+      cr_expect(fixture.changes.back().state == leaving &&
+                fixture.changes.back().slots == 13);
+      // The same instance name with a later start time is another run.
+      sequence = 0;
+      cr_expect(announce("i-1", kStarted + 1, TargetState::kReady, 12));
+      cr_expect(fixture.life_cycle.target().state == TargetState::kReady);
+      cr_expect(!announce("i-1", kStarted, leaving, 12));
+      fixture.Advance(14'999);
+      cr_expect(fixture.life_cycle.target().state == TargetState::kReady);
+      fixture.Advance(1);
+      cr_expect(fixture.life_cycle.target().state == TargetState::kStarting);
+    }
+  }
+}
+
+// Guards against a target without an instance name that never gets calls again
+// after it has drained and fallen silent.
+Test(target_life_cycle, unnamed_target_is_ready_again_after_a_drain) {
+  Fixture fixture;
+  for (const TargetState leaving :
+       {TargetState::kDraining, TargetState::kLeft}) {
+    fixture.life_cycle.HandleAnnouncement(Target(TargetState::kReady));
+    fixture.life_cycle.HandleAnnouncement(Target(leaving));
+    fixture.Advance(60'000);
+    cr_expect(fixture.life_cycle.target().state == leaving);
+    fixture.life_cycle.HandleAnnouncement(Target(TargetState::kReady));
+    cr_expect(fixture.life_cycle.target().state == TargetState::kReady);
+  }
+}
+
 // Guards against a target that gets calls although no connection to it can be
 // made.
 Test(target_life_cycle,
