Bound the interim responses of a server and skip all their statuses

Callers saw the interim response 103 of a target as the final response of their call, with its headers and without a body, and the real response was lost. A target or node that sent interim responses of status 100 without end held the call until its deadline, and the memory of the daemon grew all the while.

Cause: evhttp skips status 100 only, as often as it comes, handles one such head an iteration of the loop while it reads up to 16 KB in each, and merges their headers into the final response. Every other 1xx is final to it.

ResponseLimiter accepts each head of a response: it lets evhttp skip all interim responses but 101, without their headers, up to eight for a call. More of them, 101 and statuses that are not of three digits fail the exchange as broken: the connection is closed, a one-time call ends as unknown, and an idempotent one may be sent to another target.

Already sound, and now tested: heads without a line end, with an endless header line or endless header lines, bytes past a length or after 204, chunks and a body until the connection closes without end, each as fast as possible and a few bytes every 5 ms, from a target and from a node; and other calls through the same nodes meanwhile.

Ruled out: a leak of the reason phrases of interim responses, as interim_responses_leave_no_memory passes without freeing them here.

--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -121,6 +121,7 @@
   evhttp_request* request =
       evhttp_request_new(&UpstreamConnection::OnResponse, this);
   evhttp_request_set_error_cb(request, &UpstreamConnection::OnError);
+  evhttp_request_set_header_cb(request, &UpstreamConnection::OnHead);
   return request;
 }
 
@@ -130,6 +131,7 @@
                               Exchange* exchange) {
   sent_ = false;
   too_large_ = false;
+  limiter_.Begin(request);
   sending_ = true;
   // A connect that fails immediately is reported from within this call.
   const bool started =
@@ -166,6 +168,11 @@
   static_cast<UpstreamConnection*>(self)->HandleResponse(request);
 }
 
+int UpstreamConnection::OnHead(evhttp_request* /*request*/, void* self) {
+  // evhttp fails the request if the result is negative.
+  return static_cast<UpstreamConnection*>(self)->limiter_.AcceptHead() ? 0 : -1;
+}
+
 void UpstreamConnection::OnError(evhttp_request_error error, void* self) {
   if (error == EVREQ_HTTP_DATA_TOO_LONG) {
     static_cast<UpstreamConnection*>(self)->too_large_ = true;
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -7,6 +7,7 @@
 
 #include <event2/http.h>
 
+#include "base/response_limiter.h"
 #include "calls/exchange.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/host_port.h"
@@ -79,6 +80,7 @@
 
  private:
   static void OnResponse(evhttp_request* request, void* self);
+  static int OnHead(evhttp_request* request, void* self);
   static void OnError(evhttp_request_error error, void* self);
   static void OnClosed(evhttp_connection* connection, void* self);
   static void OnOutput(evbuffer* buffer,
@@ -97,6 +99,7 @@
   bool connected_ = false;
   bool retired_ = false;
   bool too_large_ = false;
+  ResponseLimiter limiter_;
   std::optional<Milliseconds> keep_alive_timeout_;
   TimePoint idle_since_{};
 };
--- /dev/null
+++ b/tests/endless_response_test.cc
@@ -0,0 +1,364 @@
+// Servers that send bytes that are no response, or a response without end,
+// until the caller closes the connection.
+
+#include "dragonflytack/calls/call_task.h"
+
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include "call_fixture.h"
+#include "calls/http_headers.h"
+
+namespace dragonflytack {
+
+namespace {
+
+// Bytes that a server sends: `prefix` once, then `unit` without end.
+struct Stream {
+  const char* name;
+  std::string prefix;
+  std::string unit;
+  // Expected answer if the server sends as fast as it can.
+  int status;
+  const char* outcome;
+  const char* reason;
+};
+
+const char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::vector<Stream> Streams() {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = kChunkedHead;
+  const char* const broken = "upstream_failed";
+  return {
+      {"no line end", "", "x", 504, "unknown", broken},
+      {"header line", ok + "X-A: ", "x", 504, "unknown", broken},
+      {"header lines", ok, "a:b\r\n", 504, "unknown", broken},
+      {"empty header values", ok, "a:\r\n", 504, "unknown", broken},
+      {"continue", "", "HTTP/1.1 100 Continue\r\n\r\n", 504, "unknown", broken},
+      {"continue with headers", "", "HTTP/1.1 100 Continue\r\na: b\r\n\r\n",
+       504, "unknown", broken},
+      {"continue with a long header", "",
+       "HTTP/1.1 100 Continue\r\na: " + std::string(30'000, 'b') + "\r\n\r\n",
+       504, "unknown", broken},
+      {"early hints", "", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n", 504,
+       "unknown", broken},
+      {"bytes past the length", ok + "Content-Length: 2\r\n\r\nok", "x", 200,
+       "done", ""},
+      {"bytes past no content", "HTTP/1.1 204 No Content\r\n\r\n", "x", 204,
+       "done", ""},
+      {"chunks", chunked, "4\r\nabcd\r\n", 504, "unknown", "too_large"},
+      {"body until the connection closes", ok + "\r\n", "x", 504, "unknown",
+       "too_large"},
+  };
+}
+
+// Sends a stream until the peer closes the connection, and counts its bytes.
+class Sender {
+ public:
+  Sender(const Stream& stream, Milliseconds pause)
+      : stream_(stream), pause_(pause) {
+    block_ = stream.unit;
+    while (pause.count() == 0 && block_.size() < 65'536) {
+      block_ += block_;
+    }
+  }
+
+  bool Run(int fd) {
+    size_t sent = 0;
+    // A fast stream follows the prefix in the same write. Bytes that arrive
+    // after a complete response, when the connection may already carry another
+    // request, can fail that request.
+    bool open = Write(
+        fd, pause_.count() == 0 ? stream_.prefix + block_ : stream_.prefix,
+        &sent);
+    while (open) {
+      std::this_thread::sleep_for(pause_);
+      open = Write(fd, block_, &sent);
+    }
+    bytes_ = std::max(bytes_.load(), sent);
+    ++closed_;
+    return false;
+  }
+
+  // The largest number of bytes that one connection took.
+  size_t bytes() const { return bytes_; }
+  // Number of connections that the peer closed.
+  int closed() const { return closed_; }
+  bool WaitUntilClosed(int count) const {
+    for (int i = 0; i < 200 && closed_ < count; ++i) {
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    return closed_ >= count;
+  }
+
+ private:
+  bool Write(int fd, const std::string& text, size_t* sent) const {
+    for (size_t at = 0; at < text.size();) {
+      const ssize_t size =
+          send(fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+      if (size <= 0) {
+        return false;
+      }
+      at += static_cast<size_t>(size);
+      *sent += static_cast<size_t>(size);
+    }
+    return true;
+  }
+
+  const Stream& stream_;
+  const Milliseconds pause_;
+  std::string block_;
+  std::atomic<size_t> bytes_ = 0;
+  std::atomic<int> closed_ = 0;
+};
+
+// Returns a value of this process, for example "VmHWM", from the kernel.
+size_t ReadMemory(const std::string& name) {
+  std::ifstream file("/proc/self/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(name + ":")) {
+      return std::stoul(line.substr(name.size() + 1)) << 10;
+    }
+  }
+  return 0;
+}
+
+// Measures by how much the resident size of this process rises at its peak.
+class MemoryGrowth {
+ public:
+  MemoryGrowth() {
+    // Sets the peak to the current size.
+    std::ofstream("/proc/self/clear_refs") << "5";
+    start_ = ReadMemory("VmRSS");
+  }
+  size_t bytes() const { return ReadMemory("VmHWM") - start_; }
+
+ private:
+  size_t start_;
+};
+
+Milliseconds ProcessorTime() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto of = [](const timeval& time) {
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::microseconds(time.tv_usec);
+  };
+  return std::chrono::duration_cast<Milliseconds>(of(usage.ru_utime) +
+                                                  of(usage.ru_stime));
+}
+
+// A response of the largest size in the daemon beside the target and in that
+// of the caller, and what the allocator keeps.
+constexpr size_t kMaxGrowth = 4 * kMaxBodyBytes;
+
+// What the kernel takes from a sender before the reader closes the connection,
+// besides the bytes that are read: the largest receive and send buffers.
+constexpr size_t kSocketBuffers = (6 << 20) + (4 << 20);
+
+// Port of the server: that of a target, or that of a node for the peers' hop.
+constexpr uint16_t kPorts[] = {CallFixture::kTargetPort,
+                               CallFixture::kMeshPort};
+
+}  // namespace
+
+// Guards against an endless response that holds its call until the deadline,
+// takes unbounded memory, is passed on as a response, or makes a call that may
+// have run repeat or count as not run.
+Test(endless_response,
+     one_time_call_fails_at_once_and_is_sent_once,
+     .timeout = 240) {
+  constexpr int kDeadlineMs = 5000;
+  for (const uint16_t port : kPorts) {
+    for (const Stream& stream : Streams()) {
+      if (port == CallFixture::kMeshPort && stream.status != 504) {
+        // A response of a node without its outcome header is unknown.
+        continue;
+      }
+      CallFixture fixture(2, Row(ServiceKind::kOneTime));
+      Sender sender(stream, Milliseconds(0));
+      const auto script = [&](int fd, const std::string&, int) {
+        return sender.Run(fd);
+      };
+      if (port == CallFixture::kMeshPort) {
+        fixture.Kill(1);
+        fixture.Kill(2);
+      }
+      ScriptedTarget first(fixture.Address(1), port, script);
+      ScriptedTarget second(fixture.Address(2), port, script);
+      const MemoryGrowth growth;
+      const HttpReply reply = fixture.Call("1", kDeadlineMs);
+      cr_expect_eq(reply.status, stream.status, "%s on %d: %d", stream.name,
+                   port, reply.status);
+      ExpectEqual(reply.Header("x-outcome"), stream.outcome, stream.name);
+      ExpectEqual(reply.Header("x-reason"), stream.reason, stream.name);
+      cr_expect(reply.elapsed < Milliseconds(kDeadlineMs / 2), "%s: %d ms",
+                stream.name, static_cast<int>(reply.elapsed.count()));
+      cr_expect(sender.WaitUntilClosed(1), "%s stays open", stream.name);
+      cr_expect_eq(first.requests() + second.requests(), 1, "%s", stream.name);
+      cr_expect_leq(sender.bytes(),
+                    2 * (kMaxHeaderBytes + kMaxBodyBytes) + kSocketBuffers,
+                    "%s: %zu bytes", stream.name, sender.bytes());
+      const size_t memory = growth.bytes();
+      cr_expect_leq(memory, kMaxGrowth, "%s on %d: %zu bytes", stream.name,
+                    port, memory);
+    }
+  }
+}
+
+// Guards against a server that defers the deadline by a byte now and then, and
+// against a daemon that spins while it waits.
+Test(endless_response, slow_stream_ends_at_the_deadline, .timeout = 240) {
+  constexpr int kDeadlineMs = 300;
+  for (const uint16_t port : kPorts) {
+    for (const Stream& stream : Streams()) {
+      if (port == CallFixture::kMeshPort && stream.status != 504) {
+        continue;
+      }
+      CallFixture fixture(2, Row(ServiceKind::kOneTime));
+      Sender sender(stream, Milliseconds(5));
+      const auto script = [&](int fd, const std::string&, int) {
+        return sender.Run(fd);
+      };
+      if (port == CallFixture::kMeshPort) {
+        fixture.Kill(1);
+        fixture.Kill(2);
+      }
+      ScriptedTarget first(fixture.Address(1), port, script);
+      ScriptedTarget second(fixture.Address(2), port, script);
+      const Milliseconds used = ProcessorTime();
+      const HttpReply reply = fixture.Call("1", kDeadlineMs);
+      const auto spent = ProcessorTime() - used;
+      cr_expect_eq(reply.status, stream.status, "%s on %d: %d", stream.name,
+                   port, reply.status);
+      ExpectEqual(reply.Header("x-outcome"), stream.outcome, stream.name);
+      cr_expect(reply.elapsed < Milliseconds(kDeadlineMs) + kSlack, "%s: %d ms",
+                stream.name, static_cast<int>(reply.elapsed.count()));
+      cr_expect(sender.WaitUntilClosed(1), "%s stays open", stream.name);
+      cr_expect_eq(first.requests() + second.requests(), 1, "%s", stream.name);
+      cr_expect(spent < Milliseconds(kDeadlineMs / 2), "%s: %d ms", stream.name,
+                static_cast<int>(spent.count()));
+    }
+  }
+}
+
+// Guards against endless responses that delay other calls through the same
+// nodes.
+Test(endless_response, other_calls_are_served_meanwhile, .timeout = 240) {
+  for (const Stream& stream : Streams()) {
+    CallFixture fixture(1, Row(ServiceKind::kOneTime));
+    Sender sender(stream, Milliseconds(0));
+    ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                          [&](int fd, const std::string& head, int n) {
+                            return RequestId(head) == "bad"
+                                       ? sender.Run(fd)
+                                       : RespondWithRequestId(fd, head, n);
+                          });
+    std::atomic<bool> ended = false;
+    std::thread endless([&] {
+      for (int i = 0; i < 3; ++i) {
+        fixture.Call("bad", 1000);
+      }
+      ended = true;
+    });
+    Milliseconds slowest{0};
+    for (int i = 0; i < 10 || !ended; ++i) {
+      const std::string id = std::to_string(i);
+      const HttpReply reply = fixture.Call(id, 1000);
+      ExpectEqual(reply.body, id, stream.name);
+      slowest = std::max(slowest, reply.elapsed);
+    }
+    endless.join();
+    cr_expect(slowest < kSlack, "%s: %d ms", stream.name,
+              static_cast<int>(slowest.count()));
+    cr_expect(sender.WaitUntilClosed(3), "%s stays open", stream.name);
+  }
+}
+
+// Guards against an idempotent call that fails although another target
+// responds, because the bytes of a faulty target count as a response that is
+// too large.
+Test(endless_response,
+     idempotent_call_is_served_by_another_target,
+     .timeout = 240) {
+  for (const Stream& stream : Streams()) {
+    if (stream.reason != std::string("upstream_failed")) {
+      continue;
+    }
+    CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+    Sender sender(stream, Milliseconds(0));
+    ScriptedTarget bad(
+        fixture.Address(1), CallFixture::kTargetPort,
+        [&](int fd, const std::string&, int) { return sender.Run(fd); });
+    ScriptedTarget good(fixture.Address(2), CallFixture::kTargetPort,
+                        RespondWithRequestId);
+    for (int i = 0; i < 6; ++i) {
+      const std::string id = std::to_string(i);
+      ExpectEqual(fixture.Call(id, 5000).body, id, stream.name);
+    }
+    cr_expect_gt(bad.requests(), 0, "%s", stream.name);
+  }
+}
+
+// Guards against limits that refuse a regular response, and against headers of
+// an interim response that reach the caller.
+Test(endless_response, interim_responses_are_skipped) {
+  const std::string interim =
+      "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"
+      "HTTP/1.1 100 Continue\r\nX-Interim: 1\r\n\r\n"
+      "HTTP/1.1 102 Processing\r\nContent-Length: 9\r\n\r\n";
+  CallFixture fixture(1, Row(ServiceKind::kOneTime));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [&](int fd, const std::string& head, int n) {
+                          send(fd, interim.data(), interim.size(),
+                               MSG_NOSIGNAL);
+                          return RespondWithRequestId(fd, head, n);
+                        });
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = std::to_string(i);
+    const HttpReply reply = fixture.Call(id, 1000);
+    cr_expect_eq(reply.status, 200, "%d", reply.status);
+    ExpectEqual(reply.body, id);
+    ExpectEqual(reply.Header("link"), "");
+    ExpectEqual(reply.Header("x-interim"), "");
+  }
+  cr_expect_eq(target.requests(), 4);
+  cr_expect_eq(target.closed(), 0);
+}
+
+// Guards against memory of interim responses that is never freed.
+Test(endless_response, interim_responses_leave_no_memory) {
+  constexpr int kCalls = 400;
+  std::string interim;
+  for (int i = 0; i < 4; ++i) {
+    interim += "HTTP/1.1 100 " + std::string(30'000, 'x') + "\r\n\r\n";
+  }
+  CallFixture fixture(1, Row(ServiceKind::kOneTime));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [&](int fd, const std::string& head, int n) {
+                          send(fd, interim.data(), interim.size(),
+                               MSG_NOSIGNAL);
+                          return RespondWithRequestId(fd, head, n);
+                        });
+  const MemoryGrowth growth;
+  for (int i = 0; i < kCalls; ++i) {
+    ExpectEqual(fixture.Call(std::to_string(i), 1000).body, std::to_string(i));
+  }
+  // All interim responses take 48 MB.
+  cr_expect_leq(growth.bytes(), kMaxGrowth, "%zu bytes", growth.bytes());
+}
+
+}  // namespace dragonflytack
