Bound the framing of chunked responses

A target or node that sent the line with the size of a chunk, an extension of it or empty lines between chunks without end held its call until the deadline; an idempotent call then had no time left for another target.

Cause: evhttp limits the body but not its framing. It keeps an incomplete line and searches it from its beginning after every read, so that its cost rises with the square of its length, and it drops empty lines without counting them.

ResponseLimiter sees each read before evhttp and fails the exchange as broken if an incomplete line of the framing is over 16 KB, or if the bytes since the head exceed 256 KB and three times the body so far. The body itself is limited to 4 MB as before, so a response takes 12.3 MB at most from its server.

Ruled out: a watermark on the input buffer, because evhttp collects whole chunks and bodies there and would stop before one that is as long as allowed; a limit of the bytes alone, since each read would search a line of megabytes again (reasoned, not measured).

--- a/src/base/response_limiter.cc
+++ b/src/base/response_limiter.cc
@@ -1,5 +1,6 @@
 #include "base/response_limiter.h"
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
@@ -15,11 +16,23 @@
 // A server that handles a request sends one or two.
 constexpr int kMaxInterimResponses = 8;
 
+// Limit of a line with the size of a chunk and its extensions. Each read
+// searches the line from its beginning.
+constexpr size_t kMaxLineBytes = 16 << 10;
+
+// Limits of the framing of a chunked body, which may be twice as long as the
+// body: a chunk of three bytes has a framing of five. The fixed part leaves
+// room for trailers, which evhttp limits, and for short bodies in smaller
+// chunks.
+constexpr size_t kMaxFramingBytes = 256 << 10;
+constexpr size_t kMaxFramingPerByte = 2;
+
 }  // namespace
 
 void ResponseLimiter::Begin(evhttp_request* request) {
   request_ = request;
   interim_responses_ = 0;
+  chunked_bytes_ = 0;
 }
 
 bool ResponseLimiter::AcceptHead() {
@@ -39,4 +52,17 @@
   return true;
 }
 
+bool ResponseLimiter::AcceptInput(const evbuffer_cb_info& change) {
+  if (!request_->chunked) {
+    return true;
+  }
+  chunked_bytes_ += change.n_added;
+  // evhttp has read all lines that were complete, so that the rest is the
+  // beginning of a line.
+  const bool is_within_line = request_->ntoread < 0;
+  return (!is_within_line || change.orig_size <= kMaxLineBytes) &&
+         chunked_bytes_ <=
+             kMaxFramingBytes + (1 + kMaxFramingPerByte) * request_->body_size;
+}
+
 }  // namespace dragonflytack
--- a/src/base/response_limiter.h
+++ b/src/base/response_limiter.h
@@ -1,6 +1,9 @@
 #ifndef DRAGONFLYTACK_SRC_BASE_RESPONSE_LIMITER_H_
 #define DRAGONFLYTACK_SRC_BASE_RESPONSE_LIMITER_H_
 
+#include <cstddef>
+
+struct evbuffer_cb_info;
 struct evhttp_request;
 
 namespace dragonflytack {
@@ -9,7 +12,8 @@
 // limit. evhttp itself limits each head, the trailers and the body.
 class ResponseLimiter final {
  public:
-  // Starts with a new request, which must outlive the calls of AcceptHead().
+  // Starts with a new request, which must outlive the calls of the other
+  // functions.
   void Begin(evhttp_request* request);
 
   // Called for each head, also that of an interim response (1xx). Makes evhttp
@@ -17,9 +21,16 @@
   // status is invalid or there are too many interim responses.
   bool AcceptHead();
 
+  // Called for each change of the connection's input buffer, before evhttp
+  // reads from it. Returns false if a chunked body consists of little else than
+  // its framing, or a line of the framing is too long.
+  bool AcceptInput(const evbuffer_cb_info& change);
+
  private:
   evhttp_request* request_ = nullptr;
   int interim_responses_ = 0;
+  // Bytes received since the head of a chunked response.
+  size_t chunked_bytes_ = 0;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -107,6 +107,8 @@
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
   evbuffer_add_cb(bufferevent_get_output(bufev), &UpstreamConnection::OnOutput,
                   this);
+  evbuffer_add_cb(bufferevent_get_input(bufev), &UpstreamConnection::OnInput,
+                  this);
 }
 
 UpstreamConnection::~UpstreamConnection() {
@@ -114,6 +116,8 @@
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
   evbuffer_remove_cb(bufferevent_get_output(bufev),
                      &UpstreamConnection::OnOutput, this);
+  evbuffer_remove_cb(bufferevent_get_input(bufev), &UpstreamConnection::OnInput,
+                     this);
   evhttp_connection_free(connection_);
 }
 
@@ -207,6 +211,21 @@
   }
 }
 
+void UpstreamConnection::OnInput(evbuffer* /*buffer*/,
+                                 const evbuffer_cb_info* info,
+                                 void* self) {
+  auto* connection = static_cast<UpstreamConnection*>(self);
+  if (connection->exchange_ == nullptr || info->n_added == 0 ||
+      connection->limiter_.AcceptInput(*info)) {
+    return;
+  }
+  // evhttp may still report the end of the request before the pool deletes the
+  // connection.
+  Exchange* exchange = std::exchange(connection->exchange_, nullptr);
+  connection->Retire();
+  exchange->Finish(ExchangeOutcome::kBroken, nullptr);
+}
+
 void UpstreamConnection::HandleResponse(evhttp_request* request) {
   Exchange* exchange = std::exchange(exchange_, nullptr);
   if (exchange == nullptr) {
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -86,6 +86,9 @@
   static void OnOutput(evbuffer* buffer,
                        const evbuffer_cb_info* info,
                        void* self);
+  static void OnInput(evbuffer* buffer,
+                      const evbuffer_cb_info* info,
+                      void* self);
   void HandleResponse(evhttp_request* request);
   void Retire();
 
