Treat endless trailers as a broken response

Callers of idempotent calls got 504, `too_large`, when a target sent trailers over the size limit or without end, although another target would have responded; and the target was not counted as failing.

Cause: evhttp reports trailers and bodies that are too long with the same error, and a body that is too large is taken for a property of the call, so that it is neither retried nor held against the target. A head that is too long has another error and was treated as broken already.

ResponseLimiter distinguishes the two by the last chunk, after which evhttp reads trailers only.

--- a/src/base/response_limiter.cc
+++ b/src/base/response_limiter.cc
@@ -65,4 +65,9 @@
              kMaxFramingBytes + (1 + kMaxFramingPerByte) * request_->body_size;
 }
 
+bool ResponseLimiter::IsBodyTooLarge() const {
+  // evhttp sets the rest of the chunk to 0 at the last chunk only.
+  return !request_->chunked || request_->ntoread != 0;
+}
+
 }  // namespace dragonflytack
--- a/src/base/response_limiter.h
+++ b/src/base/response_limiter.h
@@ -26,6 +26,10 @@
   // its framing, or a line of the framing is too long.
   bool AcceptInput(const evbuffer_cb_info& change);
 
+  // Returns whether a response that evhttp reports as too long exceeds the
+  // limit of the body, not that of the trailers.
+  bool IsBodyTooLarge() const;
+
  private:
   evhttp_request* request_ = nullptr;
   int interim_responses_ = 0;
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -178,9 +178,10 @@
 }
 
 void UpstreamConnection::OnError(evhttp_request_error error, void* self) {
-  if (error == EVREQ_HTTP_DATA_TOO_LONG) {
-    static_cast<UpstreamConnection*>(self)->too_large_ = true;
-  }
+  auto* connection = static_cast<UpstreamConnection*>(self);
+  // evhttp reports errors before it frees the request.
+  connection->too_large_ = error == EVREQ_HTTP_DATA_TOO_LONG &&
+                           connection->limiter_.IsBodyTooLarge();
 }
 
 void UpstreamConnection::OnClosed(evhttp_connection* /*connection*/,
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -69,6 +69,10 @@
        "unknown", broken},
       {"chunk extension", chunked + "4 ;", "x", 504, "unknown", broken},
       {"empty lines between chunks", chunked, "\r\n", 504, "unknown", broken},
+      {"trailer line", chunked + "4\r\nabcd\r\n0\r\nX-A: ", "x", 504, "unknown",
+       broken},
+      {"trailers", chunked + "4\r\nabcd\r\n0\r\n", "a:b\r\n", 504, "unknown",
+       broken},
       {"body until the connection closes", ok + "\r\n", "x", 504, "unknown",
        "too_large"},
   };
