--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -107,6 +107,8 @@
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
   evbuffer_add_cb(bufferevent_get_output(bufev), &UpstreamConnection::OnOutput,
                   this);
+  evbuffer_add_cb(bufferevent_get_input(bufev), &UpstreamConnection::OnInput,
+                  this);
 }
 
 UpstreamConnection::~UpstreamConnection() {
@@ -114,6 +116,8 @@
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
   evbuffer_remove_cb(bufferevent_get_output(bufev),
                      &UpstreamConnection::OnOutput, this);
+  evbuffer_remove_cb(bufferevent_get_input(bufev), &UpstreamConnection::OnInput,
+                     this);
   evhttp_connection_free(connection_);
 }
 
@@ -121,6 +125,7 @@
   evhttp_request* request =
       evhttp_request_new(&UpstreamConnection::OnResponse, this);
   evhttp_request_set_error_cb(request, &UpstreamConnection::OnError);
+  evhttp_request_set_header_cb(request, &UpstreamConnection::OnHead);
   return request;
 }
 
@@ -130,6 +135,7 @@
                               Exchange* exchange) {
   sent_ = false;
   too_large_ = false;
+  limiter_.Begin(request);
   sending_ = true;
   // A connect that fails immediately is reported from within this call.
   const bool started =
@@ -166,10 +172,16 @@
   static_cast<UpstreamConnection*>(self)->HandleResponse(request);
 }
 
+int UpstreamConnection::OnHead(evhttp_request* /*request*/, void* self) {
+  // evhttp fails the request if the result is negative.
+  return static_cast<UpstreamConnection*>(self)->limiter_.AcceptHead() ? 0 : -1;
+}
+
 void UpstreamConnection::OnError(evhttp_request_error error, void* self) {
-  if (error == EVREQ_HTTP_DATA_TOO_LONG) {
-    static_cast<UpstreamConnection*>(self)->too_large_ = true;
-  }
+  auto* connection = static_cast<UpstreamConnection*>(self);
+  // evhttp reports errors before it frees the request.
+  connection->too_large_ = error == EVREQ_HTTP_DATA_TOO_LONG &&
+                           connection->limiter_.IsBodyTooLarge();
 }
 
 void UpstreamConnection::OnClosed(evhttp_connection* /*connection*/,
@@ -200,6 +212,21 @@
   }
 }
 
+void UpstreamConnection::OnInput(evbuffer* /*buffer*/,
+                                 const evbuffer_cb_info* info,
+                                 void* self) {
+  auto* connection = static_cast<UpstreamConnection*>(self);
+  if (connection->exchange_ == nullptr || info->n_added == 0 ||
+      connection->limiter_.AcceptInput(*info)) {
+    return;
+  }
+  // evhttp may still report the end of the request before the pool deletes the
+  // connection.
+  Exchange* exchange = std::exchange(connection->exchange_, nullptr);
+  connection->Retire();
+  exchange->Finish(ExchangeOutcome::kBroken, nullptr);
+}
+
 void UpstreamConnection::HandleResponse(evhttp_request* request) {
   Exchange* exchange = std::exchange(exchange_, nullptr);
   if (exchange == nullptr) {
