tools/soak: seeded faults against real daemons

Starts a store, daemons with targets and callers as processes, with a loopback proxy between them, and injects faults that are drawn from a seed: overlapping planned stops with repeated signals, kills, pauses, link faults, store faults, target faults and table edits. It checks the exits of the daemons, the responses to callers, one-time executions, table versions, and the recovery afterwards.

The daemons load a library that redirects their connections to the proxy, so that the programs under test are unchanged. Fleet moves from the measure driver to tools/support for that. Children close inherited files, because a socket that they keep holds a connection open that the parent has closed.

--- a/tools/measure_driver/calls_measure.h
+++ b/tools/measure_driver/calls_measure.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "measure_driver/fleet.h"
+#include "support/fleet.h"
 #include "measure_driver/report.h"
 #include "measure_driver/table_writer.h"
 #include "support/load_plan.h"
--- a/tools/measure_driver/distribution_measure.h
+++ b/tools/measure_driver/distribution_measure.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "measure_driver/fleet.h"
+#include "support/fleet.h"
 #include "measure_driver/report.h"
 #include "measure_driver/table_writer.h"
 
--- a/tools/measure_driver/table_writer.cc
+++ b/tools/measure_driver/table_writer.cc
@@ -7,7 +7,7 @@
 
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/base/system_clock.h"
-#include "measure_driver/fleet.h"
+#include "support/fleet.h"
 
 namespace dragonflytack {
 
--- /dev/null
+++ b/tools/soak_driver/call_judge.h
@@ -0,0 +1,49 @@
+#ifndef TOOLS_SOAK_DRIVER_CALL_JUDGE_H_
+#define TOOLS_SOAK_DRIVER_CALL_JUDGE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "soak_driver/call_record.h"
+#include "soak_driver/node_life.h"
+
+namespace dragonflytack {
+
+// Compares what callers and targets saw with the promises of the mesh.
+class CallJudge final {
+ public:
+  // Gets the text of each broken promise.
+  using Report = std::function<void(const std::string&)>;
+
+  // `epoch` is the time that the texts count from. `executions` maps request
+  // ids to how often targets ran them.
+  CallJudge(const std::vector<CallRecord>& records,
+            const std::vector<NodeLife>& lives,
+            const std::map<std::string, int>& executions,
+            SoakTime epoch,
+            Report report);
+
+  void Judge();
+
+ private:
+  void JudgeResponses();
+  void JudgeOneTimeCalls();
+  // Returns whether the entry node of a call had to respond to it.
+  bool IsResponseDue(const CallRecord& record) const;
+  std::string Describe(const CallRecord& record) const;
+  int Executions(const std::string& id) const;
+
+  const std::vector<CallRecord>& records_;
+  const std::vector<NodeLife>& lives_;
+  const std::map<std::string, int>& executions_;
+  const SoakTime epoch_;
+  const Report report_;
+  // When each life sent its first response.
+  std::map<const NodeLife*, SoakTime> first_responses_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_SOAK_DRIVER_CALL_JUDGE_H_
--- /dev/null
+++ b/tools/soak_driver/call_record.h
@@ -0,0 +1,41 @@
+#ifndef TOOLS_SOAK_DRIVER_CALL_RECORD_H_
+#define TOOLS_SOAK_DRIVER_CALL_RECORD_H_
+
+#include <chrono>
+#include <string>
+
+namespace dragonflytack {
+
+using SoakTime = std::chrono::steady_clock::time_point;
+
+// A request of a caller and its response.
+struct CallRecord final {
+  // Request id, which the target counts and echoes.
+  std::string id;
+  // Key of a one-time call; empty for other calls and without a key.
+  std::string key;
+  bool one_time = false;
+  // Request for a key; it reaches no target.
+  bool key_fetch = false;
+  // How often the key had been presented before.
+  int presented = 0;
+  int entry = 0;
+  SoakTime sent;
+  SoakTime ended;
+  // 0 if the connection ended without a response.
+  int status = 0;
+  // Headers x-outcome, x-reason and x-not-run-scope.
+  std::string outcome;
+  std::string reason;
+  std::string scope;
+  // Whether the response body names the request.
+  bool own_response = false;
+
+  bool Succeeded() const {
+    return status == 200 && (key_fetch || (outcome == "done" && own_response));
+  }
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_SOAK_DRIVER_CALL_RECORD_H_
--- /dev/null
+++ b/tools/soak_driver/daemon_group.h
@@ -0,0 +1,79 @@
+#ifndef TOOLS_SOAK_DRIVER_DAEMON_GROUP_H_
+#define TOOLS_SOAK_DRIVER_DAEMON_GROUP_H_
+
+#include <optional>
+#include <vector>
+
+#include "soak_driver/node_life.h"
+#include "soak_driver/soak_log.h"
+#include "support/fleet.h"
+
+namespace dragonflytack {
+
+// Signals the daemons and targets of a fleet, restarts daemons that exited, and
+// reports exits that no signal explains.
+class DaemonGroup final {
+ public:
+  // The drain timeout of the daemons. A daemon ends within half a second after
+  // it (docs/settings.md).
+  static constexpr int kDrainTimeoutMs = 5000;
+
+  DaemonGroup(Fleet* fleet, SoakLog* log);
+
+  // Starts all daemons. Returns false on failure.
+  bool StartAll();
+  // Sends SIGTERM. A first one is sent only while enough other daemons take
+  // calls, and a further one only to a daemon that is stopping. Returns whether
+  // it was sent; false if the daemon is down.
+  bool Terminate(int node, bool again, double restart_after);
+  // Sends SIGKILL, under the same condition as a first SIGTERM.
+  bool Kill(int node, double restart_after);
+  // Sends SIGSTOP, and SIGCONT after `seconds`.
+  void Pause(int node, double seconds);
+  void PauseTarget(int node, double seconds);
+  // Handles exits, restarts and ends of pauses that are due.
+  void Poll();
+  // Ends all pauses.
+  void ResumeAll();
+  // Returns whether all daemons run and none is stopping.
+  bool AreAllRunning() const;
+  // Sends SIGTERM to all daemons, which are not restarted.
+  void TerminateAll();
+  bool AreAllDown() const;
+
+  const std::vector<NodeLife>& lives() const { return lives_; }
+  int terminated() const { return terminated_; }
+  int killed() const { return killed_; }
+
+ private:
+  struct Daemon {
+    bool running = false;
+    size_t life = 0;
+    SoakTime restart_at;
+    double restart_after = 0;
+    SoakTime must_exit_by;
+    std::optional<SoakTime> paused;
+    SoakTime resume_at;
+    std::optional<SoakTime> target_resume_at;
+  };
+
+  bool MaySpare(int node) const;
+  bool Start(int node);
+  void Resume(int node);
+  void OnExit(int node, int wait_status);
+  void SendTerminate(int node);
+  NodeLife& LifeOf(int node) { return lives_[daemons_[node].life]; }
+  const NodeLife& LifeOf(int node) const { return lives_[daemons_[node].life]; }
+
+  Fleet* const fleet_;
+  SoakLog* const log_;
+  std::vector<Daemon> daemons_;
+  std::vector<NodeLife> lives_;
+  bool stopping_all_ = false;
+  int terminated_ = 0;
+  int killed_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_SOAK_DRIVER_DAEMON_GROUP_H_
--- /dev/null
+++ b/tools/soak_driver/main.cc
@@ -0,0 +1,168 @@
+// Runs seeded faults against real daemons; see tools/soak --help.
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/program_options.hpp>
+
+#include "soak_driver/soak_run.h"
+
+namespace dragonflytack {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kExitUsage = 2;
+constexpr int kMinNodes = 4;
+constexpr int kMaxNodes = 60;
+// Each run of this tool uses two networks, from this one on.
+constexpr int kFirstNetwork = 200;
+constexpr int kLastNetwork = 250;
+constexpr uint16_t kLockPort = 6999;
+constexpr size_t kPrintedFailures = 5;
+
+struct Arguments {
+  SoakOptions soak;
+  int seeds = 1;
+  std::string log_dir;
+  std::string regression_seeds;
+};
+
+// Returns a network that no other run on this machine uses, or 0. A socket that
+// stays open for the life of this process reserves it.
+int ReserveNetwork() {
+  for (int network = kFirstNetwork; network <= kLastNetwork; network += 2) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kLockPort);
+    address.sin_addr.s_addr =
+        inet_addr(fmt::format("127.{}.0.2", network).c_str());
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) ==
+            0 &&
+        listen(fd, 1) == 0) {
+      return network;
+    }
+    close(fd);
+  }
+  return 0;
+}
+
+bool RunSeed(const Arguments& arguments, SoakOptions soak) {
+  soak.work_dir = fmt::format("{}/seed-{}", arguments.log_dir, soak.seed);
+  std::filesystem::remove_all(soak.work_dir);
+  std::filesystem::create_directories(soak.work_dir);
+  std::vector<std::string> failures;
+  std::string summary;
+  {
+    SoakRun run(soak);
+    run.Run();
+    failures = run.failures();
+    summary = run.Summary();
+  }
+  fmt::print("seed {} {}: {}\n", soak.seed, failures.empty() ? "ok" : "FAILED",
+             summary);
+  for (size_t i = 0; i < failures.size() && i < kPrintedFailures; ++i) {
+    fmt::print("  {}\n", failures[i]);
+  }
+  if (failures.empty()) {
+    std::filesystem::remove_all(soak.work_dir);
+  } else {
+    fmt::print("  {} broken promises, logs in {}\n", failures.size(),
+               soak.work_dir);
+  }
+  std::fflush(stdout);
+  return failures.empty();
+}
+
+// Runs the seeds of a file with lines "SEED NODES SECONDS CAUSE"; # begins a
+// comment line.
+bool RunRegressionSeeds(const Arguments& arguments) {
+  std::ifstream file(arguments.regression_seeds);
+  bool passed = file.is_open();
+  std::string line;
+  while (std::getline(file, line)) {
+    SoakOptions soak = arguments.soak;
+    if (!line.empty() && line[0] != '#' &&
+        std::istringstream(line) >> soak.seed >> soak.nodes >> soak.seconds) {
+      passed = RunSeed(arguments, soak) && passed;
+    }
+  }
+  return passed;
+}
+
+int Main(int argc, char** argv) {
+  Arguments arguments;
+  SoakOptions& soak = arguments.soak;
+  options::options_description description("tools/soak options");
+  description.add_options()("help", "print this text")(
+      "seeds", options::value(&arguments.seeds)->default_value(1),
+      "number of seeds to run")(
+      "first-seed", options::value(&soak.seed)->default_value(soak.seed),
+      "first seed; the others follow it")(
+      "seconds", options::value(&soak.seconds)->default_value(soak.seconds),
+      "time in which faults begin, for each seed")(
+      "nodes", options::value(&soak.nodes)->default_value(soak.nodes),
+      "number of daemons, 4 to 60")("callers",
+                                    options::value(&soak.callers_per_node)
+                                        ->default_value(soak.callers_per_node),
+                                    "connections of callers to each daemon")(
+      "regression-seeds", options::value(&arguments.regression_seeds),
+      "file with seeds to run first")(
+      "build-dir", options::value(&soak.build_dir)->default_value("build"),
+      "folder with the programs")(
+      "log-dir",
+      options::value(&arguments.log_dir)->default_value("build/soak-logs"),
+      "folder for the logs; those of failing seeds are kept");
+  try {
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, description),
+                   values);
+    if (values.count("help") > 0) {
+      std::cout << description;
+      return EXIT_SUCCESS;
+    }
+    options::notify(values);
+  } catch (const options::error& error) {
+    fmt::print(stderr, "soak: {}\n", error.what());
+    return kExitUsage;
+  }
+  if (soak.nodes < kMinNodes || soak.nodes > kMaxNodes) {
+    fmt::print(stderr, "soak: --nodes takes {} to {}\n", kMinNodes, kMaxNodes);
+    return kExitUsage;
+  }
+  soak.network = ReserveNetwork();
+  if (soak.network == 0) {
+    fmt::print(stderr, "soak: no loopback network is free\n");
+    return EXIT_FAILURE;
+  }
+  bool passed =
+      arguments.regression_seeds.empty() || RunRegressionSeeds(arguments);
+  for (int i = 0; i < arguments.seeds; ++i) {
+    SoakOptions next = soak;
+    next.seed += i;
+    passed = RunSeed(arguments, next) && passed;
+  }
+  return passed ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+
+}  // namespace dragonflytack
+
+int main(int argc, char** argv) {
+  return dragonflytack::Main(argc, argv);
+}
--- /dev/null
+++ b/tools/soak_driver/schedule.h
@@ -0,0 +1,47 @@
+#ifndef TOOLS_SOAK_DRIVER_SCHEDULE_H_
+#define TOOLS_SOAK_DRIVER_SCHEDULE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "dragonflytack/base/random.h"
+#include "soak_driver/soak_event.h"
+
+namespace dragonflytack {
+
+// Draws the faults of a soak run. The same arguments give the same events.
+class Schedule final {
+ public:
+  // `data_centres` must match the fleet, whose node i is in data centre
+  // i % data_centres. Faults begin within `seconds`.
+  Schedule(uint64_t seed, int nodes, int data_centres, double seconds);
+
+  // Returns the events in the order of their times.
+  std::vector<SoakEvent> Draw();
+
+ private:
+  void AddPlannedStops(double at);
+  void AddKills(double at);
+  void AddPauses(double at);
+  void AddLinkFault(double at);
+  void AddTargetSwitch(double at);
+  void AddStoreFault(double at);
+  void AddEdits(double at);
+
+  double Between(double low, double high);
+  int Node() { return static_cast<int>(random_.Below(nodes_)); }
+  // Returns a random set of `count` nodes.
+  std::vector<int> Nodes(int count);
+  ProcessMask DataCentre(int data_centre) const;
+  ProcessMask AllNodes() const;
+
+  Random random_;
+  const int nodes_;
+  const int data_centres_;
+  const double seconds_;
+  std::vector<SoakEvent> events_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_SOAK_DRIVER_SCHEDULE_H_
--- /dev/null
+++ b/tools/soak_driver/soak_options.h
@@ -0,0 +1,26 @@
+#ifndef TOOLS_SOAK_DRIVER_SOAK_OPTIONS_H_
+#define TOOLS_SOAK_DRIVER_SOAK_OPTIONS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace dragonflytack {
+
+// Options of the run of one seed.
+struct SoakOptions final {
+  uint64_t seed = 1;
+  int nodes = 8;
+  // How long faults begin.
+  double seconds = 12;
+  int callers_per_node = 4;
+  // Folder with the programs.
+  std::string build_dir;
+  // Folder for settings and logs. It must exist.
+  std::string work_dir;
+  // Second byte of the addresses. The next one is used as well.
+  int network = 200;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_SOAK_DRIVER_SOAK_OPTIONS_H_
--- /dev/null
+++ b/tools/soak_driver/table_edits.cc
@@ -0,0 +1,132 @@
+#include "soak_driver/table_edits.h"
+
+#include <sys/wait.h>
+
+#include <array>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr std::array<const char*, 2> kServices = {"roster", "booking"};
+constexpr std::array<const char*, 2> kKinds = {"kind=idempotent",
+                                               "kind=one_time"};
+constexpr char kColumn[] = "max_queue";
+// Larger than the default of the column, so that an edit always changes it.
+constexpr int kFirstValue = 1000;
+constexpr char kTimeoutSeconds[] = "5";
+constexpr int kWaitMs = 12'000;
+// Exit codes of the tool, see docs/interfaces.md.
+constexpr int kDone = 0;
+constexpr int kStoreUnreachable = 4;
+
+}  // namespace
+
+TableEdits::TableEdits(std::string tool,
+                       std::string store,
+                       std::string log_path,
+                       SoakLog* log)
+    : tool_(std::move(tool)),
+      store_(std::move(store)),
+      log_path_(std::move(log_path)),
+      log_(log),
+      next_value_(kFirstValue) {}
+
+std::optional<ChildProcess> TableEdits::Run(
+    std::vector<std::string> arguments) const {
+  arguments.insert(arguments.begin(), tool_);
+  arguments.insert(arguments.end(), {"--store", store_, "--author", "soak",
+                                     "--timeout", kTimeoutSeconds});
+  return ChildProcess::Start(arguments, log_path_);
+}
+
+bool TableEdits::AddRows() {
+  for (size_t i = 0; i < kServices.size(); ++i) {
+    std::optional<ChildProcess> process = Run({"add", kServices[i], kKinds[i]});
+    if (!process || process->WaitExit(kWaitMs) != kDone) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void TableEdits::Start(int row) {
+  const std::string service = kServices[row % kServices.size()];
+  if (running_.contains(service)) {
+    return;
+  }
+  const int value = next_value_++;
+  std::optional<ChildProcess> process =
+      Run({"set", service, kColumn, std::to_string(value)});
+  if (process) {
+    running_.emplace(service, Edit{std::move(*process), value});
+  }
+}
+
+void TableEdits::Poll() {
+  for (auto edit = running_.begin(); edit != running_.end();) {
+    const std::optional<int> status = edit->second.process.PollWaitStatus();
+    if (!status) {
+      ++edit;
+      continue;
+    }
+    OnExit(edit->first, edit->second.value,
+           WIFEXITED(*status) ? WEXITSTATUS(*status) : -1);
+    edit = running_.erase(edit);
+  }
+}
+
+void TableEdits::OnExit(const std::string& service, int value, int exit_code) {
+  log_->Write(fmt::format("edit {} {} {} exit code {}", service, kColumn, value,
+                          exit_code));
+  if (exit_code == kDone) {
+    latest_[service] = value;
+    ++accepted_;
+  } else if (exit_code != kStoreUnreachable) {
+    // Edits of different cells do not conflict.
+    log_->ReportFailure(fmt::format("edit {} {} ended with exit code {}",
+                                    service, value, exit_code));
+  }
+}
+
+bool TableEdits::EditAll() {
+  for (auto& [service, edit] : running_) {
+    OnExit(service, edit.value, edit.process.WaitExit(kWaitMs).value_or(-1));
+  }
+  running_.clear();
+  for (size_t row = 0; row < kServices.size(); ++row) {
+    Start(static_cast<int>(row));
+    Edit& edit = running_.at(kServices[row]);
+    const int exit_code = edit.process.WaitExit(kWaitMs).value_or(-1);
+    OnExit(kServices[row], edit.value, exit_code);
+    running_.clear();
+    if (exit_code != kDone) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool TableEdits::AreIn(const std::string& table) const {
+  const nlohmann::json json = nlohmann::json::parse(table, nullptr, false);
+  if (!json.is_object()) {
+    return false;
+  }
+  std::map<std::string, int> values;
+  for (const nlohmann::json& row :
+       json.value("rows", nlohmann::json::array())) {
+    values[row.value("service", "")] = row.value(kColumn, 0);
+  }
+  for (const auto& [service, value] : latest_) {
+    if (values[service] != value) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace dragonflytack
--- /dev/null
+++ b/tools/soak_driver/table_edits.h
@@ -0,0 +1,61 @@
+#ifndef TOOLS_SOAK_DRIVER_TABLE_EDITS_H_
+#define TOOLS_SOAK_DRIVER_TABLE_EDITS_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "soak_driver/soak_log.h"
+#include "support/child_process.h"
+
+namespace dragonflytack {
+
+// Edits of the table by the command-line tool, at most one of each row at a
+// time, as by one operator for each service.
+class TableEdits final {
+ public:
+  // `tool` is the program, `store` the address of the store.
+  TableEdits(std::string tool,
+             std::string store,
+             std::string log_path,
+             SoakLog* log);
+
+  // Adds the rows of both services. Returns false on failure.
+  bool AddRows();
+  // Starts an edit of a row unless one is running.
+  void Start(int row);
+  // Handles the edits that have ended.
+  void Poll();
+  // Waits for the running edits, then edits each row. Returns false if the
+  // store does not accept one.
+  bool EditAll();
+  // Returns whether the table that a node has in force has the latest accepted
+  // edit of each row. `table` is the response of its admin port.
+  bool AreIn(const std::string& table) const;
+
+  int accepted() const { return accepted_; }
+
+ private:
+  struct Edit {
+    ChildProcess process;
+    int value;
+  };
+
+  std::optional<ChildProcess> Run(std::vector<std::string> arguments) const;
+  void OnExit(const std::string& service, int value, int exit_code);
+
+  const std::string tool_;
+  const std::string store_;
+  const std::string log_path_;
+  SoakLog* const log_;
+  std::map<std::string, Edit> running_;
+  // Values of the latest accepted edits.
+  std::map<std::string, int> latest_;
+  int next_value_;
+  int accepted_ = 0;
+};
+
+}  // namespace dragonflytack
+
+#endif  // TOOLS_SOAK_DRIVER_TABLE_EDITS_H_
--- a/tools/support/child_process.cc
+++ b/tools/support/child_process.cc
@@ -31,6 +31,9 @@
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
   }
+  // An inherited socket would keep a connection open that the parent closes.
+  constexpr unsigned kFirstInherited = STDERR_FILENO + 1;
+  close_range(kFirstInherited, ~0U, 0);
   std::vector<char*> pointers;
   for (const std::string& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
@@ -87,11 +90,9 @@
 
 std::optional<int> ChildProcess::WaitExit(int timeout_ms) {
   for (int waited = 0; pid_ != kNoProcess; waited += kPollMs) {
-    int status = 0;
-    if (waitpid(pid_, &status, WNOHANG) == pid_) {
-      pid_ = kNoProcess;
-      return WIFEXITED(status) ? std::optional<int>(WEXITSTATUS(status))
-                               : std::nullopt;
+    if (const std::optional<int> status = PollWaitStatus()) {
+      return WIFEXITED(*status) ? std::optional<int>(WEXITSTATUS(*status))
+                                : std::nullopt;
     }
     if (waited >= timeout_ms) {
       break;
@@ -101,13 +102,17 @@
   return std::nullopt;
 }
 
-bool ChildProcess::IsRunning() {
-  if (pid_ == kNoProcess) {
-    return false;
-  }
-  if (waitpid(pid_, nullptr, WNOHANG) == pid_) {
-    pid_ = kNoProcess;
+std::optional<int> ChildProcess::PollWaitStatus() {
+  int status = 0;
+  if (pid_ == kNoProcess || waitpid(pid_, &status, WNOHANG) != pid_) {
+    return std::nullopt;
   }
+  pid_ = kNoProcess;
+  return status;
+}
+
+bool ChildProcess::IsRunning() {
+  PollWaitStatus();
   return pid_ != kNoProcess;
 }
 
--- a/tools/support/child_process.h
+++ b/tools/support/child_process.h
@@ -35,6 +35,10 @@
   // Returns std::nullopt if it is still running or was terminated by a signal.
   std::optional<int> WaitExit(int timeout_ms);
 
+  // Returns the wait status, as of waitpid(), if the process has exited since
+  // the last call of this class that waited for it. Does not block.
+  std::optional<int> PollWaitStatus();
+
   bool IsRunning();
 
   // Returns the resident memory in bytes, including pages of shared libraries;
--- a/tools/measure_driver/fleet.cc
+++ b/tools/support/fleet.cc
@@ -1,4 +1,4 @@
-#include "measure_driver/fleet.h"
+#include "support/fleet.h"
 
 #include <algorithm>
 #include <array>
@@ -61,8 +61,9 @@
     : options_(options),
       admin_headers_({{"authorization", AdminAuthorization(kSharedKey)}}) {
   for (int i = 0; i < options.nodes; ++i) {
-    const int data_centre = i % kDataCentres;
-    const int position = i / kDataCentres;
+    const int data_centres = options.regions * kDataCentresPerRegion;
+    const int data_centre = i % data_centres;
+    const int position = i / data_centres;
     const char* region = kRegions[data_centre / kDataCentresPerRegion];
     Node node;
     node.id = fmt::format("n{:04}", i);
@@ -165,9 +166,11 @@
       node.id, node.region, node.data_centre, node.address, kCallPort,
       kMeshPort, kPeerPort, kAdminPort);
   file << fmt::format(
-      "[store]\naddress={}\nport={}\nregion={}\nwatch_on_every_node={}\n",
+      "[store]\naddress={}\nport={}\nregion={}\nwatch_on_every_node={}\n"
+      "[calls]\ndrain_timeout_ms={}\n",
       store().address, store().port, kRegions[0],
-      options_.watch_on_every_node ? "true" : "false");
+      options_.watch_on_every_node ? "true" : "false",
+      options_.drain_timeout_ms);
   file << fmt::format("[security]\nshared_key={}\n[trace]\nsample={}\n",
                       kSharedKey, options_.trace_sample);
   return path;
@@ -187,9 +190,17 @@
 
 bool Fleet::StartNode(size_t index) {
   Node& node = nodes_[index];
+  std::vector<std::string> command;
+  if (!options_.redirect_library.empty()) {
+    // The loader reads the variables of env, not of this process, so that only
+    // the daemons are redirected.
+    command = {"/usr/bin/env", "LD_PRELOAD=" + options_.redirect_library,
+               "SOAK_NODE_ADDRESS=" + node.address};
+  }
+  command.insert(command.end(), {options_.build_dir + "/dragonflytackd",
+                                 "--config", WriteSettings(node)});
   node.daemon = ChildProcess::Start(
-      {options_.build_dir + "/dragonflytackd", "--config", WriteSettings(node)},
-      fmt::format("{}/{}.log", options_.work_dir, node.id));
+      command, fmt::format("{}/{}.log", options_.work_dir, node.id));
   if (options_.targets && !node.target && !StartTarget(&node)) {
     return false;
   }
--- a/tools/measure_driver/fleet.h
+++ b/tools/support/fleet.h
@@ -1,5 +1,5 @@
-#ifndef TOOLS_MEASURE_DRIVER_FLEET_H_
-#define TOOLS_MEASURE_DRIVER_FLEET_H_
+#ifndef TOOLS_SUPPORT_FLEET_H_
+#define TOOLS_SUPPORT_FLEET_H_
 
 #include <atomic>
 #include <cstdint>
@@ -12,16 +12,17 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflytack/base/host_port.h"
-#include "measure_driver/fleet_options.h"
 #include "support/child_process.h"
+#include "support/fleet_options.h"
 
 namespace dragonflytack {
 
 // A store stand-in and a number of daemons on addresses of 127.0.0.0/8. As in
 // the present deployment of the users, they are spread over three regions with
-// two data centres each.
+// two data centres each, unless the options request fewer regions.
 class Fleet final {
  public:
+  // Data centres of a fleet with the default number of regions.
   static constexpr int kDataCentres = 6;
   static constexpr uint16_t kStorePort = 7000;
   static constexpr uint16_t kCallPort = 7001;
@@ -95,6 +96,10 @@
 
   std::vector<Node>& nodes() { return nodes_; }
   const std::vector<Node>& nodes() const { return nodes_; }
+  // Headers that authorize requests to the admin ports.
+  const std::map<std::string, std::string>& admin_headers() const {
+    return admin_headers_;
+  }
   HostPort store() const;
   HostPort EntryOf(size_t index) const;
   size_t RunningCount() const;
@@ -117,4 +122,4 @@
 
 }  // namespace dragonflytack
 
-#endif  // TOOLS_MEASURE_DRIVER_FLEET_H_
+#endif  // TOOLS_SUPPORT_FLEET_H_
--- a/tools/measure_driver/fleet_options.h
+++ b/tools/support/fleet_options.h
@@ -1,11 +1,11 @@
-#ifndef TOOLS_MEASURE_DRIVER_FLEET_OPTIONS_H_
-#define TOOLS_MEASURE_DRIVER_FLEET_OPTIONS_H_
+#ifndef TOOLS_SUPPORT_FLEET_OPTIONS_H_
+#define TOOLS_SUPPORT_FLEET_OPTIONS_H_
 
 #include <string>
 
 namespace dragonflytack {
 
-// Options of the fleet that a measurement starts.
+// Options of the fleet that a measurement or a soak run starts.
 struct FleetOptions final {
   // Folder with the programs.
   std::string build_dir = "build";
@@ -23,8 +23,14 @@
   int slots = 12;
   double service_ms = 5;
   double trace_sample = 0;
+  // Number of regions, each with two data centres; at most 3.
+  int regions = 3;
+  int drain_timeout_ms = 30'000;
+  // Shared library that is preloaded into the daemons, which redirects their
+  // connections to a proxy on the network `network` + 1; empty for none.
+  std::string redirect_library;
 };
 
 }  // namespace dragonflytack
 
-#endif  // TOOLS_MEASURE_DRIVER_FLEET_OPTIONS_H_
+#endif  // TOOLS_SUPPORT_FLEET_OPTIONS_H_
