--- a/tools/soak_driver/call_judge.cc
+++ b/tools/soak_driver/call_judge.cc
@@ -28,11 +28,13 @@
                      const std::vector<NodeLife>& lives,
                      const std::map<std::string, int>& executions,
                      SoakTime epoch,
+                     bool stops_only,
                      Report report)
     : records_(records),
       lives_(lives),
       executions_(executions),
       epoch_(epoch),
+      stops_only_(stops_only),
       report_(std::move(report)) {
   for (const CallRecord& record : records_) {
     for (const NodeLife& life : lives_) {
@@ -50,6 +52,9 @@
 void CallJudge::Judge() {
   JudgeResponses();
   JudgeOneTimeCalls();
+  if (stops_only_) {
+    JudgePlannedStops();
+  }
 }
 
 void CallJudge::JudgeResponses() {
@@ -96,6 +101,30 @@
   }
 }
 
+void CallJudge::JudgePlannedStops() {
+  // Planned stops cut off no request (I8 of design.md) and lose no record of a
+  // one-time call (docs/interfaces.md).
+  std::map<std::string, SoakTime> done_keys;
+  for (const CallRecord& record : records_) {
+    if (!IsResponseDue(record)) {
+      continue;
+    }
+    if (record.outcome == "unknown") {
+      report_("unknown in a planned stop: " + Describe(record));
+    }
+    if (record.key.empty()) {
+      continue;
+    }
+    const auto done = done_keys.find(record.key);
+    if (record.outcome == "done") {
+      done_keys.emplace(record.key, record.ended);
+    } else if (done != done_keys.end() && record.sent > done->second &&
+               record.outcome == "not-run" && record.scope == "key") {
+      report_("done, but refused later: " + Describe(record));
+    }
+  }
+}
+
 bool CallJudge::IsResponseDue(const CallRecord& record) const {
   // The process that was running when the call was sent.
   const auto life = std::find_if(
--- a/tools/soak_driver/call_judge.h
+++ b/tools/soak_driver/call_judge.h
@@ -17,12 +17,14 @@
   // Gets the text of each broken promise.
   using Report = std::function<void(const std::string&)>;
 
-  // `epoch` is the time that the texts count from. `executions` maps request
-  // ids to how often targets ran them.
+  // With `stops_only`, planned stops are the only faults, so that no outcome
+  // may be unknown. `epoch` is the time that the texts count from. `executions`
+  // maps request ids to how often targets ran them.
   CallJudge(const std::vector<CallRecord>& records,
             const std::vector<NodeLife>& lives,
             const std::map<std::string, int>& executions,
             SoakTime epoch,
+            bool stops_only,
             Report report);
 
   void Judge();
@@ -30,6 +32,7 @@
  private:
   void JudgeResponses();
   void JudgeOneTimeCalls();
+  void JudgePlannedStops();
   // Returns whether the entry node of a call had to respond to it.
   bool IsResponseDue(const CallRecord& record) const;
   std::string Describe(const CallRecord& record) const;
@@ -39,6 +42,7 @@
   const std::vector<NodeLife>& lives_;
   const std::map<std::string, int>& executions_;
   const SoakTime epoch_;
+  const bool stops_only_;
   const Report report_;
   // When each life sent its first response.
   std::map<const NodeLife*, SoakTime> first_responses_;
--- a/tools/soak_driver/caller_pool.cc
+++ b/tools/soak_driver/caller_pool.cc
@@ -22,6 +22,8 @@
 constexpr char kOneTimePath[] = "/booking/soak";
 constexpr char kKeyPath[] = "/-/keys";
 constexpr int kMaxRepeats = 3;
+// One in this many calls that are done.
+constexpr int kRepeatedDone = 6;
 
 enum class CallKind { kIdempotent, kIssuedKey, kOwnKey, kNoKey };
 
@@ -219,8 +221,10 @@
     last_failure_sent_ = std::max(last_failure_sent_.load(),
                                   record.sent.time_since_epoch().count());
   }
-  if (!record.key.empty() && !record.Succeeded() &&
-      record.presented < kMaxRepeats) {
+  // A key whose call is done is presented again at times, for the recorded
+  // response.
+  const bool again = !record.Succeeded() || random_.Below(kRepeatedDone) == 0;
+  if (!record.key.empty() && again && record.presented < kMaxRepeats) {
     repeated_keys_.push_back({record.key, record.entry, record.presented + 1});
   }
 }
--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -105,6 +106,8 @@
 }
 
 int Main(int argc, char** argv) {
+  // The proxy and the callers write to connections that daemons have closed.
+  std::signal(SIGPIPE, SIG_IGN);
   Arguments arguments;
   SoakOptions& soak = arguments.soak;
   options::options_description description("tools/soak options");
--- a/tools/soak_driver/schedule.cc
+++ b/tools/soak_driver/schedule.cc
@@ -30,20 +30,23 @@
     : random_(seed),
       nodes_(nodes),
       data_centres_(data_centres),
-      seconds_(seconds) {}
+      seconds_(seconds),
+      stops_only_(random_.Below(3) == 0) {}
 
 std::vector<SoakEvent> Schedule::Draw() {
   struct Wave {
     int weight;
     void (Schedule::*add)(double at);
+    bool with_stops_only = false;
   };
-  constexpr std::array<Wave, 7> kWaves = {{{5, &Schedule::AddPlannedStops},
-                                           {2, &Schedule::AddKills},
-                                           {3, &Schedule::AddPauses},
-                                           {7, &Schedule::AddLinkFault},
-                                           {3, &Schedule::AddTargetSwitch},
-                                           {2, &Schedule::AddStoreFault},
-                                           {4, &Schedule::AddEdits}}};
+  constexpr std::array<Wave, 7> kWaves = {
+      {{5, &Schedule::AddPlannedStops, true},
+       {2, &Schedule::AddKills},
+       {3, &Schedule::AddPauses},
+       {7, &Schedule::AddLinkFault},
+       {3, &Schedule::AddTargetSwitch},
+       {2, &Schedule::AddStoreFault},
+       {4, &Schedule::AddEdits, true}}};
   const int total = std::accumulate(
       kWaves.begin(), kWaves.end(), 0,
       [](int sum, const Wave& wave) { return sum + wave.weight; });
@@ -51,7 +54,9 @@
     int drawn = static_cast<int>(random_.Below(total));
     for (const Wave& wave : kWaves) {
       if (drawn < wave.weight) {
-        (this->*wave.add)(at);
+        if (!stops_only_ || wave.with_stops_only) {
+          (this->*wave.add)(at);
+        }
         break;
       }
       drawn -= wave.weight;
--- a/tools/soak_driver/schedule.h
+++ b/tools/soak_driver/schedule.h
@@ -9,7 +9,9 @@
 
 namespace dragonflytack {
 
-// Draws the faults of a soak run. The same arguments give the same events.
+// Draws the faults of a soak run. The same arguments give the same events. One
+// seed in three has planned stops and edits only, which callers must not
+// notice.
 class Schedule final {
  public:
   // `data_centres` must match the fleet, whose node i is in data centre
@@ -19,6 +21,9 @@
   // Returns the events in the order of their times.
   std::vector<SoakEvent> Draw();
 
+  // Whether the events are planned stops and edits only.
+  bool stops_only() const { return stops_only_; }
+
  private:
   void AddPlannedStops(double at);
   void AddKills(double at);
@@ -39,6 +44,7 @@
   const int nodes_;
   const int data_centres_;
   const double seconds_;
+  const bool stops_only_;
   std::vector<SoakEvent> events_;
 };
 
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -8,7 +8,6 @@
 #include <nlohmann/json.hpp>
 
 #include "soak_driver/call_judge.h"
-#include "soak_driver/schedule.h"
 #include "soak_driver/version_watch.h"
 #include "support/http_batch.h"
 #include "support/timing.h"
@@ -44,9 +43,8 @@
 SoakRun::SoakRun(const SoakOptions& options)
     : options_(options),
       log_(options.work_dir + "/soak.log"),
-      schedule_(
-          Schedule(options.seed, options.nodes, kDataCentres, options.seconds)
-              .Draw()),
+      drawn_(options.seed, options.nodes, kDataCentres, options.seconds),
+      schedule_(drawn_.Draw()),
       epoch_(SteadyClock::now()),
       fleet_(MakeFleetOptions()),
       edits_(options.build_dir + "/dragonflytack",
@@ -56,8 +54,9 @@
       proxy_(Addresses(), ProxyRoutes()),
       callers_(Entries(), options.callers_per_node, options.seed),
       daemons_(&fleet_, &log_) {
-  log_.Write(fmt::format("seed {} nodes {} seconds {}", options.seed,
-                         options.nodes, options.seconds));
+  log_.Write(fmt::format("seed {} nodes {} seconds {}{}", options.seed,
+                         options.nodes, options.seconds,
+                         drawn_.stops_only() ? " planned stops only" : ""));
   for (const SoakEvent& event : schedule_) {
     log_.Write(fmt::format("planned {:.3f} {}", event.at, event.ToString()));
   }
@@ -264,6 +263,7 @@
     return;
   }
   CallJudge(callers_.records(), daemons_.lives(), *executions, epoch_,
+            drawn_.stops_only(),
             [this](const std::string& text) { log_.ReportFailure(text); })
       .Judge();
 }
--- a/tools/soak_driver/soak_run.h
+++ b/tools/soak_driver/soak_run.h
@@ -10,6 +10,7 @@
 #include "soak_driver/caller_pool.h"
 #include "soak_driver/daemon_group.h"
 #include "soak_driver/fault_proxy.h"
+#include "soak_driver/schedule.h"
 #include "soak_driver/soak_event.h"
 #include "soak_driver/soak_log.h"
 #include "soak_driver/soak_options.h"
@@ -59,6 +60,7 @@
 
   const SoakOptions options_;
   SoakLog log_;
+  Schedule drawn_;
   const std::vector<SoakEvent> schedule_;
   SoakTime epoch_;
   Fleet fleet_;
--- a/tools/support/child_process.cc
+++ b/tools/support/child_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <thread>
 #include <utility>
@@ -34,6 +35,8 @@
   // An inherited socket would keep a connection open that the parent closes.
   constexpr unsigned kFirstInherited = STDERR_FILENO + 1;
   close_range(kFirstInherited, ~0U, 0);
+  // Ignored signals are inherited.
+  std::signal(SIGPIPE, SIG_DFL);
   std::vector<char*> pointers;
   for (const std::string& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
