--- a/tools/measure_driver/calls_measure.h
+++ b/tools/measure_driver/calls_measure.h
@@ -5,9 +5,9 @@
 #include <map>
 #include <string>
 
-#include "support/fleet.h"
 #include "measure_driver/report.h"
 #include "measure_driver/table_writer.h"
+#include "support/fleet.h"
 #include "support/load_plan.h"
 #include "support/load_result.h"
 
--- a/tools/measure_driver/distribution_measure.h
+++ b/tools/measure_driver/distribution_measure.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "support/fleet.h"
 #include "measure_driver/report.h"
 #include "measure_driver/table_writer.h"
+#include "support/fleet.h"
 
 namespace dragonflytack {
 
--- a/tools/measure_driver/scale_measure.h
+++ b/tools/measure_driver/scale_measure.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <vector>
 
-#include "support/fleet.h"
 #include "measure_driver/report.h"
 #include "measure_driver/table_writer.h"
 #include "support/child_process.h"
+#include "support/fleet.h"
 
 namespace dragonflytack {
 
--- a/tools/soak_redirect/redirect.cc
+++ b/tools/soak_redirect/redirect.cc
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <cstdlib>
 
@@ -51,7 +52,12 @@
   // destination.
   const int on = 1;
   setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
-  bind(fd, reinterpret_cast<const sockaddr*>(&source), sizeof source);
+  // EINVAL: the caller has bound the socket itself.
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&source), sizeof source) !=
+          0 &&
+      errno != EINVAL) {
+    return -1;
+  }
   redirected.sin_addr.s_addr = htonl(host + kNextNetwork);
   return RealConnect()(fd, reinterpret_cast<const sockaddr*>(&redirected),
                        sizeof redirected);
