--- a/tools/measure_driver/scale_measure.h
+++ b/tools/measure_driver/scale_measure.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <vector>
 
-#include "measure_driver/fleet.h"
 #include "measure_driver/report.h"
 #include "measure_driver/table_writer.h"
 #include "support/child_process.h"
+#include "support/fleet.h"
 
 namespace dragonflytack {
 
