Ignore further signals after the end of a stop

Cause: freeing the signal events restores the disposition from before, which was the default one. It is now to ignore the signals.

Evidence: signal_after_the_end_of_a_stop_is_ignored ends by the signal before and passes with this commit.

--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -179,6 +179,9 @@
 
 void ControlTask::RegisterSignalHandlers() {
   for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    // libevent restores this disposition when the events are freed. The default
+    // one would end the process if a further signal arrives after the stop.
+    std::signal(signal, SIG_IGN);
     event* const signal_event =
         evsignal_new(loop_->base(), signal, &ControlTask::OnSignal, this);
     evsignal_add(signal_event, nullptr);
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -298,6 +298,18 @@
   cr_expect_eq(fixture.Join(), 0);
 }
 
+// Guards against a second SIGTERM in the last milliseconds of a stop that ends
+// the process by the signal, so that the stop counts as a fault.
+Test(control_task, signal_after_the_end_of_a_stop_is_ignored) {
+  {
+    NodeFixture fixture(RespondLate);
+    raise(SIGTERM);
+    cr_expect_eq(fixture.Join(), 0);
+  }
+  raise(SIGTERM);
+  raise(SIGINT);
+}
+
 // Guards against malformed admin requests that terminate the process, and
 // against responses without the fields that operators and the tool read.
 Test(control_task, admin_port_rejects_malformed_requests_and_shows_the_node) {
