Test the link layer's rule independently of the cause of an end

Since links end at the peer's close frame, no test made the session refuse a frame, so that all link_end tests passed with a layer that reports ends directly. The new test calls the layer's OnDown() itself; it fails with that layer and passes with the current one.

The fake network reports no link as up any more that has already ended.

--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -38,7 +38,8 @@
     virtual void OnUp(WebSocketLink* link) = 0;
     virtual void OnFrame(WebSocketLink* link, const std::string& frame) = 0;
     // The link ended without Close(). `was_up` is true if OnUp() was called
-    // before. May be called from within Send().
+    // before. May be called from within Send(), so that the layer has to defer
+    // its report to the core.
     virtual void OnDown(WebSocketLink* link,
                         const Failure& reason,
                         bool was_up) = 0;
@@ -62,8 +63,8 @@
   void Start();
 
   // Queues a frame if the link is up. If the frame is too large or the queue
-  // full, the link fails on a later turn of the loop. If the peer has closed
-  // the session, the link fails from within this call.
+  // full, the link fails on a later turn of the loop. If the session refuses
+  // the frame, the link fails from within this call.
   void Send(const std::string& frame);
 
   // Ends the link without a call of OnDown(), also if the end was not reported
--- a/tests/fake_network.h
+++ b/tests/fake_network.h
@@ -160,8 +160,10 @@
                peers_[remote_link] = local_link;
                const NodeRecord self = core->self();
                Schedule(to, Milliseconds(0),
-                        [remote_link, self](DistributionCore* other) {
-                          other->OnLinkUp(remote_link, self, false);
+                        [this, remote_link, self](DistributionCore* other) {
+                          if (!ended_.contains(remote_link)) {
+                            other->OnLinkUp(remote_link, self, false);
+                          }
                         });
                core->OnLinkUp(local_link, target->second->self(), true);
              });
@@ -189,6 +191,7 @@
   // Ends one end of a link by a failure.
   void End(LinkId link) {
     peers_.erase(link);
+    ended_.insert(link);
     events_.emplace(
         TimePoint::min(),
         std::pair(link_hosts_[link], [this, link](DistributionCore* core) {
@@ -244,6 +247,8 @@
   std::map<LinkId, LinkId> peers_;
   std::set<LinkId> blackholed_;
   std::set<LinkId> closed_;
+  // Links that ended by a failure.
+  std::set<LinkId> ended_;
   std::map<LinkId, TimePoint> last_arrival_;
   std::multimap<TimePoint,
                 std::pair<HostPort, std::function<void(DistributionCore*)>>>
--- a/tests/link_end_test.cc
+++ b/tests/link_end_test.cc
@@ -39,6 +39,28 @@
 
 }  // namespace
 
+// Guards against a layer that reports an end from within the call that causes
+// it, whatever the cause, and against a report after Close().
+Test(link_end, end_from_within_a_call_is_reported_later_unless_closed) {
+  for (const bool closes : {false, true}) {
+    LinkFixture fixture;
+    cr_assert(fixture.LinkUp());
+    WebSocketLink* link = nullptr;
+    fixture.a.layer->ForEachUp([&link](const WebSocketLink& up) {
+      link = const_cast<WebSocketLink*>(&up);
+    });
+    WebSocketLink::Delegate& layer = *fixture.a.layer;
+    layer.OnDown(link, {FailureCode::kInvalidMessage, "peer", "ended"}, true);
+    cr_assert(fixture.a.downs.empty());
+    if (closes) {
+      fixture.a.layer->Close(fixture.a.link);
+    }
+    int turns = 0;
+    fixture.Run([&turns] { return ++turns > 20; });
+    cr_assert_eq(fixture.a.downs.size(), closes ? 0u : 1u);
+  }
+}
+
 // Guards against OnDown() from within Send(), after which the caller uses the
 // state of a link that no longer exists.
 Test(link_end, send_after_the_peer_has_closed_does_not_report_the_end) {
