Dial no peer after the node has left

What operators saw: a stopping node could log node_suspected for a healthy neighbour, because it dialled replacements for the links that its own stop closed, and the refused connections counted as failed dials (review of the incident, by a trial).

The core now stops dialling when it announces that it has left; the layer still refuses links after Shutdown(), and such a link reports nothing after Close(). The fleet test restarts nodes that have left, since they do not reconnect.

Evidence: node_that_has_left_dials_no_peer fails without StopDialling() and passes with it.

--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -225,6 +225,7 @@
   changed.state = TargetState::kLeft;
   changed.successor = successor;
   registry_sync_.UpdateSelf(std::move(changed));
+  links_.StopDialling();
   FlushBatch();
 }
 
--- a/src/distribution/link_table.cc
+++ b/src/distribution/link_table.cc
@@ -23,6 +23,9 @@
       data_centre_(std::move(data_centre)) {}
 
 void LinkTable::Dial(const HostPort& address, const NodeId& peer) {
+  if (!may_dial_) {
+    return;
+  }
   is_calling_layer_ = true;
   const LinkId id = layer_->Connect(address);
   is_calling_layer_ = false;
--- a/src/distribution/link_table.h
+++ b/src/distribution/link_table.h
@@ -25,8 +25,11 @@
   LinkTable(const LinkTable&) = delete;
   LinkTable& operator=(const LinkTable&) = delete;
 
-  // Starts a connection. `peer` is empty if only the address is known.
+  // Starts a connection. `peer` is empty if only the address is known. Does
+  // nothing after StopDialling().
   void Dial(const HostPort& address, const NodeId& peer);
+  // Keeps a node that has left from replacing the links that it loses.
+  void StopDialling() { may_dial_ = false; }
   // Marks a link as up and returns it. Like Remove(), must not be called from
   // within a call of the layer.
   LinkState* MarkUp(LinkId id, const NodeRecord& peer, bool outgoing);
@@ -63,6 +66,7 @@
   std::map<LinkId, LinkState> links_;
   TrafficCounters traffic_;
   bool is_calling_layer_ = false;
+  bool may_dial_ = true;
 };
 
 }  // namespace dragonflytack
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -85,9 +85,12 @@
 LinkId WebSocketLinkLayer::Connect(const HostPort& peer) {
   if (listener_ == nullptr) {
     const LinkId refused = next_id_++;
+    refused_.insert(refused);
     deferred_tasks_.Post([this, refused, peer] {
-      events_.on_down(refused, {FailureCode::kCancelled, peer.ToString(),
-                                "this node is stopping"});
+      if (refused_.erase(refused) != 0) {
+        events_.on_down(refused, {FailureCode::kCancelled, peer.ToString(),
+                                  "this node is stopping"});
+      }
     });
     return refused;
   }
@@ -97,6 +100,7 @@
 }
 
 void WebSocketLinkLayer::Close(LinkId link) {
+  refused_.erase(link);
   const auto found = links_.find(link);
   if (found != links_.end()) {
     found->second->Close();
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -111,6 +112,8 @@
   LinkId next_id_ = 1;
   size_t inbound_count_ = 0;
   std::unordered_map<LinkId, std::unique_ptr<WebSocketLink>> links_;
+  // Links that were requested after Shutdown() and not reported down yet.
+  std::set<LinkId> refused_;
   std::map<std::string, Traffic> ended_traffic_;
   std::map<std::string, uint64_t> end_counts_;
   std::function<void()> on_closed_;
--- a/tests/link_end_fleet_test.cc
+++ b/tests/link_end_fleet_test.cc
@@ -45,8 +45,9 @@
 
 }  // namespace
 
-// Guards against the use of a link's state after the link has ended, at every
-// place that sends. Runs under AddressSanitizer in CI.
+// Guards against a core that keeps the state of a link over its end, or does
+// not recover from it, when links end at the earliest moment that LinkLayer
+// allows. Runs under AddressSanitizer in CI.
 Test(link_end_fleet, fleet_survives_links_that_end_on_any_send) {
   for (uint64_t seed = 1; seed <= 8; ++seed) {
     CoreFleet fleet(seed);
@@ -62,6 +63,11 @@
     }
     fleet.network.end_on_send = 0;
     for (auto& [id, node] : fleet.nodes) {
+      // A node that has left does not come back without a restart.
+      if (node.core != nullptr &&
+          node.core->self().state == TargetState::kLeft) {
+        fleet.Crash(id);
+      }
       if (node.core == nullptr) {
         fleet.Boot(id);
       }
@@ -76,4 +82,24 @@
   }
 }
 
+// Guards against a stopping node that dials a replacement for each neighbour
+// that it loses and suspects those that it cannot reach.
+Test(link_end_fleet, node_that_has_left_dials_no_peer) {
+  CoreFleet fleet;
+  fleet.WriteTable({"roster"});
+  fleet.StartMany({"north1"}, 4);
+  fleet.Run(Milliseconds(3'000));
+  DistributionCore& leaving = *fleet.nodes["north1-0"].core;
+  cr_assert_geq(leaving.Status().links.size(), 2u);
+  leaving.BeginDrain();
+  leaving.AnnounceSuccessor("");
+  for (const DistributionStatus::Link& link : leaving.Status().links) {
+    fleet.nodes["north1-0"].layer->Close(link.link);
+    leaving.OnLinkDown(link.link, {FailureCode::kCancelled, "peer", "closed"});
+  }
+  fleet.Run(Milliseconds(2'000));
+  cr_assert(leaving.Status().links.empty());
+  cr_assert_eq(leaving.Status().suspect_nodes, 0u);
+}
+
 }  // namespace dragonflytack
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -243,6 +243,7 @@
   bool closed = false;
   fixture.a.layer->Shutdown([&] { closed = true; });
   fixture.a.layer->Connect(fixture.b.address);
+  fixture.a.layer->Close(fixture.a.layer->Connect(fixture.b.address));
   cr_assert(fixture.a.downs.empty());
   cr_assert(fixture.Run([&] { return closed; }));
   cr_assert(fixture.Run([&] { return fixture.a.downs.size() == 1; }));
