--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -331,17 +331,17 @@
   stop_deadline_ = clock_->Now() + Milliseconds(settings_.drain_timeout_ms);
   readiness_handler_.set_ready(false);
   core_->BeginDrain();
-  if (call_task_ == nullptr) {
-    OnCallsStopped({});
-    return;
-  }
-  call_task_->PostStop();
   loop_->timers().SubscribeOnce(
       Milliseconds(settings_.drain_timeout_ms) + kHandoverGracePeriod, [this] {
         logger_->Error("drain_timeout",
                        {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
         StopLoop(1, "drain_timeout");
       });
+  if (call_task_ == nullptr) {
+    OnCallsStopped({});
+    return;
+  }
+  call_task_->PostStop();
 }
 
 CallTask::CallsInProgress ControlTask::CallsInProgress() const {
