Read waiting requests before a stopping node closes its call port

What callers saw: no response to a call that they sent within the second in which a stopping node still accepts calls, if the process was paused over the end of that second. The connection was reset.

Cause: after the pause, the timer of that second was due in the same turn of the loop as the new connections. They were accepted, but the node had no call in progress and ended before it read their requests.

The end of the second is now handled one turn later.

There is no test without processes.

--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -207,7 +207,14 @@
                                   [this] { EndEntryGrace(); });
   }
 
+  // Ends the time in which a stopping node still accepts calls. After a pause
+  // of the process, that timer is due together with the connections that
+  // arrived meanwhile; their requests are read one turn of the loop later.
   void EndEntryGrace() {
+    loop_->timers().SubscribeOnce(Milliseconds(1), [this] { StopEntry(); });
+  }
+
+  void StopEntry() {
     if (std::exchange(entry_grace_over_, true)) {
       return;
     }
