State why status 101 is refused

Readers saw a comment that describes a request as asking. The reason is that the proxy removes Upgrade (src/calls/http_headers.cc), so a target has no grounds for 101. Comment only.

--- a/src/base/response_limiter.cc
+++ b/src/base/response_limiter.cc
@@ -40,7 +40,7 @@
   if (status >= kFirstFinalStatus) {
     return status <= kLastStatus;
   }
-  // No request asks for another protocol.
+  // 101 has no use here: requests to targets carry no Upgrade header.
   if (status < kContinue || status == kSwitchingProtocols ||
       ++interim_responses_ > kMaxInterimResponses) {
     return false;
