Release what a link holds, whichever side ends it

What operators saw: `snapshots_served` of the status stays at 2 and joining nodes are refused as `busy` for up to 10 s after the joining nodes that held the slots are gone.

Cause: OnLinkDown() ran the release steps of Bootstrapper and SnapshotServer, but LinkManager also closes links by itself (silent, duplicate, not wanted) and the layer reports no event for a link that the core closes. The path for refused frames repeated the steps by hand.

Ruled out: other state by link id. Only the table of links, the pending request of Bootstrapper and the slots of SnapshotServer are keyed by it.

Why it works: a link leaves LinkTable in one function, whether it is closed or removed, and that function reports it. The receivers change only their own state, so that the report is safe from within Close().

--- a/src/distribution/bootstrapper.cc
+++ b/src/distribution/bootstrapper.cc
@@ -77,7 +77,7 @@
   return true;
 }
 
-void Bootstrapper::OnLinkDown(LinkId link) {
+void Bootstrapper::OnLinkRemoved(LinkId link) {
   if (snapshot_link_ == link) {
     snapshot_link_ = 0;
   }
--- a/src/distribution/bootstrapper.h
+++ b/src/distribution/bootstrapper.h
@@ -45,7 +45,9 @@
   // Handles the end of a snapshot. Returns true if it is the requested one and
   // none was received before.
   bool OnSnapshotEnd(LinkState* link);
-  void OnLinkDown(LinkId link);
+  // Requests the snapshot again with the next Tick() if it was requested over
+  // this link.
+  void OnLinkRemoved(LinkId link);
   // Dials candidates while links are missing and requests the snapshot.
   void Tick();
   // Whether a peer is a candidate that was never dialled.
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -95,6 +95,10 @@
                 seeds, [this](const HostPort& peer) { return IsLive(peer); });
           }),
       route_builder_(&registry_) {
+  links_.set_on_removed([this](LinkId link) {
+    bootstrapper_.OnLinkRemoved(link);
+    snapshot_server_.Release(link);
+  });
   table_sync_.set_on_in_force([this] { OnTableInForce(); });
 }
 
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -37,8 +37,6 @@
                     {"code", std::string(FailureCodeName(reason.code))},
                     {"reason", reason.ToString()}});
     links_.Close(id);
-    bootstrapper_.OnLinkDown(id);
-    snapshot_server_.Release(id);
     return;
   }
   link->last_received = timers_->clock().Now();
@@ -53,8 +51,6 @@
                   {{"peer", link->peer}, {"reason", reason.ToString()}});
   }
   link_manager_.OnLinkDown(id);
-  bootstrapper_.OnLinkDown(id);
-  snapshot_server_.Release(id);
   EvaluateTable();
 }
 
--- a/src/distribution/link_table.cc
+++ b/src/distribution/link_table.cc
@@ -56,7 +56,7 @@
 }
 
 void LinkTable::Close(LinkId id) {
-  if (links_.erase(id) != 0) {
+  if (Erase(id)) {
     is_calling_layer_ = true;
     layer_->Close(id);
     is_calling_layer_ = false;
@@ -65,7 +65,17 @@
 
 void LinkTable::Remove(LinkId id) {
   assert(!is_calling_layer_);
-  links_.erase(id);
+  Erase(id);
+}
+
+bool LinkTable::Erase(LinkId id) {
+  if (links_.erase(id) == 0) {
+    return false;
+  }
+  if (on_removed_) {
+    on_removed_(id);
+  }
+  return true;
 }
 
 void LinkTable::Send(LinkState* link, const Message& message) {
--- a/src/distribution/link_table.h
+++ b/src/distribution/link_table.h
@@ -2,8 +2,10 @@
 #define DRAGONFLYTACK_SRC_DISTRIBUTION_LINK_TABLE_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "distribution/link_state.h"
@@ -37,6 +39,12 @@
   void Close(LinkId id);
   // Removes a link that the layer reported as down.
   void Remove(LinkId id);
+  // Sets the function that is called with each link that has left the table,
+  // whether this node closed it or it ended. It is called from within Close()
+  // and Remove() and must not use the table.
+  void set_on_removed(std::function<void(LinkId)> on_removed) {
+    on_removed_ = std::move(on_removed);
+  }
 
   void Send(LinkState* link, const Message& message);
   // Sends an encoded frame, so that several links can share one encoding.
@@ -59,11 +67,15 @@
   const TrafficCounters& traffic() const { return traffic_; }
 
  private:
+  // Removes a link and reports it. Returns whether there was one.
+  bool Erase(LinkId id);
+
   LinkLayer* const layer_;
   const Clock* const clock_;
   const std::string region_;
   const std::string data_centre_;
   std::map<LinkId, LinkState> links_;
+  std::function<void(LinkId)> on_removed_;
   TrafficCounters traffic_;
   bool is_calling_layer_ = false;
   bool may_dial_ = true;
--- a/src/distribution/snapshot_server.h
+++ b/src/distribution/snapshot_server.h
@@ -37,8 +37,8 @@
                  Random* random);
 
   void OnRequest(LinkState* link);
-  // Called when the joining node has confirmed the snapshot or its link is
-  // down.
+  // Called when the joining node has confirmed the snapshot or its link has
+  // been removed.
   void Release(LinkId link) { served_.erase(link); }
   void Tick();
   size_t served() const { return served_.size(); }
