--- a/src/distribution/bootstrapper.cc
+++ b/src/distribution/bootstrapper.cc
@@ -68,12 +68,12 @@
 }
 
 bool Bootstrapper::OnSnapshotEnd(LinkState* link) {
+  links_->Send(link, SnapshotReceivedMessage{});
   if (snapshot_link_ != link->id || synced_) {
     return false;
   }
   snapshot_link_ = 0;
   synced_ = true;
-  links_->Send(link, SnapshotReceivedMessage{});
   return true;
 }
 
--- a/src/distribution/bootstrapper.h
+++ b/src/distribution/bootstrapper.h
@@ -42,7 +42,8 @@
   // Adds the alternatives that a busy peer named and makes them due for
   // dialling immediately.
   void OnSnapshotBusy(LinkState* link, const SnapshotBusyMessage& message);
-  // Handles the end of a snapshot. Returns true if it is the requested one and
+  // Handles the end of a snapshot. Confirms it in any case, because its server
+  // keeps a slot for it until then. Returns true if it is the requested one and
   // none was received before.
   bool OnSnapshotEnd(LinkState* link);
   // Requests the snapshot again with the next Tick() if it was requested over
--- a/tests/link_end_snapshot_test.cc
+++ b/tests/link_end_snapshot_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "core_fleet.h"
+#include "distribution/bootstrapper.h"
 #include "distribution/link_manager.h"
 #include "distribution/message_codec.h"
 #include "distribution/snapshot_server.h"
@@ -107,4 +108,23 @@
   cr_expect_eq(test.fleet.FramesSent("snapshot_request"), 2u);
 }
 
+// Guards against a slot that stays taken at a server whose snapshot arrived
+// after the joining node had requested another one.
+Test(link_end_snapshot, late_snapshot_is_confirmed_to_its_server) {
+  CoreWithPeers test;
+  const LinkId late = test.LinkUp("late", true);
+  const LinkId second = test.LinkUp("second", true);
+  const TimePoint asked = test.fleet.clock.Now();
+  while (test.fleet.clock.Now() - asked <= Bootstrapper::kSnapshotTimeout) {
+    test.fleet.Run(kSecond);
+    test.ReceiveHello(late);
+    test.ReceiveHello(second);
+  }
+  cr_assert_eq(test.fleet.FramesSent("snapshot_request"), 2u);
+  for (const LinkId link : {late, second}) {
+    test.node->core->OnFrame(link, MessageCodec::Encode(SnapshotEndMessage{}));
+  }
+  cr_expect_eq(test.fleet.FramesSent("snapshot_taken"), 2u);
+}
+
 }  // namespace dragonflytack
