Send a batch once the queue of its link has drained

What callers could see: a peer routes to a target whose change it does not know, for example a node that is draining, until the registries are repaired from the digests of heartbeats, which takes two differing heartbeats (1 s to 2 s) or more.

Nothing caused another Flush() until the next change of any record, since the layer does not report that a queue has drained.

Evidence, on the code before:

membership/record_is_sent_once_the_queue_of_the_link_has_drained The expression fleet.RunUntil(Milliseconds(300), ...) is false.

Why it works: Flush() reports that a batch is left, and the core sets the timer of the next batch as it does after a change.

--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -277,7 +277,10 @@
 void DistributionCore::Impl::FlushBatch() {
   timers_->Cancel(batch_timer_);
   batch_timer_ = 0;
-  registry_sync_.Flush();
+  if (!registry_sync_.Flush()) {
+    // The layer does not report that a queue has drained.
+    OnRegistryChange();
+  }
   if (!joined()) {
     return;
   }
--- a/src/distribution/link_state.h
+++ b/src/distribution/link_state.h
@@ -59,6 +59,10 @@
   std::set<std::pair<NodeId, uint64_t>> pending_successions;
   std::vector<Suspicion> pending_suspicions;
 
+  bool HasPendingBatch() const {
+    return !pending_records.empty() || !pending_successions.empty() ||
+           !pending_suspicions.empty();
+  }
   bool IsUnresponsive(TimePoint now) const {
     return now - last_received > kUnresponsiveAfter;
   }
--- a/src/distribution/registry_sync.cc
+++ b/src/distribution/registry_sync.cc
@@ -295,12 +295,14 @@
   });
 }
 
-void RegistrySync::Flush() {
+bool RegistrySync::Flush() {
+  bool is_complete = true;
   // Most links carry the same batch, so its frame is encoded only once.
   std::set<NodeId> encoded_ids;
   std::string frame;
   for (LinkState* link : links_->Up()) {
     if (links_->QueuedBytes(*link) > kMaxQueuedBytes) {
+      is_complete &= !link->HasPendingBatch();
       continue;
     }
     if (!link->pending_suspicions.empty()) {
@@ -338,6 +340,7 @@
       links_->SendFrame(link, Message(RecordsMessage{}).index(), frame);
     }
   }
+  return is_complete;
 }
 
 void RegistrySync::SendAll(LinkState* link) {
--- a/src/distribution/registry_sync.h
+++ b/src/distribution/registry_sync.h
@@ -76,8 +76,9 @@
   void OnBucketHashes(LinkState* link, const BucketHashesMessage& message);
   void OnEntryRequest(LinkState* link, const EntryRequestMessage& message);
 
-  // Sends the pending batches.
-  void Flush();
+  // Sends the pending batches. Returns false if a batch has to wait for the
+  // queue of its link to drain.
+  bool Flush();
   // Sends the whole registry in chunks.
   void SendAll(LinkState* link);
 
--- a/tests/fake_network.h
+++ b/tests/fake_network.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_TESTS_FAKE_NETWORK_H_
 #define DRAGONFLYTACK_TESTS_FAKE_NETWORK_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,8 @@
   // right after the call that sent, which is the earliest moment that LinkLayer
   // allows.
   double end_on_send = 0;
+  // Number of bytes that each link reports as queued.
+  size_t queued_bytes = 0;
   // Returns whether no frame passes between two hosts.
   std::function<bool(const HostPort&, const HostPort&)> is_partitioned =
       [](const HostPort&, const HostPort&) { return false; };
@@ -61,7 +64,7 @@
     void Send(LinkId link, std::string frame) override {
       network_->Send(link, std::move(frame));
     }
-    size_t QueuedBytes(LinkId) const override { return 0; }
+    size_t QueuedBytes(LinkId) const override { return network_->queued_bytes; }
 
    private:
     FakeNetwork* const network_;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -2,6 +2,7 @@
 
 #include "core_fleet.h"
 #include "distribution/overlay.h"
+#include "distribution/registry_sync.h"
 #include "registry/registry.h"
 
 namespace dragonflytack {
@@ -52,6 +53,25 @@
   }
 }
 
+// Guards against a record that a link with a full queue does not get until the
+// next change of any node.
+Test(membership, record_is_sent_once_the_queue_of_the_link_has_drained) {
+  CoreFleet fleet;
+  fleet.WriteTable({"roster"});
+  fleet.StartMany({"north1"}, 2);
+  fleet.Run(5 * kSecond);
+  cr_assert(fleet.AllHaveNodes(2));
+  fleet.network.queued_bytes = RegistrySync::kMaxQueuedBytes + 1;
+  fleet.nodes["north1-0"].core->SetTarget("roster", TargetState::kReady, 3);
+  fleet.Run(Milliseconds(100));
+  fleet.network.queued_bytes = 0;
+  // Less than the interval of the heartbeats, whose digests would repair it.
+  cr_assert(fleet.RunUntil(Milliseconds(300), [&] {
+    const auto& routes = fleet.nodes["north1-1"].routes;
+    return !routes->Find("roster")->endpoints.empty();
+  }));
+}
+
 // Guards against a ring that leaves nodes without links.
 Test(membership, successor_offsets_by_ring_size) {
   cr_assert(Overlay::SuccessorOffsets(1).empty());
