End a link whose queue overflows during its handshake

What operators saw: a link that is up and carries no frame, until the core considers it silent and closes it after 3 s.

Cause: a send that fails cannot close the session, which is writing, so the link failed on the next turn of the loop, by a timer that the handshake used as well. If the rest of the handshake was read in the same turn, the link came up and stopped the timer, and with it the failure. The flag for the pending failure stayed set, so that frames were neither sent nor received.

Why it works: the pending failure is a state of the chart instead of a flag. No event leads from it back into the handshake or to `up`, only to `closing`. A timer of its own would not do: the link would still come up, and be reported so to the core, in order to fail on the next turn.

The test fills the socket and the queue by pings whose responses nobody reads, and sends the proof together with the ping that overflows the queue. It and the tests of pings share the functions that make frames.

--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -42,6 +42,7 @@
   static constexpr ChartAction<WebSocketLink> actions[] = {
       {"StartHandshakeTimer", &WebSocketLink::StartHandshakeTimer},
       {"StopHandshakeTimer", &WebSocketLink::StopHandshakeTimer},
+      {"StartFailureTimer", &WebSocketLink::StartFailureTimer},
       {"StartWebSocket", &WebSocketLink::StartWebSocket},
       {"SendHello", &WebSocketLink::SendHello},
       {"SendProof", &WebSocketLink::SendProof},
@@ -111,7 +112,8 @@
 }
 
 void WebSocketLink::Send(const std::string& frame) {
-  if (!is_up() || failure_pending_) {
+  // The state changes only after an action such as ReportUp(), which may send.
+  if (!is_up() || reason_.code != FailureCode::kNone) {
     return;
   }
   if (frame.size() > options_.max_frame_bytes) {
@@ -200,6 +202,12 @@
   timers_->Cancel(timer_);
 }
 
+void WebSocketLink::StartFailureTimer() {
+  timers_->Cancel(timer_);
+  timer_ = timers_->SubscribeOnce(Milliseconds(0),
+                                  [this] { machine_.Handle("failed"); });
+}
+
 void WebSocketLink::StartWebSocket() {
   const int enabled = 1;
   setsockopt(bufferevent_getfd(socket_), IPPROTO_TCP, TCP_NODELAY, &enabled,
@@ -272,9 +280,7 @@
 void WebSocketLink::OnWebSocketMessage(const std::string& payload) {
   Failure reason;
   if (is_up()) {
-    if (!failure_pending_) {
-      delegate_->OnFrame(this, payload);
-    }
+    delegate_->OnFrame(this, payload);
   } else if (state() == "greeting") {
     if (handshake_->ProcessHello(payload, &reason)) {
       machine_.Handle("hello");
@@ -296,7 +302,7 @@
   const size_t limit =
       up_reported_ ? options_.max_queue_bytes : kHandshakeQueueBytes;
   if (queued_bytes() + size > limit) {
-    if (!failure_pending_ && !IsClosing()) {
+    if (!IsClosing()) {
       FailLater(FailureCode::kOverloaded,
                 "the send queue is full: the peer does not read");
     }
@@ -326,17 +332,19 @@
 }
 
 void WebSocketLink::Fail(Failure reason) {
+  SetReason(std::move(reason));
+  machine_.Handle("failed");
+}
+
+void WebSocketLink::SetReason(Failure reason) {
   if (reason_.code == FailureCode::kNone) {
     reason_ = std::move(reason);
   }
-  machine_.Handle("failed");
 }
 
 void WebSocketLink::FailLater(FailureCode code, const std::string& detail) {
-  failure_pending_ = true;
-  timers_->Cancel(timer_);
-  timer_ = timers_->SubscribeOnce(Milliseconds(0),
-                                  [this, code, detail] { Fail(code, detail); });
+  SetReason({code, remote_.ToString(), detail});
+  machine_.Handle("send_failed");
 }
 
 }  // namespace dragonflytack
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -97,6 +97,7 @@
   // Actions of the chart.
   void StartHandshakeTimer();
   void StopHandshakeTimer();
+  void StartFailureTimer();
   void StartWebSocket();
   void SendHello();
   void SendProof();
@@ -115,6 +116,8 @@
   bool IsClosing() const;
   void Fail(FailureCode code, const std::string& detail);
   void Fail(Failure reason);
+  // Keeps `reason` unless there is an earlier one.
+  void SetReason(Failure reason);
   // Fails on the next turn of the loop, because the session must not be closed
   // while it writes.
   void FailLater(FailureCode code, const std::string& detail);
@@ -129,12 +132,13 @@
   ChartMachine<WebSocketLink> machine_;
   std::unique_ptr<WebsocketppSession> session_;
   std::unique_ptr<LinkHandshake> handshake_;
+  // The timer of the current state.
   TimerId timer_ = 0;
+  // Why the link ends, once that is known.
   Failure reason_;
   bool up_reported_ = false;
   bool down_reported_ = false;
   bool closed_locally_ = false;
-  bool failure_pending_ = false;
   uint64_t sent_bytes_ = 0;
   uint64_t received_bytes_ = 0;
 };
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -34,6 +35,31 @@
   return fd;
 }
 
+// Returns a frame of a client, with a masking key of 0. `first` is the byte
+// with the opcode, and the payload has less than 64 KB.
+std::string ClientFrame(char first, const std::string& payload) {
+  constexpr char kMasked = '\x80';
+  constexpr size_t kMaxShortPayload = 125;
+  std::string frame(1, first);
+  if (payload.size() <= kMaxShortPayload) {
+    frame += static_cast<char>(kMasked | payload.size());
+  } else {
+    frame += '\xfe';
+    frame += static_cast<char>(payload.size() >> 8);
+    frame += static_cast<char>(payload.size());
+  }
+  return frame + std::string(4, '\0') + payload;
+}
+
+// Returns `count` pings of the largest size.
+std::string Pings(int count) {
+  std::string pings;
+  for (int i = 0; i < count; ++i) {
+    pings += ClientFrame('\x89', std::string(125, 'p'));
+  }
+  return pings;
+}
+
 }  // namespace
 
 // Guards against frames that are truncated, reordered or lost, up to the
@@ -96,10 +122,8 @@
   options.handshake_timeout = Milliseconds(300);
   LinkFixture fixture(OptionsWithKey(), options);
   const std::string upgrade = kUpgrade;
-  const std::string zero_mask(4, '\0');
   const auto frame = [&](char first, const std::string& payload) {
-    return upgrade + first + static_cast<char>(0x80 | payload.size()) +
-           zero_mask + payload;
+    return upgrade + ClientFrame(first, payload);
   };
   const struct {
     const char* name;
@@ -166,10 +190,7 @@
   fcntl(fd, F_SETFL, O_NONBLOCK);
   const int small_buffer = 4096;
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof(small_buffer));
-  std::string pings;
-  for (int i = 0; i < 100; ++i) {
-    pings += "\x89\xfd" + std::string(4, '\0') + std::string(125, 'p');
-  }
+  const std::string pings = Pings(100);
   cr_expect(fixture.Run([&] {
     [[maybe_unused]] const ssize_t sent =
         send(fd, pings.data(), pings.size(), MSG_NOSIGNAL);
@@ -178,6 +199,50 @@
   close(fd);
 }
 
+// Guards against a link that comes up although its queue has overflowed during
+// the handshake: it would carry no frame and not end by itself.
+Test(websocket_link_layer, full_queue_during_the_handshake_ends_it) {
+  constexpr LinkId kLink = 1;
+  constexpr size_t kQueueLimit = 65'536;
+  LinkOptions options = OptionsWithKey("");
+  options.handshake_timeout = Milliseconds(60'000);
+  LinkFixture fixture(options, options);
+  // Without a key the proof does not depend on the hello of the node.
+  LinkHandshake handshake(/*is_client=*/true, options.shared_key);
+  const int fd = ConnectRaw(
+      fixture.b.address,
+      kUpgrade + ClientFrame('\x82', handshake.MakeHello(fixture.a.self)));
+  fcntl(fd, F_SETFL, O_NONBLOCK);
+  const int small_buffer = 4096;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof(small_buffer));
+  // The node reads what is sent at once, not several sends together.
+  const int enabled = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  // The responses to the pings fill the socket, which nobody reads, then the
+  // queue.
+  const std::string many = Pings(100);
+  const std::string few = Pings(5);
+  cr_assert(fixture.Run([&] {
+    const size_t queued = fixture.b.layer->QueuedBytes(kLink);
+    if (queued > kQueueLimit - 1'500) {
+      return true;
+    }
+    const std::string& pings = queued > kQueueLimit / 2 ? few : many;
+    cr_assert_eq(send(fd, pings.data(), pings.size(), MSG_NOSIGNAL),
+                 static_cast<ssize_t>(pings.size()));
+    return false;
+  }));
+  cr_assert_eq(fixture.b.EndCount("overloaded"), 0u);
+  // The node reads the proof together with the ping that overflows the queue.
+  const std::string last =
+      Pings(20) + ClientFrame('\x82', handshake.MakeProof());
+  cr_assert_eq(send(fd, last.data(), last.size(), MSG_NOSIGNAL),
+               static_cast<ssize_t>(last.size()));
+  cr_expect(fixture.Run([&] { return fixture.b.EndCount("overloaded") == 1; }));
+  cr_expect(fixture.b.peers.empty());
+  close(fd);
+}
+
 // Guards against an authenticated peer that makes a node buffer frames over the
 // limit.
 Test(websocket_link_layer, oversized_frame_closes_link) {
