Write `crashed` when libevent finds its own state not valid

What operators saw: a node that ends with exit code 1 and neither an `ended` nor a `crashed` line, which a stop at the drain timeout shares the code with.

Cause: libevent calls exit(1) after an error of its own state, which raises no signal, so that the crash handler does not run.

Evidence, on the code before, in a child process that enables libevent's debug mode after a loop was made, which libevent refuses with such an error:

crash_handler/reports_a_fatal_error_of_libevent SIGABRT: wait status 256

Why it works: libevent calls the callback instead of exit(1), and abort() there raises the signal in the thread at fault, so that the stack leads to the call. The text of libevent is on the standard error as before. The command-line tool, which has no crash handler, ends by SIGABRT as well instead of with code 1.

--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -1,5 +1,7 @@
 #include "dragonflytack/base/event_loop.h"
 
+#include <cstdlib>
+
 #include <event2/event.h>
 #include <event2/thread.h>
 
@@ -8,7 +10,12 @@
 namespace dragonflytack {
 
 std::unique_ptr<EventLoop> EventLoop::Make(const Clock* clock) {
-  static const int threads_enabled = evthread_use_pthreads();
+  // By default libevent calls exit(1) on an error of its own state, which
+  // bypasses the crash handler.
+  static const int threads_enabled = [] {
+    event_set_fatal_callback([](int /*error*/) { std::abort(); });
+    return evthread_use_pthreads();
+  }();
   if (threads_enabled != 0) {
     return nullptr;
   }
--- a/tests/crash_handler_test.cc
+++ b/tests/crash_handler_test.cc
@@ -13,6 +13,7 @@
 #include <exception>
 #include <functional>
 #include <limits>
+#include <memory>
 #include <regex>
 #include <stdexcept>
 #include <string>
@@ -20,8 +21,11 @@
 #include <typeinfo>
 
 #include <criterion/criterion.h>
+#include <event2/event.h>
 #include <nlohmann/json.hpp>
 
+#include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/manual_clock.h"
 #include "dragonflytack/base/signal_stack.h"
 
 namespace dragonflytack {
@@ -195,6 +199,19 @@
   cr_expect_not(ExpectLine(aborted, SIGABRT, "SIGABRT").contains("exception"));
 }
 
+// Guards against a process that libevent ends by exit(1), with no line in the
+// log, because its own state is not valid.
+Test(crash_handler, reports_a_fatal_error_of_libevent, .timeout = 60) {
+  const Crash crash = RunInChild([] {
+    const ManualClock clock;
+    const std::unique_ptr<EventLoop> loop = EventLoop::Make(&clock);
+    // The debug mode may only be enabled before the first loop is made.
+    event_enable_debug_mode();
+  });
+  const auto line = ExpectLine(crash, SIGABRT, "SIGABRT");
+  cr_expect_gt(FramesOfProgram(line), 0u, "%s", line.dump().c_str());
+}
+
 // Guards against the id of a sending process that looks like an address.
 Test(crash_handler, signal_of_a_process_has_no_address, .timeout = 60) {
   const Crash crash = RunInChild([] { kill(getpid(), SIGSEGV); });
