Document when the receiver of routes is called

What readers could not see: from within which calls DistributionCore calls the function of set_on_routes(), and what that function may call.

No fault was found.

The callbacks of the other public headers were read for the same: TimerService, Mailbox, Wakeup, StoreClient, LinkLayer and CallTask::Events say when they are called, and their users keep to it.

--- a/include/dragonflytack/distribution/distribution_core.h
+++ b/include/dragonflytack/distribution/distribution_core.h
@@ -45,7 +45,13 @@
   DistributionCore(const DistributionCore&) = delete;
   DistributionCore& operator=(const DistributionCore&) = delete;
 
-  // Called with each new snapshot that is put in force.
+  // Sets the function that is called with each new snapshot that is put in
+  // force. It is called from timers and responses of the store, and from within
+  // OnFrame(), OnLinkDown(), SetTarget(), BeginDrain(), AnnounceSuccessor() and
+  // AnnounceTakeover(). It must not destroy the core and must not report events
+  // of links, but may call the other functions. Such a call can put a newer
+  // snapshot in force and report it before it returns, so the receiver has to
+  // be done with its own snapshot by then.
   void set_on_routes(RoutesCallback on_routes);
 
   // Starts to join the fleet.
