--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -95,6 +95,10 @@
                 seeds, [this](const HostPort& peer) { return IsLive(peer); });
           }),
       route_builder_(&registry_) {
+  links_.set_on_removed([this](LinkId link) {
+    bootstrapper_.OnLinkRemoved(link);
+    snapshot_server_.Release(link);
+  });
   table_sync_.set_on_in_force([this] { OnTableInForce(); });
 }
 
@@ -273,7 +277,10 @@
 void DistributionCore::Impl::FlushBatch() {
   timers_->Cancel(batch_timer_);
   batch_timer_ = 0;
-  registry_sync_.Flush();
+  if (!registry_sync_.Flush()) {
+    // The layer does not report that a queue has drained.
+    OnRegistryChange();
+  }
   if (!joined()) {
     return;
   }
