Keep a SIGTERM that arrives while the daemon starts

A SIGTERM in the first milliseconds of a daemon ended it by the signal, so a supervisor that stops a process it has just restarted saw a fault instead of exit code 0.

Cause: the daemon reads its settings and binds its ports before it registers its signal handlers, and until then SIGTERM has its default effect. Moreover, the registration set SIG_IGN for a moment, which discards a signal.

RunDaemon() now blocks SIGTERM, SIGINT and SIGHUP first, and the control task unblocks them once the handlers are registered, so that a pending signal takes effect in the event loop. The disposition under the handler of libevent is an empty function, because SIG_IGN discards pending signals even if they are blocked.

--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <malloc.h>
 
+#include "daemon/loop_signals.h"
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/routing/route_snapshot.h"
@@ -178,15 +179,17 @@
 }
 
 void ControlTask::RegisterSignalHandlers() {
-  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+  for (const int signal : kLoopSignals) {
     // libevent restores this disposition when the events are freed. The default
     // one would end the process if a further signal arrives after the stop.
-    std::signal(signal, SIG_IGN);
+    // SIG_IGN would discard a signal that is pending.
+    std::signal(signal, [](int /*signal*/) {});
     event* const signal_event =
         evsignal_new(loop_->base(), signal, &ControlTask::OnSignal, this);
     evsignal_add(signal_event, nullptr);
     signal_events_.push_back(signal_event);
   }
+  UnblockLoopSignals();
 }
 
 int ControlTask::Run() {
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -11,6 +11,7 @@
 #include <boost/program_options/variables_map.hpp>
 
 #include "daemon/control_task.h"
+#include "daemon/loop_signals.h"
 #include "dragonflytack/base/crash_handler.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/base/settings.h"
@@ -55,6 +56,8 @@
               char** argv,
               const std::string& default_config,
               Environment environment) {
+  // A stop may be requested before the control task can handle it.
+  BlockLoopSignals();
   po::options_description options("Usage: dragonflytackd --config FILE");
   options.add_options()("config", po::value<std::string>(),
                         "settings file (INI)")("version", "print the version")(
