--- a/tools/soak_driver/call_judge.cc
+++ b/tools/soak_driver/call_judge.cc
@@ -18,6 +18,7 @@
 // The calls that presented one key.
 struct KeyCalls {
   int executions = 0;
+  const CallRecord* last = nullptr;
   const CallRecord* done = nullptr;
   const CallRecord* refused = nullptr;  // Not run, for the key.
 };
@@ -60,14 +61,14 @@
 void CallJudge::JudgeResponses() {
   for (const CallRecord& record : records_) {
     if (record.status == 0 && IsResponseDue(record)) {
-      report_("no response: " + Describe(record));
+      report_("no response: " + Describe(record), record);
     }
     if (record.outcome == "done" && record.status == 200 &&
         !record.own_response) {
-      report_("response to another request: " + Describe(record));
+      report_("response to another request: " + Describe(record), record);
     }
     if (record.outcome == "not-run" && Executions(record.id) > 0) {
-      report_("refused as not run, but run: " + Describe(record));
+      report_("refused as not run, but run: " + Describe(record), record);
     }
   }
 }
@@ -80,6 +81,7 @@
     }
     KeyCalls& calls = keys[record.key.empty() ? record.id : record.key];
     calls.executions += Executions(record.id);
+    calls.last = &record;
     if (record.outcome == "done") {
       calls.done = &record;
     }
@@ -90,13 +92,16 @@
   for (const auto& [key, calls] : keys) {
     if (calls.executions > 1) {
       report_(
-          fmt::format("one-time call run {} times: {}", calls.executions, key));
+          fmt::format("one-time call run {} times: {}", calls.executions, key),
+          *calls.last);
     }
     if (calls.done != nullptr && calls.executions == 0) {
-      report_("reported as done, but not run: " + Describe(*calls.done));
+      report_("reported as done, but not run: " + Describe(*calls.done),
+              *calls.done);
     }
     if (calls.refused != nullptr && calls.executions > 0) {
-      report_("key refused for good, but run: " + Describe(*calls.refused));
+      report_("key refused for good, but run: " + Describe(*calls.refused),
+              *calls.refused);
     }
   }
 }
@@ -110,7 +115,7 @@
       continue;
     }
     if (record.outcome == "unknown") {
-      report_("unknown in a planned stop: " + Describe(record));
+      report_("unknown in a planned stop: " + Describe(record), record);
     }
     if (record.key.empty()) {
       continue;
@@ -120,7 +125,7 @@
       done_keys.emplace(record.key, record.ended);
     } else if (done != done_keys.end() && record.sent > done->second &&
                record.outcome == "not-run" && record.scope == "key") {
-      report_("done, but refused later: " + Describe(record));
+      report_("done, but refused later: " + Describe(record), record);
     }
   }
 }
--- a/tools/soak_driver/call_judge.h
+++ b/tools/soak_driver/call_judge.h
@@ -14,8 +14,9 @@
 // Compares what callers and targets saw with the promises of the mesh.
 class CallJudge final {
  public:
-  // Gets the text of each broken promise.
-  using Report = std::function<void(const std::string&)>;
+  // Gets the text of each broken promise and the call that shows it.
+  using Report =
+      std::function<void(const std::string& text, const CallRecord& call)>;
 
   // With `stops_only`, planned stops are the only faults, so that no outcome
   // may be unknown. `epoch` is the time that the texts count from. `executions`
--- a/tools/soak_driver/daemon_group.cc
+++ b/tools/soak_driver/daemon_group.cc
@@ -151,7 +151,7 @@
       daemon.target_resume_at.reset();
     }
     if (!processes.target->IsRunning()) {
-      log_->ReportFailure(fmt::format("target of node {} ended", node));
+      log_->ReportFailure(fmt::format("target of node {} ended", node), node);
     }
     if (!daemon.running) {
       if (!stopping_all_ && now >= daemon.restart_at) {
@@ -170,7 +170,8 @@
     if (!daemon.paused && LifeOf(node).terminated && !LifeOf(node).killed &&
         now > daemon.must_exit_by) {
       log_->ReportFailure(
-          fmt::format("node {} still runs after its drain timeout", node));
+          fmt::format("node {} still runs after its drain timeout", node),
+          node);
       LifeOf(node).killed = now;
       processes.daemon->Signal(SIGKILL);
     }
@@ -198,7 +199,7 @@
   if (by_kill || by_stop) {
     log_->Write(text);
   } else {
-    log_->ReportFailure(text);
+    log_->ReportFailure(text, node);
   }
 }
 
--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -18,6 +18,7 @@
 #include <fmt/format.h>
 #include <boost/program_options.hpp>
 
+#include "soak_driver/failure_excerpt.h"
 #include "soak_driver/soak_run.h"
 
 namespace dragonflytack {
@@ -40,6 +41,7 @@
   int seeds = 1;
   std::string log_dir;
   std::string regression_seeds;
+  bool keep_logs = false;
 };
 
 // Returns a network that no other run on this machine uses, or 0. A socket that
@@ -66,7 +68,7 @@
   soak.work_dir = fmt::format("{}/seed-{}", arguments.log_dir, soak.seed);
   std::filesystem::remove_all(soak.work_dir);
   std::filesystem::create_directories(soak.work_dir);
-  std::vector<std::string> failures;
+  std::vector<SoakFailure> failures;
   std::string summary;
   {
     SoakRun run(soak);
@@ -77,10 +79,18 @@
   fmt::print("seed {} {}: {}\n", soak.seed, failures.empty() ? "ok" : "FAILED",
              summary);
   for (size_t i = 0; i < failures.size() && i < kPrintedFailures; ++i) {
-    fmt::print("  {}\n", failures[i]);
+    fmt::print("  {}\n", failures[i].text);
+  }
+  if (!failures.empty()) {
+    for (const std::string& line :
+         ReadDaemonLines(failures.front(), soak.work_dir)) {
+      fmt::print("  log {}\n", line);
+    }
   }
   if (failures.empty()) {
-    std::filesystem::remove_all(soak.work_dir);
+    if (!arguments.keep_logs) {
+      std::filesystem::remove_all(soak.work_dir);
+    }
   } else {
     fmt::print("  {} broken promises, logs in {}\n", failures.size(),
                soak.work_dir);
@@ -129,7 +139,9 @@
       "folder with the programs")(
       "log-dir",
       options::value(&arguments.log_dir)->default_value("build/soak-logs"),
-      "folder for the logs; those of failing seeds are kept");
+      "folder for the logs; those of failing seeds are kept")(
+      "keep-logs", options::bool_switch(&arguments.keep_logs),
+      "keep the logs of seeds that pass as well");
   try {
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description),
--- a/tools/soak_driver/soak_log.cc
+++ b/tools/soak_driver/soak_log.cc
@@ -17,13 +17,16 @@
   WriteLine(text);
 }
 
-void SoakLog::ReportFailure(const std::string& text) {
+void SoakLog::ReportFailure(const std::string& text,
+                            std::optional<int> node,
+                            std::optional<SoakTime> at) {
   std::lock_guard<std::mutex> lock(mutex_);
   WriteLine("FAILED " + text);
-  failures_.push_back(text);
+  failures_.push_back(
+      {text, at.value_or(std::chrono::steady_clock::now()), node});
 }
 
-std::vector<std::string> SoakLog::failures() const {
+std::vector<SoakFailure> SoakLog::failures() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return failures_;
 }
--- a/tools/soak_driver/soak_log.h
+++ b/tools/soak_driver/soak_log.h
@@ -3,10 +3,12 @@
 
 #include <fstream>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "soak_driver/call_record.h"
+#include "soak_driver/soak_failure.h"
 
 namespace dragonflytack {
 
@@ -19,10 +21,12 @@
   // Sets the time that the lines count from.
   void SetEpoch(SoakTime epoch);
   void Write(const std::string& text);
-  // Writes a broken promise and keeps it.
-  void ReportFailure(const std::string& text);
+  // Writes a broken promise and keeps it. Without `at`, it happened now.
+  void ReportFailure(const std::string& text,
+                     std::optional<int> node = {},
+                     std::optional<SoakTime> at = {});
 
-  std::vector<std::string> failures() const;
+  std::vector<SoakFailure> failures() const;
 
  private:
   void WriteLine(const std::string& text);
@@ -30,7 +34,7 @@
   mutable std::mutex mutex_;
   std::ofstream file_;
   SoakTime epoch_;
-  std::vector<std::string> failures_;
+  std::vector<SoakFailure> failures_;
 };
 
 }  // namespace dragonflytack
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -227,7 +227,9 @@
   }
   CallJudge(callers_.records(), daemons_.lives(), *executions, epoch_,
             drawn_.stops_only(),
-            [this](const std::string& text) { log_.ReportFailure(text); })
+            [this](const std::string& text, const CallRecord& call) {
+              log_.ReportFailure(text, call.entry, call.ended);
+            })
       .Judge();
 }
 
--- a/tools/soak_driver/soak_run.h
+++ b/tools/soak_driver/soak_run.h
@@ -28,7 +28,7 @@
   bool Run();
 
   // Returns the broken promises.
-  std::vector<std::string> failures() const { return log_.failures(); }
+  std::vector<SoakFailure> failures() const { return log_.failures(); }
   // Returns the counts of the run as text.
   std::string Summary() const;
 
