tools/soak: send SIGTERM only to a program that can handle it

Standard input (closed or the null device) made no difference.

The schedule stops node 4 at 2.264 s. The node ends its first stop at 1.411 s and starts again 0.852 s later, at 2.263 s, rounded up to the next poll of the driver. So in some runs the restart comes just before the SIGTERM, and the log says:

2.265 start node 4 2.265 terminate node 4 duration 1.485 2.270 FAILED node 4 exit by signal 15

The signal reaches the process less than 1 ms after fork(), in the code of the driver or of the loader, where nothing of the daemon has run. There the signal ends any program, so the check was wrong.

The driver now reads from the process whether SIGTERM is caught or blocked, and sends a first SIGTERM at the next poll (5 ms) after that. An exit by SIGTERM stays a failure in all cases, and a daemon that neither catches nor blocks SIGTERM 1 s after its start, pauses excepted, is a new one.

--- a/tools/soak_driver/daemon_group.cc
+++ b/tools/soak_driver/daemon_group.cc
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -21,6 +22,10 @@
 // start of the signal handler and the reaping on a busy machine.
 constexpr std::chrono::milliseconds kExitMargin{500 + 500};
 
+// Time from the start of a process until its program handles SIGTERM. It takes
+// 3 ms; the rest is for a busy machine.
+constexpr std::chrono::milliseconds kHandlerLimit{1000};
+
 SteadyClock::duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<SteadyClock::duration>(Seconds(seconds));
 }
@@ -43,6 +48,9 @@
   Daemon& daemon = daemons_[node];
   lives_.push_back({.node = node, .started = SteadyClock::now()});
   daemon.life = lives_.size() - 1;
+  daemon.handles_terminate = false;
+  daemon.terminate_waits = false;
+  daemon.must_handle_by = SteadyClock::now() + kHandlerLimit;
   daemon.running = fleet_->StartNode(node);
   return daemon.running;
 }
@@ -52,7 +60,7 @@
   for (size_t i = 0; i < daemons_.size(); ++i) {
     const int other = static_cast<int>(i);
     spared += other != node && daemons_[i].running && !daemons_[i].paused &&
-                      !LifeOf(other).terminated
+                      !LifeOf(other).terminated && !daemons_[i].terminate_waits
                   ? 1
                   : 0;
   }
@@ -69,7 +77,12 @@
   if (!again) {
     daemon.restart_after = restart_after;
   }
-  SendTerminate(node);
+  if (daemon.handles_terminate) {
+    SendTerminate(node);
+  } else {
+    daemon.terminate_waits = true;
+    log_->Write(fmt::format("SIGTERM waits for the start of node {}", node));
+  }
   return true;
 }
 
@@ -120,6 +133,7 @@
   Daemon& daemon = daemons_[node];
   const NodeLife& life = LifeOf(node);
   const SoakTime now = SteadyClock::now();
+  daemon.must_handle_by += now - *daemon.paused;
   if (life.terminated) {
     daemon.must_exit_by += now - std::max(*daemon.paused, *life.terminated);
   }
@@ -167,6 +181,9 @@
     if (daemon.paused && now >= daemon.resume_at) {
       Resume(node);
     }
+    if (!daemon.handles_terminate && !daemon.paused) {
+      PollHandler(node);
+    }
     if (!daemon.paused && LifeOf(node).terminated && !LifeOf(node).killed &&
         now > daemon.must_exit_by) {
       log_->ReportFailure(
@@ -178,6 +195,25 @@
   }
 }
 
+void DaemonGroup::PollHandler(int node) {
+  Daemon& daemon = daemons_[node];
+  const bool handles = fleet_->nodes()[node].daemon->Handles(SIGTERM);
+  if (!handles && SteadyClock::now() <= daemon.must_handle_by) {
+    return;
+  }
+  if (!handles) {
+    log_->ReportFailure(
+        fmt::format("node {} does not handle SIGTERM {} ms after its start",
+                    node, kHandlerLimit.count()),
+        node);
+  }
+  daemon.handles_terminate = true;
+  if (std::exchange(daemon.terminate_waits, false)) {
+    log_->Write(fmt::format("SIGTERM to node {}", node));
+    SendTerminate(node);
+  }
+}
+
 void DaemonGroup::OnExit(int node, int wait_status) {
   Daemon& daemon = daemons_[node];
   NodeLife& life = LifeOf(node);
@@ -205,7 +241,8 @@
 
 bool DaemonGroup::AreAllRunning() const {
   for (size_t i = 0; i < daemons_.size(); ++i) {
-    if (!daemons_[i].running || LifeOf(static_cast<int>(i)).terminated) {
+    if (!daemons_[i].running || daemons_[i].terminate_waits ||
+        LifeOf(static_cast<int>(i)).terminated) {
       return false;
     }
   }
--- a/tools/soak_driver/daemon_group.h
+++ b/tools/soak_driver/daemon_group.h
@@ -23,8 +23,10 @@
   // Starts all daemons. Returns false on failure.
   bool StartAll();
   // Sends SIGTERM. A first one is sent only while enough other daemons take
-  // calls, and a further one only to a daemon that is stopping. Returns whether
-  // it was sent; false if the daemon is down.
+  // calls, and a further one only to a daemon that is stopping. A first one
+  // waits until the program handles SIGTERM: before its main function, the
+  // signal ends the process whatever the program does. Returns whether it was
+  // sent or waits; false if the daemon is down.
   bool Terminate(int node, bool again, double restart_after);
   // Sends SIGKILL, under the same condition as a first SIGTERM.
   bool Kill(int node, double restart_after);
@@ -52,6 +54,10 @@
     SoakTime restart_at;
     double restart_after = 0;
     SoakTime must_exit_by;
+    // Whether SIGTERM may be sent: the program handles it, or should by now.
+    bool handles_terminate = false;
+    SoakTime must_handle_by;
+    bool terminate_waits = false;
     std::optional<SoakTime> paused;
     SoakTime resume_at;
     std::optional<SoakTime> target_resume_at;
@@ -59,6 +65,8 @@
 
   bool MaySpare(int node) const;
   bool Start(int node);
+  // Notes when the program handles SIGTERM, and sends one that waits for it.
+  void PollHandler(int node);
   void Resume(int node);
   void OnExit(int node, int wait_status);
   void SendTerminate(int node);
--- a/tools/support/child_process.cc
+++ b/tools/support/child_process.cc
@@ -21,6 +21,7 @@
 constexpr int kExecFailed = 127;
 constexpr int kPollMs = 5;
 constexpr pid_t kNoProcess = -1;
+constexpr int kMaxStatusLineBytes = 1024;
 
 [[noreturn]] void RunProgram(const std::vector<std::string>& arguments,
                              const std::string& log_path) {
@@ -119,6 +120,22 @@
   return pid_ != kNoProcess;
 }
 
+bool ChildProcess::Handles(int signal) const {
+  std::ifstream status(fmt::format("/proc/{}/status", pid_));
+  std::string name;
+  uint64_t signals = 0;
+  while (status >> name) {
+    if (name == "SigBlk:" || name == "SigCgt:") {
+      uint64_t mask = 0;
+      status >> std::hex >> mask;
+      signals |= mask;
+    }
+    status.ignore(kMaxStatusLineBytes, '\n');
+  }
+  // Bit 0 is signal 1.
+  return (signals >> (signal - 1) & 1) != 0;
+}
+
 int64_t ChildProcess::ResidentBytes() const {
   std::ifstream status(fmt::format("/proc/{}/status", pid_));
   constexpr int64_t kBytesPerKilobyte = 1024;
@@ -129,7 +146,7 @@
       status >> kilobytes;
       return kilobytes * kBytesPerKilobyte;
     }
-    status.ignore(1024, '\n');
+    status.ignore(kMaxStatusLineBytes, '\n');
   }
   return 0;
 }
--- a/tools/support/child_process.h
+++ b/tools/support/child_process.h
@@ -41,6 +41,11 @@
 
   bool IsRunning();
 
+  // Returns whether the program catches `signal` or blocks it until it does.
+  // False before the program has begun, which takes milliseconds after Start(),
+  // and for a process that has exited.
+  bool Handles(int signal) const;
+
   // Returns the resident memory in bytes, including pages of shared libraries;
   // 0 if the process has exited.
   int64_t ResidentBytes() const;
