Answer the calls that a stop cuts off

The call task replied `stopping` in the destructors of its parts, when its event loop, which would have written the reply, had already stopped.

Now the call task cuts off its calls while its loop runs: at the drain timeout by its own timer, and at SIGINT by the message PostCutOff(). It reports on_cut_off when the responses are written, 50 ms later; the control task waits for that for at most 0.3 s, so a second signal still ends the process quickly. A call that waits for a slot is refused as not run; one that a target or the owner of its key may have received is unknown. The counts of `ended` and `call_drain_ended` are those of the cut-off.

Also: a call with a key that was forwarded to its owner and had no response yet counted as not dispatched, and would have been refused as not run.

The timers of both tasks are due together after the pause, and the control task stopped the loop of the other. It now asks for the cut-off at this timeout too. The grace after the drain timeout is 0.4 s instead of 0.5 s, so that the end stays within half a second.

Ruled out: running the loop once more in the destructor. It would also run timers and new requests on the thread of the control task.

--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -32,6 +32,9 @@
     // `successor`, which is empty if there were no records or no node to take
     // them over.
     std::function<void(const NodeId& successor)> on_stopped;
+    // The calls in progress were cut off as PostCutOff() requested, and their
+    // responses are written.
+    std::function<void()> on_cut_off;
     // This node has taken over the one-time records of (owner, incarnation).
     std::function<void(const NodeId& owner, uint64_t incarnation)> on_takeover;
     // The endpoint of `service` on the node `target` is ejected for `period`
@@ -67,7 +70,7 @@
       Events events,
       Failure* reason);
 
-  // Stops the thread without waiting for calls.
+  // Stops the thread without waiting for calls, see End().
   ~CallTask();
   CallTask(const CallTask&) = delete;
   CallTask& operator=(const CallTask&) = delete;
@@ -75,6 +78,11 @@
   // May be called from any thread.
   CallsInProgress calls_in_progress() const;
 
+  // Stops the thread. Calls that are still in progress are cut off without a
+  // response, because no thread writes it any more. Returns how many calls were
+  // cut off since the start. The task handles no messages afterwards.
+  CallsInProgress End();
+
   // Messages to the task; they may be posted from any thread.
 
   // Puts a snapshot in force for all calls that arrive after this message.
@@ -88,9 +96,15 @@
   void PostNoMoreCallers();
 
   // Refuses new calls for the local target, finishes all calls in flight, hands
-  // over the one-time records, then reports on_stopped.
+  // over the one-time records, then reports on_stopped. Calls that are still in
+  // progress after the drain timeout are cut off.
   void PostStop();
 
+  // Ends all calls in progress at once: they get a response with the reason
+  // `stopping`, and the outcome is unknown unless the call has certainly not
+  // run. Refuses new calls. Reports on_cut_off when the responses are written.
+  void PostCutOff();
+
  private:
   class Impl;
   explicit CallTask(std::unique_ptr<Impl> impl);
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -1,6 +1,7 @@
 #include "calls/call_entry.h"
 
 #include <algorithm>
+#include <cassert>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -105,18 +106,28 @@
       on_call_ended_(std::move(on_call_ended)) {}
 
 CallEntry::~CallEntry() {
-  for (auto& [pointer, call] : calls_) {
-    const bool dispatched = call->maybe_dispatched();
+  assert(calls_.empty());
+}
+
+void CallEntry::CutOff() {
+  RefuseNewCalls();
+  while (!calls_.empty()) {
+    Call* const call = calls_.begin()->first;
     CallResult result =
-        dispatched
+        call->maybe_dispatched()
             ? CallResult::Unknown(CallReason::kStopping, "the node is stopping")
             : CallResult::Refused(CallReason::kStopping,
                                   "the node is stopping");
-    context_->metrics->CountFailure("entry", result.reason);
-    LogFailure(call->request(), result);
+    if (call->keyed != nullptr && result.outcome == CallOutcome::kNotRun) {
+      // The key is still valid at its owner.
+      result.scope = NotRunScope::kRequest;
+    }
+    ReportEnd(*call, result);
+    // The call is deleted later; nothing may end it a second time until then.
     call->routed.reset();
     call->keyed.reset();
-    call->inbound.Reply(result);
+    SendResponse(call, result);
+    Remove(call);
   }
 }
 
@@ -252,19 +263,25 @@
 }
 
 void CallEntry::OnResult(Call* call, CallResult result) {
-  const CallRequest& request = call->request();
+  ReportEnd(*call, result);
+  SendResponse(call, result);
+  Remove(call);
+}
+
+void CallEntry::ReportEnd(const Call& call, const CallResult& result) const {
+  const CallRequest& request = call.request();
   CallMetrics::Service& metrics =
       context_->metrics->ForService(request.route->row.service);
   const auto total_time = context_->loop->clock().Now() - request.start;
   metrics.by_outcome[static_cast<size_t>(result.outcome)]->Add();
   metrics.total_time->Record(total_time);
   if (result.outcome == CallOutcome::kDone) {
-    if (call->routed != nullptr) {
+    if (call.routed != nullptr) {
       metrics.added_time->Record(std::max<std::chrono::nanoseconds>(
-          total_time - call->routed->target_time(),
+          total_time - call.routed->target_time(),
           std::chrono::nanoseconds(0)));
     }
-    call->span->End(CallOutcomeName(result.outcome));
+    call.span->End(CallOutcomeName(result.outcome));
   } else {
     context_->metrics->CountFailure("entry", result.reason);
     LogFailure(request, result);
@@ -277,13 +294,11 @@
           {{"service", request.route->row.service},
            {"call", request.call_id},
            {"cause", std::string(CallReasonName(result.reason))},
-           {"keyed", call->keyed != nullptr},
+           {"keyed", call.keyed != nullptr},
            {"detail", result.detail}});
     }
-    call->span->End(CallReasonName(result.reason));
+    call.span->End(CallReasonName(result.reason));
   }
-  SendResponse(call, result);
-  Remove(call);
 }
 
 void CallEntry::LogFailure(const CallRequest& request,
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -33,8 +33,7 @@
   CallEntry(const CallContext* context,
             OneTime* one_time,
             std::function<void()> on_call_ended);
-  // Responds to the calls in progress: those that may have been dispatched have
-  // an unknown outcome, the others are refused.
+  // All calls must have ended, see CutOff().
   ~CallEntry();
   CallEntry(const CallEntry&) = delete;
   CallEntry& operator=(const CallEntry&) = delete;
@@ -45,6 +44,10 @@
   // Refuses all calls that arrive from now on.
   void RefuseNewCalls() { refusing_ = true; }
 
+  // Refuses new calls and responds to those in progress: calls that may have
+  // been dispatched have an unknown outcome, the others are refused.
+  void CutOff();
+
   size_t calls_in_progress() const { return calls_.size(); }
 
  private:
@@ -56,6 +59,8 @@
   // no routes. Returns the refusal if there is no such service.
   std::optional<CallResult> Route(evhttp_request* request, CallRequest* routed);
   void SendResponse(Call* call, const CallResult& result);
+  // Counts and logs the end of a call.
+  void ReportEnd(const Call& call, const CallResult& result) const;
   void LogFailure(const CallRequest& request, const CallResult& result) const;
   void OnResult(Call* call, CallResult result);
   void OnCallerDisconnected(Call* call);
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -43,12 +43,17 @@
 // Callers that were just directed to this node may still open a connection.
 constexpr Milliseconds kLastConnectionsGrace{100};
 
+// The last responses are written in the next iterations of the event loop.
+constexpr Milliseconds kTimeToWrite{50};
+
 struct StopMessage {};
 struct NoMoreCallersMessage {};
+struct CutOffMessage {};
 using Message = std::variant<std::shared_ptr<const RouteSnapshot>,
                              LocalTarget,
                              StopMessage,
-                             NoMoreCallersMessage>;
+                             NoMoreCallersMessage,
+                             CutOffMessage>;
 
 }  // namespace
 
@@ -108,12 +113,7 @@
   }
 
   ~Impl() {
-    loop_->Stop();
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-    // The remaining calls receive their responses while the servers still have
-    // the connections.
+    End();
     entry_.reset();
     // The target proxy reports refused attempts to the attempt guard, which
     // `one_time_` owns.
@@ -157,6 +157,19 @@
     return {metrics_.entry_calls()->value(), metrics_.target_calls()->value()};
   }
 
+  CallsInProgress End() {
+    loop_->Stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    if (!std::exchange(ended_, true) && mesh_server_ != nullptr) {
+      // The connections are closed with the servers, so these calls must have
+      // ended before.
+      CutOff();
+    }
+    return cut_off_;
+  }
+
   void Post(Message message) { mailbox_.Post(std::move(message)); }
 
  private:
@@ -195,7 +208,7 @@
           static_cast<uint64_t>(target_proxy_->calls_in_progress())}});
     loop_->timers().SubscribeOnce(Milliseconds(settings_.drain_timeout_ms),
                                   [this] {
-                                    drain_timed_out_ = true;
+                                    CutOff();
                                     HandOver();
                                     ReportStoppedIfDone();
                                   });
@@ -207,6 +220,28 @@
                                   [this] { EndEntryGrace(); });
   }
 
+  void Handle(CutOffMessage) {
+    CutOff();
+    loop_->timers().SubscribeOnce(kTimeToWrite, [this] {
+      if (events_.on_cut_off) {
+        events_.on_cut_off();
+      }
+    });
+  }
+
+  // Ends all calls in progress. Their responses are written in the next
+  // iterations of the event loop.
+  void CutOff() {
+    const CallsInProgress in_progress = calls_in_progress();
+    cut_off_.entry += in_progress.entry;
+    cut_off_.target += in_progress.target;
+    // In this order, calls whose target or owner is at this node end with the
+    // more exact result.
+    target_proxy_->CutOff();
+    one_time_->CutOff();
+    entry_->CutOff();
+  }
+
   // Ends the time in which a stopping node still accepts calls. After a pause
   // of the process, that timer is due together with the connections that
   // arrived meanwhile; their requests are read one turn of the loop later.
@@ -223,7 +258,8 @@
   }
 
   void AdvanceStop() {
-    if (!entry_grace_over_ || target_proxy_->calls_in_progress() > 0) {
+    if (ended_ || !entry_grace_over_ ||
+        target_proxy_->calls_in_progress() > 0) {
       return;
     }
     // Until this point the local target may have used the call port for its
@@ -249,23 +285,17 @@
   }
 
   void ReportStoppedIfDone() {
-    if (!handed_over_to_ || stop_reported_ ||
-        (entry_->calls_in_progress() > 0 && !drain_timed_out_)) {
+    if (!handed_over_to_ || stop_reported_ || entry_->calls_in_progress() > 0) {
       return;
     }
     stop_reported_ = true;
-    // The last responses are written in the next iterations of the event loop.
-    constexpr Milliseconds kTimeToWrite{50};
     loop_->timers().SubscribeOnce(kTimeToWrite,
                                   [this] { ReportStopped(*handed_over_to_); });
   }
 
   void ReportStopped(const NodeId& successor) {
-    logger_->Info(
-        "call_drain_ended",
-        {{"entry_calls", static_cast<uint64_t>(entry_->calls_in_progress())},
-         {"target_calls",
-          static_cast<uint64_t>(target_proxy_->calls_in_progress())}});
+    logger_->Info("call_drain_ended", {{"entry_calls", cut_off_.entry},
+                                       {"target_calls", cut_off_.target}});
     if (events_.on_stopped) {
       events_.on_stopped(successor);
     }
@@ -289,12 +319,15 @@
   std::unique_ptr<HttpServer> mesh_server_;
   bool stopping_ = false;
   bool entry_grace_over_ = false;
-  bool drain_timed_out_ = false;
   bool handing_over_ = false;
   // Set when the handover has ended; an empty string if no node took over the
   // records.
   std::optional<NodeId> handed_over_to_;
   bool stop_reported_ = false;
+  // The thread has ended.
+  bool ended_ = false;
+  // The calls that were cut off.
+  CallsInProgress cut_off_;
   Mailbox<Message> mailbox_;
   std::thread thread_;
 };
@@ -334,6 +367,10 @@
   return impl_->calls_in_progress();
 }
 
+CallTask::CallsInProgress CallTask::End() {
+  return impl_->End();
+}
+
 void CallTask::PostRoutes(std::shared_ptr<const RouteSnapshot> routes) {
   impl_->Post(std::move(routes));
 }
@@ -350,4 +387,8 @@
   impl_->Post(StopMessage{});
 }
 
+void CallTask::PostCutOff() {
+  impl_->Post(CutOffMessage{});
+}
+
 }  // namespace dragonflytack
--- a/src/calls/keyed_call.h
+++ b/src/calls/keyed_call.h
@@ -46,7 +46,9 @@
 
   const CallRequest& request() const { return request_; }
   // Whether an owner may have received the call.
-  bool maybe_forwarded() const { return maybe_forwarded_; }
+  bool maybe_forwarded() const {
+    return maybe_forwarded_ || exchange_ != nullptr;
+  }
 
  private:
   // Reads the key or prepares its claim. Returns the refusal if the key cannot
--- a/src/calls/one_time.cc
+++ b/src/calls/one_time.cc
@@ -180,8 +180,7 @@
 }
 
 void OneTime::HandOver(std::function<void(const NodeId& successor)> done) {
-  records_.BeginDrain();
-  dispatcher_.EndAllAsUnknown();
+  CutOff();
   std::vector<NodeLocation> candidates;
   if (context_->router->routes() != nullptr) {
     candidates = SuccessorCandidates(settings_.node_id, settings_.data_centre,
--- a/src/calls/one_time.h
+++ b/src/calls/one_time.h
@@ -63,6 +63,11 @@
   void RefuseKeys() { refusing_keys_ = true; }
   // Refuses requests for new keys, and new calls with keys of this process.
   void BeginDrain() { records_.BeginDrain(); }
+  // Begins the drain and ends the calls in progress as unknown.
+  void CutOff() {
+    BeginDrain();
+    dispatcher_.EndAllAsUnknown();
+  }
   size_t calls_in_progress() const {
     return dispatcher_.calls_in_progress() +
            forwarded_call_server_.calls_in_progress();
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -1,6 +1,7 @@
 #include "calls/target_proxy.h"
 
 #include <algorithm>
+#include <cassert>
 #include <optional>
 #include <string>
 #include <utility>
@@ -53,13 +54,20 @@
 
 TargetProxy::~TargetProxy() {
   context_->loop->timers().Cancel(queue_timer_);
-  for (auto& [pointer, call] : calls_) {
-    const bool dispatched = call->exchange != nullptr;
+  assert(calls_.empty());
+}
+
+void TargetProxy::CutOff() {
+  Drain();
+  // Queued calls must not take the slots that the others release.
+  RefuseQueued(CallReason::kStopping, "the node is stopping");
+  while (!calls_.empty()) {
+    Call* const call = calls_.begin()->first;
     call->exchange.reset();
-    Reply(call.get(), dispatched ? CallResult::Unknown(CallReason::kStopping,
-                                                       "the node is stopping")
-                                 : CallResult::Refused(CallReason::kStopping,
-                                                       "the node is stopping"));
+    Reply(call,
+          CallResult::Unknown(CallReason::kStopping, "the node is stopping"));
+    ReleaseSlot(call);
+    Remove(call);
   }
 }
 
@@ -345,12 +353,10 @@
   ArmQueueTimer();
 }
 
-void TargetProxy::RefuseQueued() {
+void TargetProxy::RefuseQueued(CallReason reason, const std::string& detail) {
   while (Call* call = queue_.Pop(ExpectedResponseTime())) {
     context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
-    Reply(call,
-          CallResult::Refused(CallReason::kWrongService,
-                              "the local target serves another service now"));
+    Reply(call, CallResult::Refused(reason, detail));
     Remove(call);
   }
   ArmQueueTimer();
@@ -375,7 +381,8 @@
   target_ = target;
   if (!same_service) {
     route_ = nullptr;
-    RefuseQueued();
+    RefuseQueued(CallReason::kWrongService,
+                 "the local target serves another service now");
   }
   OnRoutes();
 }
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -31,8 +31,7 @@
   // call, also from within OnRequest(), SetTarget() and OnRoutes(). It must not
   // destroy the object.
   TargetProxy(const CallContext* context, std::function<void()> on_call_ended);
-  // Replies to all calls in progress: kUnknown for those that were sent to the
-  // target, kNotRun for the others.
+  // All calls must have ended, see CutOff().
   ~TargetProxy();
   TargetProxy(const TargetProxy&) = delete;
   TargetProxy& operator=(const TargetProxy&) = delete;
@@ -53,6 +52,10 @@
   // Starts the drain: new calls are refused as not run from now on.
   void Drain() { draining_ = true; }
 
+  // Starts the drain and replies to all calls in progress: kUnknown for those
+  // that were sent to the target, kNotRun for the others.
+  void CutOff();
+
   size_t calls_in_progress() const { return calls_.size(); }
 
  private:
@@ -78,8 +81,8 @@
   void RunQueued();
   // Refuses queued calls whose deadline can no longer be met.
   void ExpireQueued();
-  // Refuses all queued calls, which are for another service than the target's.
-  void RefuseQueued();
+  // Refuses all queued calls as not run.
+  void RefuseQueued(CallReason reason, const std::string& detail);
   void ArmQueueTimer();
   // Returns when the response to a call started now is expected.
   TimePoint ExpectedResponseTime() const;
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -16,10 +16,17 @@
 
 namespace {
 
-// At the drain timeout the call task aborts its calls and hands over its
+// At the drain timeout the call task cuts off its calls and hands over its
 // one-time records. It gets this long to finish, so that the successor can
-// still be announced; the exit code is 1 regardless.
-constexpr Milliseconds kHandoverGracePeriod{500};
+// still be announced. With the time to end the calls, the process ends within
+// half a second.
+constexpr Milliseconds kHandoverGracePeriod{400};
+
+// The call task takes about 50 ms to cut off its calls and to write their
+// responses. The process ends after this time also if that thread does not run:
+// after SIGINT it must end at once, and after the drain timeout before it is
+// killed, which may be 1 s later (calls.kill_after).
+constexpr Milliseconds kCutOffLimit{300};
 
 // The C library returns freed memory to the system only from the end of the
 // heap. A snapshot and each rebuild of the routes free more than 3 MB in the
@@ -157,6 +164,7 @@
   events.on_stopped = [this](const NodeId& successor) {
     mailbox_.Post([this, successor] { OnCallsStopped(successor); });
   };
+  events.on_cut_off = [this] { mailbox_.Post([this] { loop_->Stop(); }); };
   events.on_takeover = [this](const NodeId& owner, uint64_t incarnation) {
     mailbox_.Post([this, owner, incarnation] {
       core_->AnnounceTakeover(owner, incarnation);
@@ -197,8 +205,8 @@
   core_->Start();
   loop_->timers().SubscribeEvery(kTrimPeriod, [] { malloc_trim(0); });
   loop_->Run();
-  const CallTask::CallsInProgress cut_off = CallsInProgress();
-  // Logs each call that is cut off.
+  const CallTask::CallsInProgress cut_off =
+      call_task_ == nullptr ? CallTask::CallsInProgress() : call_task_->End();
   call_task_.reset();
   logger_->Info("ended", {{"exit_code", int64_t{exit_code_}},
                           {"outcome", std::string(outcome_)},
@@ -324,7 +332,7 @@
     // Only SIGINT, sent from a terminal, requests an immediate end; automation
     // uses SIGKILL for that.
     if (signal == SIGINT) {
-      StopLoop(1, "second_signal");
+      CutStopShort("second_signal");
     }
     return;
   }
@@ -333,9 +341,11 @@
   core_->BeginDrain();
   loop_->timers().SubscribeOnce(
       Milliseconds(settings_.drain_timeout_ms) + kHandoverGracePeriod, [this] {
-        logger_->Error("drain_timeout",
-                       {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
-        StopLoop(1, "drain_timeout");
+        if (outcome_.empty()) {
+          logger_->Error("drain_timeout",
+                         {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
+          CutStopShort("drain_timeout");
+        }
       });
   if (call_task_ == nullptr) {
     OnCallsStopped({});
@@ -363,9 +373,22 @@
   });
 }
 
-void ControlTask::StopLoop(int exit_code, std::string_view outcome) {
-  exit_code_ = exit_code;
+void ControlTask::CutStopShort(std::string_view outcome) {
+  if (call_task_ == nullptr || !outcome_.empty()) {
+    StopLoop(1, outcome);
+    return;
+  }
+  exit_code_ = 1;
   outcome_ = outcome;
+  call_task_->PostCutOff();
+  loop_->timers().SubscribeOnce(kCutOffLimit, [this] { loop_->Stop(); });
+}
+
+void ControlTask::StopLoop(int exit_code, std::string_view outcome) {
+  if (outcome_.empty()) {
+    exit_code_ = exit_code;
+    outcome_ = outcome;
+  }
   loop_->Stop();
 }
 
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -82,7 +82,12 @@
   // Called when callers are no longer directed to this node.
   void OnNoMoreCallers();
   void OnCallsStopped(const NodeId& successor);
-  // `outcome` is the cause of the end for the log.
+  // Ends a stop with exit code 1: the calls in progress are cut off, and the
+  // loop stops when their responses are written. Stops the loop at once if it
+  // is called again.
+  void CutStopShort(std::string_view outcome);
+  // `outcome` is the cause of the end for the log. Only the first call has an
+  // effect on both.
   void StopLoop(int exit_code, std::string_view outcome);
   CallTask::CallsInProgress CallsInProgress() const;
 
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -219,6 +219,49 @@
   cr_expect_eq(target.requests(), 2);
 }
 
+// Guards against a cut-off at the node of the target after which callers learn
+// nothing, or the wrong outcome: the running call may have run, the queued one
+// has not.
+Test(call_task, cut_off_at_the_target_tells_running_from_queued_calls) {
+  ServiceRow row = Row(ServiceKind::kOneTime);
+  row.slots = 1;
+  CallFixture fixture(1, row);
+  std::atomic<bool> released = false;
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [&released](int, const std::string&, int) {
+                          released.wait(false);
+                          return false;
+                        });
+  HttpReply replies[2];
+  std::thread callers[2];
+  for (int i = 0; i < 2; ++i) {
+    callers[i] = std::thread(
+        [&, i] { replies[i] = fixture.Call(std::to_string(i), 5000); });
+    for (int wait = 0; wait < 1000 && target.requests() == 0; ++wait) {
+      std::this_thread::sleep_for(Milliseconds(2));
+    }
+  }
+  while (fixture.task(1)->calls_in_progress().target < 2) {
+    std::this_thread::sleep_for(Milliseconds(2));
+  }
+  fixture.task(1)->PostStop();
+  fixture.task(1)->PostCutOff();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  cr_expect_eq(replies[0].status, 504, "%d", replies[0].status);
+  ExpectEqual(replies[0].Header("x-outcome"), "unknown");
+  ExpectEqual(replies[0].Header("x-reason"), "stopping");
+  cr_expect_eq(replies[1].status, 503, "%d", replies[1].status);
+  ExpectEqual(replies[1].Header("x-outcome"), "not-run");
+  ExpectEqual(replies[1].Header("x-reason"), "stopping");
+  cr_expect(replies[1].elapsed < Milliseconds(2000));
+  cr_expect_eq(fixture.task(1)->End().target, 2);
+  cr_expect_eq(target.requests(), 1);
+  released = true;
+  released.notify_all();
+}
+
 // Guards against a full queue that makes callers wait, and against the outcome
 // "not-run" for a call that was run.
 Test(call_task, overload_is_refused_quickly_and_not_run) {
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -1,5 +1,8 @@
 #include "daemon/control_task.h"
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -276,6 +279,50 @@
   }
 }
 
+// Guards against a call that a stop cuts off and whose connection is closed
+// without a response, so that its caller cannot tell that it may have run.
+Test(control_task, calls_that_a_stop_cuts_off_get_a_response) {
+  for (const bool second_signal : {true, false}) {
+    NodeFixture fixture(NeverRespond);
+    const std::unique_ptr<Socket> call = fixture.BeginCall();
+    raise(SIGTERM);
+    if (second_signal) {
+      std::this_thread::sleep_for(Milliseconds(100));
+      raise(SIGINT);
+    }
+    const HttpReply reply = call->Receive(kReceiveTimeout);
+    cr_expect_eq(reply.status, 504, "%d, second signal: %d", reply.status,
+                 second_signal);
+    ExpectEqual(reply.Header("x-outcome"), "unknown");
+    ExpectEqual(reply.Header("x-reason"), "stopping");
+    cr_expect_eq(fixture.Join(), 1);
+  }
+}
+
+// Guards against a call that gets no response because the process did not run
+// from before the drain timeout until after the end of the stop was due.
+Test(control_task, call_gets_a_response_after_a_pause_over_the_drain_timeout) {
+  NodeFixture fixture(NeverRespond);
+  const std::unique_ptr<Socket> call = fixture.BeginCall();
+  raise(SIGTERM);
+  const pid_t paused = getpid();
+  const pid_t helper = fork();
+  if (helper == 0) {
+    usleep(200'000);
+    kill(paused, SIGSTOP);
+    usleep(2'000'000);
+    kill(paused, SIGCONT);
+    _exit(0);
+  }
+  cr_assert_gt(helper, 0);
+  const HttpReply reply = call->Receive(kReceiveTimeout);
+  cr_expect_eq(reply.status, 504, "%d", reply.status);
+  ExpectEqual(reply.Header("x-outcome"), "unknown");
+  ExpectEqual(reply.Header("x-reason"), "stopping");
+  cr_expect_eq(fixture.Join(), 1);
+  cr_expect_eq(waitpid(helper, nullptr, 0), helper);
+}
+
 // Guards against a call whose connection ends without a response and without a
 // line, so that a caller who gave up looks like a node that lost the call.
 Test(control_task, log_names_a_call_whose_caller_disconnects) {
--- a/tests/onetime_loopback_test.cc
+++ b/tests/onetime_loopback_test.cc
@@ -140,6 +140,9 @@
     return nodes_[node]->successor;
   }
 
+  // Ends the calls in progress at a node.
+  void CutOff(int node) { nodes_[node]->task->PostCutOff(); }
+
   void Crash(int node) {
     {
       std::lock_guard<std::mutex> lock(mutex_);
@@ -394,6 +397,24 @@
   cr_expect_eq(fixture.Executions("b"), 1);
 }
 
+// Guards against a cut-off that reports a call with a key as not run although
+// its owner runs it: at the entry node, which forwarded it, and at the owner.
+Test(onetime_loopback, cut_off_call_with_a_key_is_unknown) {
+  for (const int cut_off : {0, 1}) {
+    OneTimeFixture fixture(Milliseconds(500));
+    const std::string key = fixture.NewKey(1);
+    HttpReply reply;
+    std::thread caller([&] { reply = fixture.Call(0, "a", key, 5000); });
+    while (fixture.Executions("a") == 0) {
+      std::this_thread::sleep_for(Milliseconds(2));
+    }
+    fixture.CutOff(cut_off);
+    caller.join();
+    ExpectResponse(reply, 504, "unknown", "stopping", "");
+    cr_expect_eq(fixture.Executions("a"), 1);
+  }
+}
+
 // Guards against another node that responds on behalf of an owner that crashed.
 Test(onetime_loopback, calls_with_keys_of_a_crashed_owner_are_unknown) {
   OneTimeFixture fixture;
