Bound the interim responses and the framing that a store sends

A store that sent interim responses without end, as fast as it could, took the memory of the daemon: the peak grew by 2.7 GB in a write with its timeout of 5 s, and by 32 GB in a watch. A store that sent the line with the size of a chunk, an extension of it or empty lines between chunks without end held the call until its timeout. An interim response of another status than 100 was taken for the response, so that every call failed. The reported reason was "the store did not answer in time", "the connection closed" or, for trailers, a body over its limit.

Cause: HttpConnection limited each head and the body only. evhttp limits neither the number of interim responses nor the framing of a chunked body.

HttpConnection now uses ResponseLimiter as UpstreamConnection does. A response beyond the limits, or one that is no HTTP, ends as kMalformed: the connection is closed at once, and the call fails as store_timeout, because a write may have taken effect, with a detail of its own. The next call opens a new connection. A response to a watch is one response that may come late, so the limits hold for it, not for the sequence of watches.

Already sound: lines, headers and bodies without end, announced or not; of these only the reason of heads was wrong.

--- a/src/store/http_connection.cc
+++ b/src/store/http_connection.cc
@@ -18,7 +18,8 @@
 namespace {
 
 constexpr int kNoContent = 204;
-// evhttp has no limit by default.
+// Limit of each head and of the trailers; evhttp has none by default. No peer
+// sends more than a few short headers.
 constexpr ev_ssize_t kMaxHeaderBytes = 65'536;
 
 evhttp_cmd_type ToEvhttpCommand(const std::string& method) {
@@ -97,17 +98,19 @@
   write_counter_ = evbuffer_add_cb(
       bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
       CountWrittenBytes, &written_bytes_);
+  input_callback_ = evbuffer_add_cb(
+      bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
+      &HttpConnection::OnInput, this);
 }
 
 void HttpConnection::Close() {
   if (connection_ == nullptr) {
     return;
   }
-  // libevent frees the buffer later, when this object and its counter may be
-  // destroyed.
-  evbuffer_remove_cb_entry(
-      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
-      write_counter_);
+  // libevent frees the buffers later, when this object may be destroyed.
+  bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+  evbuffer_remove_cb_entry(bufferevent_get_output(bufev), write_counter_);
+  evbuffer_remove_cb_entry(bufferevent_get_input(bufev), input_callback_);
   evhttp_connection_free(std::exchange(connection_, nullptr));
 }
 
@@ -118,7 +121,7 @@
   callback_ = std::move(callback);
   response_ = HttpResponse{};
   written_bytes_ = 0;
-  response_too_large_ = false;
+  failure_ = HttpOutcome::kLost;
   finish_timer_ = 0;
   if (connection_ == nullptr) {
     Open();
@@ -134,9 +137,17 @@
   evhttp_request* sent = evhttp_request_new(&HttpConnection::OnResponse, this);
   assert(sent != nullptr);
   evhttp_request_set_error_cb(sent, [](evhttp_request_error error, void* self) {
-    static_cast<HttpConnection*>(self)->response_too_large_ =
-        error == EVREQ_HTTP_DATA_TOO_LONG;
+    auto* connection = static_cast<HttpConnection*>(self);
+    if (error == EVREQ_HTTP_INVALID_HEADER ||
+        error == EVREQ_HTTP_DATA_TOO_LONG) {
+      connection->failure_ = error == EVREQ_HTTP_DATA_TOO_LONG &&
+                                     connection->limiter_.IsBodyTooLarge()
+                                 ? HttpOutcome::kTooLarge
+                                 : HttpOutcome::kMalformed;
+    }
   });
+  evhttp_request_set_header_cb(sent, &HttpConnection::OnHead);
+  limiter_.Begin(sent);
   evkeyvalq* headers = evhttp_request_get_output_headers(sent);
   evhttp_add_header(headers, "Host", peer_.ToString().c_str());
   for (const auto& [name, value] : request.headers) {
@@ -163,14 +174,39 @@
   } else if (connection->written_bytes_ == 0) {
     connection->response_.outcome = HttpOutcome::kNotSent;
   } else {
-    connection->response_.outcome = connection->response_too_large_
-                                        ? HttpOutcome::kTooLarge
-                                        : HttpOutcome::kLost;
+    connection->response_.outcome = connection->failure_;
+  }
+  connection->FinishLater();
+}
+
+int HttpConnection::OnHead(evhttp_request* /*request*/, void* self) {
+  auto* connection = static_cast<HttpConnection*>(self);
+  if (connection->limiter_.AcceptHead()) {
+    return 0;
+  }
+  connection->failure_ = HttpOutcome::kMalformed;
+  // evhttp fails the request if the result is negative.
+  return -1;
+}
+
+void HttpConnection::OnInput(evbuffer* /*buffer*/,
+                             const evbuffer_cb_info* info,
+                             void* self) {
+  auto* connection = static_cast<HttpConnection*>(self);
+  // Once the response has ended, evhttp may have freed the request.
+  if (!connection->busy() || connection->finish_timer_ != 0 ||
+      info->n_added == 0 || connection->limiter_.AcceptInput(*info)) {
+    return;
   }
-  // evhttp still uses the connection after this callback, so it must not be
-  // closed here.
-  connection->finish_timer_ = connection->loop_->timers().SubscribeOnce(
-      Milliseconds(0), [connection] { connection->Finish(); });
+  connection->response_.outcome = HttpOutcome::kMalformed;
+  connection->FinishLater();
+}
+
+void HttpConnection::FinishLater() {
+  // evhttp still uses the connection after its callbacks, so it must not be
+  // closed in them.
+  finish_timer_ =
+      loop_->timers().SubscribeOnce(Milliseconds(0), [this] { Finish(); });
 }
 
 void HttpConnection::Finish() {
--- a/src/store/http_connection.h
+++ b/src/store/http_connection.h
@@ -7,10 +7,13 @@
 #include <map>
 #include <string>
 
+#include "base/response_limiter.h"
 #include "dragonflytack/base/host_port.h"
 #include "dragonflytack/base/timer_service.h"
 
+struct evbuffer;
 struct evbuffer_cb_entry;
+struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -38,8 +41,11 @@
   kLost,
   // As kLost, because the timeout passed.
   kTimeout,
-  // As kLost, because the response exceeded the size limit.
+  // As kLost, because the body of the response exceeded the size limit.
   kTooLarge,
+  // As kLost, because the response is not HTTP, or its head, trailers, interim
+  // responses or chunk framing exceeded their limits.
+  kMalformed,
 };
 
 struct HttpResponse final {
@@ -53,8 +59,8 @@
 // One persistent HTTP/1.1 connection that carries one request at a time. A
 // request is written at most once: it is not sent again after a failure. After
 // any outcome but kCompleted the connection is closed, and the next request
-// opens a new one. Must be used only on the thread of `loop`. The process must
-// ignore SIGPIPE.
+// opens a new one. Limits bound what a peer can send in response to a request.
+// Must be used only on the thread of `loop`. The process must ignore SIGPIPE.
 class HttpConnection final {
  public:
   using Callback = std::function<void(HttpResponse)>;
@@ -78,8 +84,14 @@
 
  private:
   static void OnResponse(evhttp_request* request, void* self);
+  static int OnHead(evhttp_request* request, void* self);
+  static void OnInput(evbuffer* buffer,
+                      const evbuffer_cb_info* info,
+                      void* self);
   void Open();
   void Close();
+  // Calls Finish() on the next turn of the loop.
+  void FinishLater();
   // Calls the callback, after closing the connection if the exchange failed.
   void Finish();
 
@@ -88,11 +100,14 @@
   const size_t max_response_bytes_;
   evhttp_connection* connection_ = nullptr;
   evbuffer_cb_entry* write_counter_ = nullptr;
+  evbuffer_cb_entry* input_callback_ = nullptr;
   // Bytes of the request that were added to the socket's output buffer. evhttp
   // adds them only once the connection is made, so 0 proves that nothing was
   // sent.
   uint64_t written_bytes_ = 0;
-  bool response_too_large_ = false;
+  ResponseLimiter limiter_;
+  // kLost, or the reason for which the limits or evhttp reject the response.
+  HttpOutcome failure_ = HttpOutcome::kLost;
   TimerId timeout_timer_ = 0;
   TimerId finish_timer_ = 0;
   HttpResponse response_;
--- a/src/store/store_response_checker.cc
+++ b/src/store/store_response_checker.cc
@@ -41,6 +41,10 @@
       return LogFailure(FailureCode::kStoreTimeout, key,
                         fmt::format("the response has more than {} bytes",
                                     max_response_bytes_));
+    case HttpOutcome::kMalformed:
+      return LogFailure(FailureCode::kStoreTimeout, key,
+                        "the response is malformed, or its head or framing is "
+                        "too long");
     case HttpOutcome::kCompleted:
       break;
   }
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -19,6 +18,7 @@
 
 #include "call_fixture.h"
 #include "calls/http_headers.h"
+#include "endless_sender.h"
 
 namespace dragonflytack {
 
@@ -78,91 +78,6 @@
   };
 }
 
-// Sends a stream until the peer closes the connection, and counts its bytes.
-class Sender {
- public:
-  Sender(const Stream& stream, Milliseconds pause)
-      : stream_(stream), pause_(pause) {
-    block_ = stream.unit;
-    while (pause.count() == 0 && block_.size() < 65'536) {
-      block_ += block_;
-    }
-  }
-
-  bool Run(int fd) {
-    size_t sent = 0;
-    // A fast stream follows the prefix in the same write. Bytes that arrive
-    // after a complete response, when the connection may already carry another
-    // request, can fail that request.
-    bool open = Write(
-        fd, pause_.count() == 0 ? stream_.prefix + block_ : stream_.prefix,
-        &sent);
-    while (open) {
-      std::this_thread::sleep_for(pause_);
-      open = Write(fd, block_, &sent);
-    }
-    bytes_ = std::max(bytes_.load(), sent);
-    ++closed_;
-    return false;
-  }
-
-  // The largest number of bytes that one connection took.
-  size_t bytes() const { return bytes_; }
-  // Number of connections that the peer closed.
-  int closed() const { return closed_; }
-  bool WaitUntilClosed(int count) const {
-    for (int i = 0; i < 200 && closed_ < count; ++i) {
-      std::this_thread::sleep_for(Milliseconds(5));
-    }
-    return closed_ >= count;
-  }
-
- private:
-  bool Write(int fd, const std::string& text, size_t* sent) const {
-    for (size_t at = 0; at < text.size();) {
-      const ssize_t size =
-          send(fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
-      if (size <= 0) {
-        return false;
-      }
-      at += static_cast<size_t>(size);
-      *sent += static_cast<size_t>(size);
-    }
-    return true;
-  }
-
-  const Stream& stream_;
-  const Milliseconds pause_;
-  std::string block_;
-  std::atomic<size_t> bytes_ = 0;
-  std::atomic<int> closed_ = 0;
-};
-
-// Returns a value of this process, for example "VmHWM", from the kernel.
-size_t ReadMemory(const std::string& name) {
-  std::ifstream file("/proc/self/status");
-  for (std::string line; std::getline(file, line);) {
-    if (line.starts_with(name + ":")) {
-      return std::stoul(line.substr(name.size() + 1)) << 10;
-    }
-  }
-  return 0;
-}
-
-// Measures by how much the resident size of this process rises at its peak.
-class MemoryGrowth {
- public:
-  MemoryGrowth() {
-    // Sets the peak to the current size.
-    std::ofstream("/proc/self/clear_refs") << "5";
-    start_ = ReadMemory("VmRSS");
-  }
-  size_t bytes() const { return ReadMemory("VmHWM") - start_; }
-
- private:
-  size_t start_;
-};
-
 Milliseconds ProcessorTime() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
@@ -178,10 +93,6 @@
 // of the caller, and what the allocator keeps.
 constexpr size_t kMaxGrowth = 4 * kMaxBodyBytes;
 
-// What the kernel takes from a sender before the reader closes the connection,
-// besides the bytes that are read: the largest receive and send buffers.
-constexpr size_t kSocketBuffers = (6 << 20) + (4 << 20);
-
 // Port of the server: that of a target, or that of a node for the peers' hop.
 constexpr uint16_t kPorts[] = {CallFixture::kTargetPort,
                                CallFixture::kMeshPort};
@@ -202,7 +113,7 @@
         continue;
       }
       CallFixture fixture(2, Row(ServiceKind::kOneTime));
-      Sender sender(stream, Milliseconds(0));
+      EndlessSender sender(stream.prefix, stream.unit, Milliseconds(0));
       const auto script = [&](int fd, const std::string&, int) {
         return sender.Run(fd);
       };
@@ -241,7 +152,7 @@
         continue;
       }
       CallFixture fixture(2, Row(ServiceKind::kOneTime));
-      Sender sender(stream, Milliseconds(5));
+      EndlessSender sender(stream.prefix, stream.unit, Milliseconds(5));
       const auto script = [&](int fd, const std::string&, int) {
         return sender.Run(fd);
       };
@@ -272,7 +183,7 @@
 Test(endless_response, other_calls_are_served_meanwhile, .timeout = 240) {
   for (const Stream& stream : Streams()) {
     CallFixture fixture(1, Row(ServiceKind::kOneTime));
-    Sender sender(stream, Milliseconds(0));
+    EndlessSender sender(stream.prefix, stream.unit, Milliseconds(0));
     ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
                           [&](int fd, const std::string& head, int n) {
                             return RequestId(head) == "bad"
@@ -311,7 +222,7 @@
       continue;
     }
     CallFixture fixture(2, Row(ServiceKind::kIdempotent));
-    Sender sender(stream, Milliseconds(0));
+    EndlessSender sender(stream.prefix, stream.unit, Milliseconds(0));
     ScriptedTarget bad(
         fixture.Address(1), CallFixture::kTargetPort,
         [&](int fd, const std::string&, int) { return sender.Run(fd); });
