Bound the response of a trace collector

A trace collector that sent a response without end, as head, interim responses, chunks or body, took the memory of the daemon as fast as it could send. One that sent a few bytes every 500 ms deferred the timeout with each of them, so that the exporter kept the connection, sent no further spans and logged nothing.

Cause: the exporter set neither a limit of the head nor one of the body, and its timeout was that of evhttp, which restarts with each byte.

A response without a Content-Length still counts as accepted, but its connection is not reused. span_export_failed has a reason.

--- a/src/observe/otlp_exporter.cc
+++ b/src/observe/otlp_exporter.cc
@@ -4,9 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
 
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
@@ -14,15 +12,45 @@
 #include "dragonflytack/observe/metrics_registry.h"
 #include "dragonflytack/observe/otlp_json.h"
 #include "dragonflytack/observe/tracer.h"
+#include "store/http_connection.h"
 
 namespace dragonflytack {
 
 namespace {
 
 constexpr Milliseconds kExportPeriod{2000};
-constexpr int kRequestTimeoutSeconds = 5;
+constexpr Milliseconds kRequestTimeout{5000};
 constexpr int kHttpOk = 200;
 constexpr const char* kPath = "/v1/traces";
+// A collector responds with a number of rejected spans and one message.
+constexpr size_t kMaxResponseBytes = 64 << 10;
+
+// Returns whether the collector has accepted the spans. A response without a
+// Content-Length, which a collector may send, is kLost with its status.
+bool IsAccepted(const HttpResponse& response) {
+  return response.status == kHttpOk &&
+         (response.outcome == HttpOutcome::kCompleted ||
+          response.outcome == HttpOutcome::kLost);
+}
+
+// Returns the reason to log for a response that accepts no spans.
+std::string RejectionReason(const HttpResponse& response) {
+  switch (response.outcome) {
+    case HttpOutcome::kNotSent:
+      return "unreachable";
+    case HttpOutcome::kTimeout:
+      return "timeout";
+    case HttpOutcome::kTooLarge:
+      return "too_large";
+    case HttpOutcome::kMalformed:
+      return "malformed";
+    case HttpOutcome::kLost:
+    case HttpOutcome::kCompleted:
+      break;
+  }
+  return response.status == 0 ? "connection_lost"
+                              : fmt::format("status_{}", response.status);
+}
 
 }  // namespace
 
@@ -45,15 +73,13 @@
             "Spans that the trace collector has accepted.")),
         failed_(metrics->GetCounter(
             "dragonflytack_spans_export_failed_total",
-            "Spans that the trace collector has not accepted.")) {
+            "Spans that the trace collector has not accepted.")),
+        connection_(loop, collector_, kMaxResponseBytes) {
     timer_ =
         loop_->timers().SubscribeEvery(kExportPeriod, [this] { Export(); });
   }
 
-  ~Impl() {
-    loop_->timers().Cancel(timer_);
-    CloseConnection();
-  }
+  ~Impl() { loop_->timers().Cancel(timer_); }
 
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -70,45 +96,25 @@
       return;
     }
     pending_spans_ = spans.size();
-    if (connection_ == nullptr) {
-      connection_ = evhttp_connection_base_new(
-          loop_->base(), nullptr, collector_.address.c_str(), collector_.port);
-      evhttp_connection_set_timeout(connection_, kRequestTimeoutSeconds);
-    }
-    evhttp_request* request = evhttp_request_new(&Impl::OnResponse, this);
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", collector_.ToString().c_str());
-    evhttp_add_header(headers, "Content-Type", "application/json");
-    const std::string body =
-        RenderOtlpJson(node_, region_, data_centre_, spans);
-    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
-                 body.size());
-    if (evhttp_make_request(connection_, request, EVHTTP_REQ_POST, kPath) !=
-        0) {
-      Finish(false);
-    }
+    connection_.Send(
+        {.method = "POST",
+         .target = kPath,
+         .headers = {{"Content-Type", "application/json"}},
+         .body = RenderOtlpJson(node_, region_, data_centre_, spans)},
+        kRequestTimeout, [this](HttpResponse response) { Finish(response); });
   }
 
-  static void OnResponse(evhttp_request* request, void* self) {
-    const bool accepted = request != nullptr &&
-                          evhttp_request_get_response_code(request) == kHttpOk;
-    static_cast<Impl*>(self)->Finish(accepted);
-  }
-
-  void Finish(bool accepted) {
+  void Finish(const HttpResponse& response) {
     const size_t spans = std::exchange(pending_spans_, 0);
-    (accepted ? exported_ : failed_)->Add(spans);
-    if (!accepted) {
-      logger_->Warning("span_export_failed",
-                       {{"collector", collector_.ToString()},
-                        {"spans", static_cast<uint64_t>(spans)}});
-    }
-  }
-
-  void CloseConnection() {
-    if (connection_ != nullptr) {
-      evhttp_connection_free(std::exchange(connection_, nullptr));
+    if (IsAccepted(response)) {
+      exported_->Add(spans);
+      return;
     }
+    failed_->Add(spans);
+    logger_->Warning("span_export_failed",
+                     {{"collector", collector_.ToString()},
+                      {"spans", static_cast<uint64_t>(spans)},
+                      {"reason", RejectionReason(response)}});
   }
 
   const std::string node_;
@@ -122,7 +128,7 @@
   Counter* const failed_;
   TimerId timer_ = 0;
   size_t pending_spans_ = 0;
-  evhttp_connection* connection_ = nullptr;
+  HttpConnection connection_;
 };
 
 std::unique_ptr<OtlpExporter> OtlpExporter::Make(const Settings& settings,
--- a/src/store/http_connection.h
+++ b/src/store/http_connection.h
@@ -37,7 +37,8 @@
   // No connection was made, so no byte of the request was sent.
   kNotSent,
   // The request may have reached the peer, but no complete response was
-  // received.
+  // received. The status is set if a response ended without a Content-Length
+  // that proves it complete, and 0 otherwise.
   kLost,
   // As kLost, because the timeout passed.
   kTimeout,
