Do not take bytes that precede a request for its response

A call on a kept connection ended as done with a response that the target had sent before it got the request: for example a 408 with which a server gives up an idle connection, or a whole 200. Bytes that are no HTTP made a one-time call unknown, although it had not been sent.

Cause: the pool looks for bytes on a kept connection when it chooses it, but the request is written in the next round of the event loop. evhttp does not look at its input until the request is written, and then takes what is there for the response. Of the two events of a socket, libevent handled the write first, so that bytes in the socket were not read before.

UpstreamConnection now reads before it writes the request, and ends the exchange if bytes arrive while no byte of the request was sent. Writing is disabled first, so that this stays true.

Already sound, and now tested: bytes on an idle connection, handled by the loop or not, and bytes that are no HTTP at any time after a response, end to end: no call ended as done with another body or was sent twice.

Not decidable: a whole response that arrives after the request was sent, see docs/calls.md.

--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -17,6 +17,9 @@
   kCompleted,
   // No byte was sent, because no connection was established.
   kNotSent,
+  // No byte was sent, because bytes that belong to no request arrived on the
+  // kept connection first. The peer is reachable.
+  kStaleConnection,
   // The timeout expired after bytes were sent.
   kTimeout,
   // The connection closed, or the response was malformed or incomplete.
--- a/src/calls/keyed_call.cc
+++ b/src/calls/keyed_call.cc
@@ -241,7 +241,8 @@
 void KeyedCall::OnExchangeFinished(ExchangeOutcome outcome,
                                    HttpRequestPtr response) {
   context_->deleter->Add(std::move(exchange_));
-  if (outcome != ExchangeOutcome::kNotSent) {
+  if (outcome != ExchangeOutcome::kNotSent &&
+      outcome != ExchangeOutcome::kStaleConnection) {
     maybe_forwarded_ = true;
   }
   switch (outcome) {
@@ -249,6 +250,7 @@
       OnOwnerResult(ReadResponse(std::move(response)));
       return;
     case ExchangeOutcome::kNotSent:
+    case ExchangeOutcome::kStaleConnection:
       moved_to_.clear();
       RouteLater();
       return;
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -294,6 +294,12 @@
       *attempt_outcome = AttemptOutcome::kUnreachable;
       return CallResult::Refused(CallReason::kUnreachable,
                                  "no connection to the node of the target");
+    case ExchangeOutcome::kStaleConnection:
+      *attempt_outcome = AttemptOutcome::kNeutral;
+      return CallResult::Refused(
+          CallReason::kUnreachable,
+          "the kept connection to the node received unexpected bytes before "
+          "the call was sent");
     case ExchangeOutcome::kTimeout:
       *attempt_outcome = timeout;
       return CallResult::Unknown(CallReason::kDeadline,
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -264,6 +264,12 @@
       result = CallResult::Refused(CallReason::kUnreachable,
                                    "no connection to the target was made");
       break;
+    case ExchangeOutcome::kStaleConnection:
+      result = CallResult::Refused(
+          CallReason::kUnreachable,
+          "the kept connection to the target received unexpected bytes before "
+          "the call was sent");
+      break;
     case ExchangeOutcome::kTimeout:
       slots_.RecordRunTime(run_time);
       result = CallResult::Unknown(CallReason::kDeadline,
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -10,6 +10,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http_struct.h>
 
 #include "calls/http_headers.h"
@@ -146,6 +147,14 @@
     return false;
   }
   exchange_ = exchange;
+  if (connected_) {
+    // Of two events of one socket, libevent handles the one that was added last
+    // first. Bytes that have arrived are read before the request is written, so
+    // that OnInput() can distinguish them from its response.
+    bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+    bufferevent_disable(bufev, EV_READ);
+    bufferevent_enable(bufev, EV_READ);
+  }
   return true;
 }
 
@@ -216,15 +225,26 @@
                                  const evbuffer_cb_info* info,
                                  void* self) {
   auto* connection = static_cast<UpstreamConnection*>(self);
-  if (connection->exchange_ == nullptr || info->n_added == 0 ||
-      connection->limiter_.AcceptInput(*info)) {
+  if (connection->exchange_ == nullptr || info->n_added == 0) {
     return;
   }
+  if (!connection->sent_) {
+    // The peer sent these bytes without the request, which must not be written
+    // any more.
+    bufferevent_disable(
+        evhttp_connection_get_bufferevent(connection->connection_), EV_WRITE);
+    connection->EndExchange(ExchangeOutcome::kStaleConnection);
+  } else if (!connection->limiter_.AcceptInput(*info)) {
+    connection->EndExchange(ExchangeOutcome::kBroken);
+  }
+}
+
+void UpstreamConnection::EndExchange(ExchangeOutcome outcome) {
   // evhttp may still report the end of the request before the pool deletes the
   // connection.
-  Exchange* exchange = std::exchange(connection->exchange_, nullptr);
-  connection->Retire();
-  exchange->Finish(ExchangeOutcome::kBroken, nullptr);
+  Exchange* exchange = std::exchange(exchange_, nullptr);
+  Retire();
+  exchange->Finish(outcome, nullptr);
 }
 
 void UpstreamConnection::HandleResponse(evhttp_request* request) {
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -91,6 +91,8 @@
                       const evbuffer_cb_info* info,
                       void* self);
   void HandleResponse(evhttp_request* request);
+  // Retires the connection and ends its exchange from within OnInput().
+  void EndExchange(ExchangeOutcome outcome);
   void Retire();
 
   DeferredDeleter* const deleter_;
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -1,8 +1,10 @@
 #include "call_fixture.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <algorithm>
@@ -54,6 +56,17 @@
 
 }  // namespace
 
+void SendAndAwaitArrival(int fd, const std::string& text) {
+  send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+  // Bytes that the peer has not acknowledged.
+  int pending = 1;
+  for (int i = 0; i < 2000 && pending > 0; ++i) {
+    std::this_thread::sleep_for(Milliseconds(1));
+    cr_assert_eq(ioctl(fd, SIOCOUTQ, &pending), 0);
+  }
+  cr_assert_eq(pending, 0);
+}
+
 void ResetConnection(int fd) {
   // Connecting a socket to AF_UNSPEC makes Linux reset its connection.
   sockaddr none{};
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -56,6 +56,9 @@
   int fd_;
 };
 
+// Sends bytes and returns once the peer's kernel has received them.
+void SendAndAwaitArrival(int fd, const std::string& text);
+
 // Closes a connection with a reset instead of a clean close.
 void ResetConnection(int fd);
 
--- a/tests/call_task_faults_test.cc
+++ b/tests/call_task_faults_test.cc
@@ -223,6 +223,58 @@
   cr_assert_eq(target.requests(), 6);
 }
 
+// Guards against bytes that a target sends after a complete response, and that
+// end the next call on the connection as done, give it another response, or
+// make it be sent twice. They arrive at once, 5 ms later, when the next call
+// may be on its way, or just after the next call has arrived.
+Test(call_task, bytes_after_a_response_do_not_answer_the_next_call) {
+  constexpr int kCalls = 40;
+  enum class Time { kAtOnce, kAfter5Ms, kAfterNextRequest };
+  for (const Time time :
+       {Time::kAtOnce, Time::kAfter5Ms, Time::kAfterNextRequest}) {
+    CallFixture fixture(1, Row(ServiceKind::kOneTime));
+    std::vector<std::atomic<int>> received(kCalls);
+    ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                          [&](int fd, const std::string& head, int n) {
+                            const std::string id = RequestId(head);
+                            ++received[std::stoul(id)];
+                            const auto send_more = [fd] {
+                              send(fd, "late", 4, MSG_NOSIGNAL);
+                            };
+                            if (time == Time::kAfterNextRequest && n > 1) {
+                              send_more();
+                            }
+                            ScriptedTarget::Respond(fd, id);
+                            if (time == Time::kAfter5Ms) {
+                              std::this_thread::sleep_for(Milliseconds(5));
+                            }
+                            if (time != Time::kAfterNextRequest) {
+                              send_more();
+                            }
+                            return true;
+                          });
+    std::vector<std::string> outcomes;
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string id = std::to_string(i);
+      const HttpReply reply = fixture.Call(id, 1000);
+      outcomes.push_back(reply.Header("x-outcome"));
+      if (outcomes.back() == "done") {
+        ExpectEqual(reply.body, id);
+      }
+    }
+    std::this_thread::sleep_for(Milliseconds(20));
+    for (int i = 0; i < kCalls; ++i) {
+      const int times = received[i];
+      const char* const outcome = outcomes[i].c_str();
+      cr_expect_leq(times, 1, "call %d: %s, received %d times", i, outcome,
+                    times);
+      cr_expect(outcomes[i] == "unknown" ||
+                    outcomes[i] == (times == 0 ? "not-run" : "done"),
+                "call %d: %s, received %d times", i, outcome, times);
+    }
+  }
+}
+
 // Guards against a one-time call that is abandoned although no target received
 // it.
 Test(call_task, one_time_call_is_retried_if_it_was_certainly_not_run) {
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -93,8 +94,94 @@
   };
 }
 
+// A target that responds with the number of the request. The test can send more
+// bytes on the connection of the last request.
+class TalkativeTarget {
+ public:
+  TalkativeTarget()
+      : target_(LoopbackAddress(0), kPort, [this](int fd, const auto&, int n) {
+          fd_ = fd;
+          return ScriptedTarget::Respond(fd, std::to_string(n));
+        }) {}
+
+  void SendMore(const std::string& text) const {
+    SendAndAwaitArrival(fd_, text);
+  }
+  int requests() const { return target_.requests(); }
+
+ private:
+  std::atomic<int> fd_ = -1;
+  ScriptedTarget target_;
+};
+
+// Bytes that a target sends without a request: no HTTP, an interim response, a
+// part of a response, and a whole one.
+const std::string kUnrequestedBytes[] = {
+    "x",
+    "\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n",
+    "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
+};
+
 }  // namespace
 
+// Guards against bytes that arrive on an idle connection, before or after the
+// event loop has handled them, and become the response to the next request.
+Test(connection_pool, bytes_on_an_idle_connection_belong_to_no_request) {
+  for (const bool handled : {false, true}) {
+    for (const std::string& bytes : kUnrequestedBytes) {
+      PoolFixture fixture;
+      TalkativeTarget target;
+      for (int n = 1; n <= 3; ++n) {
+        cr_expect(fixture.Run(Milliseconds(1000)) ==
+                  ExchangeOutcome::kCompleted);
+        ExpectEqual(fixture.body_, std::to_string(n), bytes);
+        target.SendMore(bytes);
+        if (handled) {
+          fixture.RunFor(Milliseconds(5));
+        }
+      }
+      cr_expect_eq(target.requests(), 3);
+    }
+  }
+}
+
+// Guards against bytes that arrive after a kept connection was chosen for a
+// request but before the request is sent, and that become its response. That
+// no byte of the request was sent must be reported.
+Test(connection_pool, bytes_before_a_request_is_sent_are_not_its_response) {
+  for (const std::string& bytes : kUnrequestedBytes) {
+    PoolFixture fixture;
+    TalkativeTarget target;
+    cr_expect(fixture.Run(Milliseconds(1000)) == ExchangeOutcome::kCompleted);
+    std::string body;
+    std::optional<ExchangeOutcome> result;
+    const std::unique_ptr<Exchange> exchange = fixture.Start(
+        8, Milliseconds(1000),
+        [&](ExchangeOutcome outcome, HttpRequestPtr response) {
+          result = outcome;
+          if (response != nullptr) {
+            evbuffer* buffer = evhttp_request_get_input_buffer(response.get());
+            body.resize(evbuffer_get_length(buffer));
+            evbuffer_copyout(buffer, body.data(), body.size());
+          }
+          event_base_loopbreak(fixture.loop_->base());
+        });
+    target.SendMore(bytes);
+    fixture.loop_->Run();
+    cr_expect(result == ExchangeOutcome::kStaleConnection, "%s: %d, \"%s\"",
+              bytes.c_str(), static_cast<int>(result.value()), body.c_str());
+    fixture.RunFor(Milliseconds(20));
+    cr_expect_eq(target.requests(), 1, "%s: %d", bytes.c_str(),
+                 target.requests());
+    cr_expect_eq(fixture.pool_.CountOpen(fixture.Address()), 0);
+    cr_expect(fixture.Run(Milliseconds(1000)) == ExchangeOutcome::kCompleted);
+    ExpectEqual(fixture.body_, std::to_string(target.requests()), bytes);
+  }
+}
+
 // Guards against a wrong outcome of an exchange, in particular kNotSent after a
 // byte was sent and kCompleted for an incomplete response. `open` is the number
 // of connections that are kept afterwards.
