Do not take bytes after a response of the store for the next one

A write to a store that sent more bytes after a response could be reported as done at a version that it does not have, when these bytes formed a response.

Cause: HttpConnection kept a connection whose input buffer was not empty after the response, and did not look at the socket before the next request. evhttp takes what is in the buffer for the response once the request is written.

HttpConnection now drops a kept connection with bytes in the buffer or the socket, as the pool of the calls does, reads before it writes a request, and ends the exchange as kStaleConnection if bytes arrive before a byte of the request was sent. For the store this is store_unreachable: nothing was written.

--- a/src/observe/otlp_exporter.cc
+++ b/src/observe/otlp_exporter.cc
@@ -38,6 +38,8 @@
   switch (response.outcome) {
     case HttpOutcome::kNotSent:
       return "unreachable";
+    case HttpOutcome::kStaleConnection:
+      return "stale_connection";
     case HttpOutcome::kTimeout:
       return "timeout";
     case HttpOutcome::kTooLarge:
--- a/src/store/http_connection.cc
+++ b/src/store/http_connection.cc
@@ -1,13 +1,16 @@
 #include "store/http_connection.h"
 
+#include <sys/socket.h>
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <cerrno>
 #include <limits>
 #include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -63,10 +66,6 @@
   return response;
 }
 
-void CountWrittenBytes(evbuffer*, const evbuffer_cb_info* info, void* written) {
-  *static_cast<uint64_t*>(written) += info->n_added;
-}
-
 }  // namespace
 
 HttpConnection::HttpConnection(EventLoop* loop,
@@ -95,9 +94,9 @@
   evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
   evhttp_connection_set_max_body_size(
       connection_, static_cast<ev_ssize_t>(max_response_bytes_));
-  write_counter_ = evbuffer_add_cb(
+  output_callback_ = evbuffer_add_cb(
       bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
-      CountWrittenBytes, &written_bytes_);
+      &HttpConnection::OnOutput, this);
   input_callback_ = evbuffer_add_cb(
       bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
       &HttpConnection::OnInput, this);
@@ -109,7 +108,7 @@
   }
   // libevent frees the buffers later, when this object may be destroyed.
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
-  evbuffer_remove_cb_entry(bufferevent_get_output(bufev), write_counter_);
+  evbuffer_remove_cb_entry(bufferevent_get_output(bufev), output_callback_);
   evbuffer_remove_cb_entry(bufferevent_get_input(bufev), input_callback_);
   evhttp_connection_free(std::exchange(connection_, nullptr));
 }
@@ -121,9 +120,14 @@
   callback_ = std::move(callback);
   response_ = HttpResponse{};
   written_bytes_ = 0;
+  sent_ = false;
   failure_ = HttpOutcome::kLost;
   finish_timer_ = 0;
-  if (connection_ == nullptr) {
+  if (connection_ != nullptr && IsStale()) {
+    Close();
+  }
+  const bool reused = connection_ != nullptr;
+  if (!reused) {
     Open();
   }
   timeout_timer_ = loop_->timers().SubscribeOnce(timeout, [this] {
@@ -159,9 +163,25 @@
   if (evhttp_make_request(connection_, sent, ToEvhttpCommand(request.method),
                           request.target.c_str()) != 0) {
     OnResponse(nullptr, this);
+  } else if (reused) {
+    // Of two events of one socket, libevent handles the one that was added last
+    // first. Bytes that have arrived are read before the request is written, so
+    // that OnInput() can distinguish them from its response.
+    bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+    bufferevent_disable(bufev, EV_READ);
+    bufferevent_enable(bufev, EV_READ);
   }
 }
 
+bool HttpConnection::IsStale() const {
+  bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
+  const int fd = bufferevent_getfd(bufev);
+  char byte;
+  return evbuffer_get_length(bufferevent_get_input(bufev)) > 0 || fd < 0 ||
+         recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpConnection::OnResponse(evhttp_request* request, void* self) {
   auto* connection = static_cast<HttpConnection*>(self);
   // evhttp_make_request() may both call back and return a failure.
@@ -189,17 +209,34 @@
   return -1;
 }
 
+void HttpConnection::OnOutput(evbuffer* /*buffer*/,
+                              const evbuffer_cb_info* info,
+                              void* self) {
+  auto* connection = static_cast<HttpConnection*>(self);
+  connection->written_bytes_ += info->n_added;
+  connection->sent_ = connection->sent_ || info->n_deleted > 0;
+}
+
 void HttpConnection::OnInput(evbuffer* /*buffer*/,
                              const evbuffer_cb_info* info,
                              void* self) {
   auto* connection = static_cast<HttpConnection*>(self);
   // Once the response has ended, evhttp may have freed the request.
   if (!connection->busy() || connection->finish_timer_ != 0 ||
-      info->n_added == 0 || connection->limiter_.AcceptInput(*info)) {
+      info->n_added == 0) {
     return;
   }
-  connection->response_.outcome = HttpOutcome::kMalformed;
-  connection->FinishLater();
+  if (!connection->sent_) {
+    // The peer sent these bytes without the request, which must not be written
+    // any more.
+    bufferevent_disable(
+        evhttp_connection_get_bufferevent(connection->connection_), EV_WRITE);
+    connection->response_.outcome = HttpOutcome::kStaleConnection;
+    connection->FinishLater();
+  } else if (!connection->limiter_.AcceptInput(*info)) {
+    connection->response_.outcome = HttpOutcome::kMalformed;
+    connection->FinishLater();
+  }
 }
 
 void HttpConnection::FinishLater() {
--- a/src/store/http_connection.h
+++ b/src/store/http_connection.h
@@ -36,6 +36,9 @@
   kCompleted,
   // No connection was made, so no byte of the request was sent.
   kNotSent,
+  // No byte of the request was sent, because bytes that belong to no request
+  // arrived on the kept connection first.
+  kStaleConnection,
   // The request may have reached the peer, but no complete response was
   // received. The status is set if a response ended without a Content-Length
   // that proves it complete, and 0 otherwise.
@@ -86,11 +89,17 @@
  private:
   static void OnResponse(evhttp_request* request, void* self);
   static int OnHead(evhttp_request* request, void* self);
+  static void OnOutput(evbuffer* buffer,
+                       const evbuffer_cb_info* info,
+                       void* self);
   static void OnInput(evbuffer* buffer,
                       const evbuffer_cb_info* info,
                       void* self);
   void Open();
   void Close();
+  // Returns whether bytes have arrived on the idle connection, or the peer has
+  // closed it, and evhttp has not handled this yet.
+  bool IsStale() const;
   // Calls Finish() on the next turn of the loop.
   void FinishLater();
   // Calls the callback, after closing the connection if the exchange failed.
@@ -100,12 +109,14 @@
   const HostPort peer_;
   const size_t max_response_bytes_;
   evhttp_connection* connection_ = nullptr;
-  evbuffer_cb_entry* write_counter_ = nullptr;
+  evbuffer_cb_entry* output_callback_ = nullptr;
   evbuffer_cb_entry* input_callback_ = nullptr;
   // Bytes of the request that were added to the socket's output buffer. evhttp
   // adds them only once the connection is made, so 0 proves that nothing was
   // sent.
   uint64_t written_bytes_ = 0;
+  // Whether bytes of the request may have left this process.
+  bool sent_ = false;
   ResponseLimiter limiter_;
   // kLost, or the reason for which the limits or evhttp reject the response.
   HttpOutcome failure_ = HttpOutcome::kLost;
--- a/src/store/store_response_checker.cc
+++ b/src/store/store_response_checker.cc
@@ -31,6 +31,10 @@
     case HttpOutcome::kNotSent:
       return LogFailure(FailureCode::kStoreUnreachable, key,
                         "no connection to the store was made");
+    case HttpOutcome::kStaleConnection:
+      return LogFailure(FailureCode::kStoreUnreachable, key,
+                        "unexpected bytes arrived on the connection before the "
+                        "request was sent");
     case HttpOutcome::kTimeout:
       return LogFailure(FailureCode::kStoreTimeout, key,
                         "the store did not answer in time");
--- a/tests/http_store_client_test.cc
+++ b/tests/http_store_client_test.cc
@@ -1,10 +1,14 @@
 #include "store/http_store_client.h"
 
+#include <sys/socket.h>
+#include <atomic>
 #include <string>
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
+#include "call_fixture.h"
 #include "raw_server.h"
 #include "store_standin_fixture.h"
 
@@ -209,6 +213,50 @@
   }
 }
 
+// Guards against bytes that follow a response and become the response to the
+// next request, so that a write counts as done at a version that it does not
+// have. They arrive in one write with the response, on the idle connection, or
+// after the next request was made but before it is sent.
+Test(http_store_client, bytes_after_a_response_do_not_answer_the_next_request) {
+  enum class Time { kWithResponse, kIdle, kBeforeRequest };
+  const std::string late =
+      "HTTP/1.1 200 OK\r\nx-version: 99\r\nContent-Length: 0\r\n\r\n";
+  for (const Time time :
+       {Time::kWithResponse, Time::kIdle, Time::kBeforeRequest}) {
+    StoreStandinFixture fixture;
+    std::atomic<int> connection = -1;
+    const auto respond = [&](int fd, const std::string&, int n) {
+      connection = fd;
+      const std::string text = fmt::format(
+          "HTTP/1.1 200 OK\r\nx-version: {}\r\nContent-Length: "
+          "0\r\n\r\n{}",
+          n, time == Time::kWithResponse ? late : "");
+      return send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0;
+    };
+    ScriptedTarget store(LoopbackAddress(0), 7500, respond);
+    fixture.Connect({LoopbackAddress(0), 7500}, Milliseconds(1000));
+    const int name = static_cast<int>(time);
+    for (StoreVersion n = 1; n <= 3; ++n) {
+      cr_expect(fixture.Put("a", "value", 0) == n, "%d: %s", name,
+                fixture.reason.ToString().c_str());
+      if (time == Time::kIdle) {
+        SendAndAwaitArrival(connection, late);
+      }
+    }
+    if (time == Time::kBeforeRequest) {
+      const auto version = fixture.Await<StoreVersion>([&](auto done) {
+        fixture.client->Put("a", "value", 0, done);
+        SendAndAwaitArrival(connection, late);
+      });
+      cr_expect(!version.has_value(), "%d", static_cast<int>(*version));
+      cr_expect(fixture.reason.code == FailureCode::kStoreUnreachable);
+      fixture.Settle(20);
+      cr_expect_eq(store.requests(), 3);
+      cr_expect(fixture.Put("a", "value", 0) == 4u);
+    }
+  }
+}
+
 // Guards against use of the client after a callback destroyed it.
 Test(http_store_client, may_be_destroyed_in_callback) {
   StoreStandinFixture fixture;
