Keep the store stand-in running when bytes arrive before the response

A client that sent bytes to the store stand-in while its last request waited for its response, for example behind a watch, ended the process of the stand-in with exit code 1 and "evhttp_read_cb: illegal connection state 7".

The stand-in enables reading while a response is pending, to detect a closed connection, and left evhttp's read callback in place, which ends the process in that state.

The stand-in now removes the read callback while a response is pending; evhttp sets it again when it sends the response, and then reads the bytes. A watermark limits them.

Ruled out: further places, since no other server enables reading while a response is pending.

--- a/src/store/store_standin.cc
+++ b/src/store/store_standin.cc
@@ -184,8 +184,18 @@
   pending_[connection] = PendingRequest{.request = request};
   evhttp_connection_set_closecb(connection, &StoreStandin::OnClose, this);
   // evhttp stops reading while a request has no response, and would not detect
-  // that the peer has closed the connection.
-  bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+  // that the peer has closed the connection. It ends the process if its read
+  // callback is called in this state, and sets the callback again when the
+  // response is sent. The bytes that arrive meanwhile are limited.
+  bufferevent* bufev = evhttp_connection_get_bufferevent(connection);
+  bufferevent_setwatermark(bufev, EV_READ, 0,
+                           2 * StoreProtocol::kMaxResponseBytes);
+  bufferevent_data_cb on_write = nullptr;
+  bufferevent_event_cb on_event = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(bufev, nullptr, &on_write, &on_event, &argument);
+  bufferevent_setcb(bufev, nullptr, on_write, on_event, argument);
+  bufferevent_enable(bufev, EV_READ);
 
   const std::string path = RequestPath(request);
   const auto route =
--- a/tests/http_store_client_test.cc
+++ b/tests/http_store_client_test.cc
@@ -82,6 +82,34 @@
   cr_assert_eq(fixture.standin->pending_watches(), 0);
 }
 
+// Guards against a stand-in that ends its process because a client sends bytes
+// while a watch waits for its response.
+Test(http_store_client, standin_reads_bytes_after_a_waiting_watch_later) {
+  StoreStandinFixture fixture;
+  const StoreVersion version = *fixture.Put("a", "1", 0);
+  const HostPort address = fixture.standin->address();
+  const Socket socket(address.address, address.port);
+  socket.Send(fmt::format(
+      "GET /v1/watch/a?after={}&timeout_ms=200 HTTP/1.1\r\nHost: h\r\n\r\n",
+      version));
+  fixture.Settle(50);
+  cr_assert_eq(fixture.standin->pending_watches(), 1);
+  for (const char* part :
+       {"GET /v1/objects/a HTTP/1.1\r\n", "Host: h\r\n\r\n"}) {
+    socket.Send(part);
+    fixture.Settle(20);
+  }
+  cr_expect_eq(fixture.standin->pending_watches(), 1);
+  fixture.Settle(400);
+  // The response to the watch has no body, so that the other one follows it.
+  const HttpReply reply = socket.Receive(Milliseconds(1000));
+  cr_expect_eq(reply.status, 200, "%d", reply.status);
+  ExpectEqual(reply.Header("x-version"), std::to_string(version));
+  cr_expect(reply.body.starts_with("HTTP/1.1 200 ") &&
+                reply.body.ends_with("\r\n\r\n1"),
+            "%s", reply.body.c_str());
+}
+
 // Each fault must be reported with a code that shows whether the write may have
 // taken effect.
 Test(http_store_client, failure_code_shows_whether_write_may_have_happened) {
