--- a/tests/http_store_client_test.cc
+++ b/tests/http_store_client_test.cc
@@ -1,10 +1,14 @@
 #include "store/http_store_client.h"
 
+#include <sys/socket.h>
+#include <atomic>
 #include <string>
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
+#include "call_fixture.h"
 #include "raw_server.h"
 #include "store_standin_fixture.h"
 
@@ -78,6 +82,34 @@
   cr_assert_eq(fixture.standin->pending_watches(), 0);
 }
 
+// Guards against a stand-in that ends its process because a client sends bytes
+// while a watch waits for its response.
+Test(http_store_client, standin_reads_bytes_after_a_waiting_watch_later) {
+  StoreStandinFixture fixture;
+  const StoreVersion version = *fixture.Put("a", "1", 0);
+  const HostPort address = fixture.standin->address();
+  const Socket socket(address.address, address.port);
+  socket.Send(fmt::format(
+      "GET /v1/watch/a?after={}&timeout_ms=200 HTTP/1.1\r\nHost: h\r\n\r\n",
+      version));
+  fixture.Settle(50);
+  cr_assert_eq(fixture.standin->pending_watches(), 1);
+  for (const char* part :
+       {"GET /v1/objects/a HTTP/1.1\r\n", "Host: h\r\n\r\n"}) {
+    socket.Send(part);
+    fixture.Settle(20);
+  }
+  cr_expect_eq(fixture.standin->pending_watches(), 1);
+  fixture.Settle(400);
+  // The response to the watch has no body, so that the other one follows it.
+  const HttpReply reply = socket.Receive(Milliseconds(1000));
+  cr_expect_eq(reply.status, 200, "%d", reply.status);
+  ExpectEqual(reply.Header("x-version"), std::to_string(version));
+  cr_expect(reply.body.starts_with("HTTP/1.1 200 ") &&
+                reply.body.ends_with("\r\n\r\n1"),
+            "%s", reply.body.c_str());
+}
+
 // Each fault must be reported with a code that shows whether the write may have
 // taken effect.
 Test(http_store_client, failure_code_shows_whether_write_may_have_happened) {
@@ -209,6 +241,50 @@
   }
 }
 
+// Guards against bytes that follow a response and become the response to the
+// next request, so that a write counts as done at a version that it does not
+// have. They arrive in one write with the response, on the idle connection, or
+// after the next request was made but before it is sent.
+Test(http_store_client, bytes_after_a_response_do_not_answer_the_next_request) {
+  enum class Time { kWithResponse, kIdle, kBeforeRequest };
+  const std::string late =
+      "HTTP/1.1 200 OK\r\nx-version: 99\r\nContent-Length: 0\r\n\r\n";
+  for (const Time time :
+       {Time::kWithResponse, Time::kIdle, Time::kBeforeRequest}) {
+    StoreStandinFixture fixture;
+    std::atomic<int> connection = -1;
+    const auto respond = [&](int fd, const std::string&, int n) {
+      connection = fd;
+      const std::string text = fmt::format(
+          "HTTP/1.1 200 OK\r\nx-version: {}\r\nContent-Length: "
+          "0\r\n\r\n{}",
+          n, time == Time::kWithResponse ? late : "");
+      return send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0;
+    };
+    ScriptedTarget store(LoopbackAddress(0), 7500, respond);
+    fixture.Connect({LoopbackAddress(0), 7500}, Milliseconds(1000));
+    const int name = static_cast<int>(time);
+    for (StoreVersion n = 1; n <= 3; ++n) {
+      cr_expect(fixture.Put("a", "value", 0) == n, "%d: %s", name,
+                fixture.reason.ToString().c_str());
+      if (time == Time::kIdle) {
+        SendAndAwaitArrival(connection, late);
+      }
+    }
+    if (time == Time::kBeforeRequest) {
+      const auto version = fixture.Await<StoreVersion>([&](auto done) {
+        fixture.client->Put("a", "value", 0, done);
+        SendAndAwaitArrival(connection, late);
+      });
+      cr_expect(!version.has_value(), "%d", static_cast<int>(*version));
+      cr_expect(fixture.reason.code == FailureCode::kStoreUnreachable);
+      fixture.Settle(20);
+      cr_expect_eq(store.requests(), 3);
+      cr_expect(fixture.Put("a", "value", 0) == 4u);
+    }
+  }
+}
+
 // Guards against use of the client after a callback destroyed it.
 Test(http_store_client, may_be_destroyed_in_callback) {
   StoreStandinFixture fixture;
