tools/soak: tell broken time limits of a starved machine from faults

Three runs of seed 1, with separate fleets, failed at the same moment with "node 2 still runs after its drain timeout", "unknown in a planned stop ... deadline" and "the last edit is not in force after 6 s". All their daemons had logged loop_paused with 1.2 to 9.3 s within the same 9 s. The load average was 38, and the kernel, read later, had counted 8.5 s since the boot in which no process got on for lack of memory; what used the memory was not traced. No daemon was at fault, but the report did not say so.

The driver now samples what the kernel counts: the time that each thread of the daemons, of the targets and of the driver itself was ready to run and waited for a processor, and the time in which the whole machine waited for memory or disk. A broken time limit with 0.5 s or more of such a wait within its time is printed as undecided, with the wait. 0.5 s is the room that the tightest limit leaves.

Failures without a time limit (an exit by a signal, a second execution, a lower version, a connection that breaks without a response, and so on) are never undecided.

The counters of memory and disk have not been seen to act since.

--- a/tools/soak_driver/call_judge.h
+++ b/tools/soak_driver/call_judge.h
@@ -8,15 +8,15 @@
 
 #include "soak_driver/call_record.h"
 #include "soak_driver/node_life.h"
+#include "soak_driver/soak_failure.h"
 
 namespace dragonflytack {
 
 // Compares what callers and targets saw with the promises of the mesh.
 class CallJudge final {
  public:
-  // Gets the text of each broken promise and the call that shows it.
-  using Report =
-      std::function<void(const std::string& text, const CallRecord& call)>;
+  // Gets each broken promise.
+  using Report = std::function<void(SoakFailure failure)>;
 
   // With `stops_only`, planned stops are the only faults, so that no outcome
   // may be unknown. `epoch` is the time that the texts count from. `executions`
@@ -34,8 +34,16 @@
   void JudgeResponses();
   void JudgeOneTimeCalls();
   void JudgePlannedStops();
+  // Returns the process of the entry node that ran when the call was sent, or
+  // null.
+  const NodeLife* LifeOf(const CallRecord& record) const;
   // Returns whether the entry node of a call had to respond to it.
   bool IsResponseDue(const CallRecord& record) const;
+  // Reports a broken promise that a call shows. With `by_time`, it broke
+  // because the call took too long.
+  void ReportCall(const std::string& text,
+                  const CallRecord& record,
+                  bool by_time = false) const;
   std::string Describe(const CallRecord& record) const;
   int Executions(const std::string& id) const;
 
--- a/tools/soak_driver/daemon_group.cc
+++ b/tools/soak_driver/daemon_group.cc
@@ -165,7 +165,8 @@
       daemon.target_resume_at.reset();
     }
     if (!processes.target->IsRunning()) {
-      log_->ReportFailure(fmt::format("target of node {} ended", node), node);
+      log_->ReportFailure(
+          {.text = fmt::format("target of node {} ended", node), .node = node});
     }
     if (!daemon.running) {
       if (!stopping_all_ && now >= daemon.restart_at) {
@@ -187,8 +188,10 @@
     if (!daemon.paused && LifeOf(node).terminated && !LifeOf(node).killed &&
         now > daemon.must_exit_by) {
       log_->ReportFailure(
-          fmt::format("node {} still runs after its drain timeout", node),
-          node);
+          {.text =
+               fmt::format("node {} still runs after its drain timeout", node),
+           .node = node,
+           .limited_since = LifeOf(node).terminated});
       LifeOf(node).killed = now;
       processes.daemon->Signal(SIGKILL);
     }
@@ -203,9 +206,11 @@
   }
   if (!handles) {
     log_->ReportFailure(
-        fmt::format("node {} does not handle SIGTERM {} ms after its start",
-                    node, kHandlerLimit.count()),
-        node);
+        {.text = fmt::format(
+             "node {} does not handle SIGTERM {} ms after its start", node,
+             kHandlerLimit.count()),
+         .node = node,
+         .limited_since = LifeOf(node).started});
   }
   daemon.handles_terminate = true;
   if (std::exchange(daemon.terminate_waits, false)) {
@@ -235,8 +240,29 @@
   if (by_kill || by_stop) {
     log_->Write(text);
   } else {
-    log_->ReportFailure(text, node);
+    // A stop that its drain timeout cuts short exits with 1.
+    const bool by_time = life.terminated && WIFEXITED(wait_status) &&
+                         WEXITSTATUS(wait_status) == 1;
+    log_->ReportFailure(
+        {.text = text,
+         .node = node,
+         .limited_since = by_time ? life.terminated : std::nullopt});
+  }
+}
+
+std::vector<std::pair<std::string, pid_t>> DaemonGroup::Processes() const {
+  std::vector<std::pair<std::string, pid_t>> processes;
+  for (size_t i = 0; i < daemons_.size(); ++i) {
+    const Fleet::Node& node = fleet_->nodes()[i];
+    if (node.daemon) {
+      processes.emplace_back(fmt::format("node {}", i), node.daemon->pid());
+    }
+    if (node.target) {
+      processes.emplace_back(fmt::format("target of node {}", i),
+                             node.target->pid());
+    }
   }
+  return processes;
 }
 
 bool DaemonGroup::AreAllRunning() const {
--- a/tools/soak_driver/daemon_group.h
+++ b/tools/soak_driver/daemon_group.h
@@ -2,6 +2,8 @@
 #define TOOLS_SOAK_DRIVER_DAEMON_GROUP_H_
 
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "soak_driver/node_life.h"
@@ -42,6 +44,8 @@
   // Sends SIGTERM to all daemons, which are not restarted.
   void TerminateAll();
   bool AreAllDown() const;
+  // Returns the running daemons and targets, by names for messages.
+  std::vector<std::pair<std::string, pid_t>> Processes() const;
 
   const std::vector<NodeLife>& lives() const { return lives_; }
   int terminated() const { return terminated_; }
--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -28,6 +29,7 @@
 namespace options = boost::program_options;
 
 constexpr int kExitUsage = 2;
+constexpr int kExitUndecided = 3;
 constexpr int kMinNodes = 4;
 constexpr int kMaxNodes = 60;
 // Each run of this tool uses two networks, from this one on.
@@ -44,6 +46,32 @@
   bool keep_logs = false;
 };
 
+// The result of seeds, in ascending order of weight. A seed is undecided if all
+// its failures are time limits that the machine may have broken.
+enum class Verdict { kPassed, kUndecided, kFailed };
+
+Verdict VerdictOn(const std::vector<SoakFailure>& failures) {
+  Verdict verdict = Verdict::kPassed;
+  for (const SoakFailure& failure : failures) {
+    verdict =
+        std::max(verdict, failure.starvation.empty() ? Verdict::kFailed
+                                                     : Verdict::kUndecided);
+  }
+  return verdict;
+}
+
+const char* NameOf(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::kPassed:
+      return "ok";
+    case Verdict::kUndecided:
+      return "UNDECIDED";
+    case Verdict::kFailed:
+      return "FAILED";
+  }
+  return "";
+}
+
 // Returns a network that no other run on this machine uses, or 0. A socket that
 // stays open for the life of this process reserves it.
 int ReserveNetwork() {
@@ -64,7 +92,7 @@
   return 0;
 }
 
-bool RunSeed(const Arguments& arguments, SoakOptions soak) {
+Verdict RunSeed(const Arguments& arguments, SoakOptions soak) {
   soak.work_dir = fmt::format("{}/seed-{}", arguments.log_dir, soak.seed);
   std::filesystem::remove_all(soak.work_dir);
   std::filesystem::create_directories(soak.work_dir);
@@ -76,10 +104,12 @@
     failures = run.failures();
     summary = run.Summary();
   }
-  fmt::print("seed {} {}: {}\n", soak.seed, failures.empty() ? "ok" : "FAILED",
-             summary);
+  const Verdict verdict = VerdictOn(failures);
+  fmt::print("seed {} {}: {}\n", soak.seed, NameOf(verdict), summary);
   for (size_t i = 0; i < failures.size() && i < kPrintedFailures; ++i) {
-    fmt::print("  {}\n", failures[i].text);
+    const std::string& starvation = failures[i].starvation;
+    fmt::print("  {}{}\n", failures[i].text,
+               starvation.empty() ? "" : " (undecided: " + starvation + ")");
   }
   if (!failures.empty()) {
     for (const std::string& line :
@@ -96,23 +126,23 @@
                soak.work_dir);
   }
   std::fflush(stdout);
-  return failures.empty();
+  return verdict;
 }
 
 // Runs the seeds of a file with lines "SEED NODES SECONDS CAUSE"; # begins a
 // comment line.
-bool RunRegressionSeeds(const Arguments& arguments) {
+Verdict RunRegressionSeeds(const Arguments& arguments) {
   std::ifstream file(arguments.regression_seeds);
-  bool passed = file.is_open();
+  Verdict verdict = file.is_open() ? Verdict::kPassed : Verdict::kFailed;
   std::string line;
   while (std::getline(file, line)) {
     SoakOptions soak = arguments.soak;
     if (!line.empty() && line[0] != '#' &&
         std::istringstream(line) >> soak.seed >> soak.nodes >> soak.seconds) {
-      passed = RunSeed(arguments, soak) && passed;
+      verdict = std::max(verdict, RunSeed(arguments, soak));
     }
   }
-  return passed;
+  return verdict;
 }
 
 int Main(int argc, char** argv) {
@@ -164,14 +194,17 @@
     fmt::print(stderr, "soak: no loopback network is free\n");
     return EXIT_FAILURE;
   }
-  bool passed =
-      arguments.regression_seeds.empty() || RunRegressionSeeds(arguments);
+  Verdict verdict = arguments.regression_seeds.empty()
+                        ? Verdict::kPassed
+                        : RunRegressionSeeds(arguments);
   for (int i = 0; i < arguments.seeds; ++i) {
     SoakOptions next = soak;
     next.seed += i;
-    passed = RunSeed(arguments, next) && passed;
+    verdict = std::max(verdict, RunSeed(arguments, next));
   }
-  return passed ? EXIT_SUCCESS : EXIT_FAILURE;
+  return verdict == Verdict::kPassed      ? EXIT_SUCCESS
+         : verdict == Verdict::kUndecided ? kExitUndecided
+                                          : EXIT_FAILURE;
 }
 
 }  // namespace
--- a/tools/soak_driver/soak_log.cc
+++ b/tools/soak_driver/soak_log.cc
@@ -1,5 +1,7 @@
 #include "soak_driver/soak_log.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace dragonflytack {
@@ -17,13 +19,10 @@
   WriteLine(text);
 }
 
-void SoakLog::ReportFailure(const std::string& text,
-                            std::optional<int> node,
-                            std::optional<SoakTime> at) {
+void SoakLog::ReportFailure(SoakFailure failure) {
   std::lock_guard<std::mutex> lock(mutex_);
-  WriteLine("FAILED " + text);
-  failures_.push_back(
-      {text, at.value_or(std::chrono::steady_clock::now()), node});
+  WriteLine("FAILED " + failure.text);
+  failures_.push_back(std::move(failure));
 }
 
 std::vector<SoakFailure> SoakLog::failures() const {
--- a/tools/soak_driver/soak_log.h
+++ b/tools/soak_driver/soak_log.h
@@ -3,7 +3,6 @@
 
 #include <fstream>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,10 +20,8 @@
   // Sets the time that the lines count from.
   void SetEpoch(SoakTime epoch);
   void Write(const std::string& text);
-  // Writes a broken promise and keeps it. Without `at`, it happened now.
-  void ReportFailure(const std::string& text,
-                     std::optional<int> node = {},
-                     std::optional<SoakTime> at = {});
+  // Writes a broken promise and keeps it.
+  void ReportFailure(SoakFailure failure);
 
   std::vector<SoakFailure> failures() const;
 
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -1,5 +1,7 @@
 #include "soak_driver/soak_run.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -29,6 +31,10 @@
 // A restarted daemon waits for up to the restart time, then for its drain.
 constexpr double kRestartSeconds = 15;
 constexpr int kAdminTimeoutMs = 2000;
+constexpr std::chrono::milliseconds kSamplePeriod{250};
+// Within the time of a limit. All limits have at least this much room on a
+// machine that is free: the smallest, that of the end of a stop, has 0.5 s.
+constexpr double kStarvedSeconds = 0.5;
 // A paused target does not respond; the switch then applies when it resumes.
 constexpr int kSwitchTimeoutMs = 50;
 constexpr char kSwitchesOff[] =
@@ -91,14 +97,17 @@
 }
 
 bool SoakRun::Run() {
+  const SoakTime start = SteadyClock::now();
   if (!StartProcesses()) {
-    log_.ReportFailure("the fleet did not start");
+    log_.ReportFailure(
+        {.text = "the fleet did not start", .limited_since = start});
     return false;
   }
   const VersionWatch versions(Addresses(), fleet_.admin_headers(), &log_);
   callers_.Start();
   if (!WaitForSuccess(kRecoverySeconds)) {
-    log_.ReportFailure("calls do not succeed after the start");
+    log_.ReportFailure({.text = "calls do not succeed after the start",
+                        .limited_since = start});
     return false;
   }
   InjectFaults();
@@ -167,9 +176,11 @@
   fleet_.SetStoreFault(kStoreFaultsOff);
   daemons_.ResumeAll();
   log_.Write("all faults end");
+  const SoakTime start = SteadyClock::now();
   if (!PollUntil(kRestartSeconds,
                  [this] { return daemons_.AreAllRunning(); })) {
-    log_.ReportFailure("daemons that were stopped are not back");
+    log_.ReportFailure({.text = "daemons that were stopped are not back",
+                        .limited_since = start});
   }
   for (int node = 0; node < options_.nodes; ++node) {
     SwitchTarget(node, kSwitchesOff, kAdminTimeoutMs);
@@ -178,11 +189,13 @@
 }
 
 void SoakRun::CheckLastEdit() {
+  SoakTime start = SteadyClock::now();
   if (!edits_.EditAll()) {
-    log_.ReportFailure("the store takes no edit after the faults");
+    log_.ReportFailure({.text = "the store takes no edit after the faults",
+                        .limited_since = start});
     return;
   }
-  const SoakTime start = SteadyClock::now();
+  start = SteadyClock::now();
   std::string missing;
   const bool everywhere = PollUntil(kConvergenceSeconds, [this, &missing] {
     std::vector<HttpExchange> exchanges;
@@ -203,16 +216,20 @@
   edit_seconds_ = SecondsSince(start);
   if (!everywhere) {
     log_.ReportFailure(
-        fmt::format("the last edit is not in force after {} s at nodes{}",
-                    kConvergenceSeconds, missing));
+        {.text =
+             fmt::format("the last edit is not in force after {} s at nodes{}",
+                         kConvergenceSeconds, missing),
+         .limited_since = start});
   }
 }
 
 void SoakRun::CheckRecovery() {
   const SoakTime start = SteadyClock::now();
   if (!WaitForSuccess(kRecoverySeconds)) {
-    log_.ReportFailure(fmt::format("calls still fail {} s after the faults",
-                                   kRecoverySeconds));
+    log_.ReportFailure(
+        {.text = fmt::format("calls still fail {} s after the faults",
+                             kRecoverySeconds),
+         .limited_since = start});
   }
   recovery_seconds_ = SecondsSince(start);
   callers_.Finish();
@@ -220,16 +237,17 @@
 }
 
 void SoakRun::CheckCalls() {
+  const SoakTime start = SteadyClock::now();
   const std::optional<std::map<std::string, int>> executions = Executions();
   if (!executions) {
-    log_.ReportFailure("a target does not report its executions");
+    log_.ReportFailure({.text = "a target does not report its executions",
+                        .limited_since = start});
     return;
   }
-  CallJudge(callers_.records(), daemons_.lives(), *executions, epoch_,
-            drawn_.stops_only(),
-            [this](const std::string& text, const CallRecord& call) {
-              log_.ReportFailure(text, call.entry, call.ended);
-            })
+  CallJudge(
+      callers_.records(), daemons_.lives(), *executions, epoch_,
+      drawn_.stops_only(),
+      [this](SoakFailure failure) { log_.ReportFailure(std::move(failure)); })
       .Judge();
 }
 
@@ -282,6 +300,31 @@
   }
   daemons_.Poll();
   edits_.Poll();
+  if (SteadyClock::now() >= next_sample_) {
+    SampleWaits();
+  }
+}
+
+void SoakRun::SampleWaits() {
+  std::vector<std::pair<std::string, pid_t>> processes = daemons_.Processes();
+  processes.emplace_back("the soak driver", getpid());
+  waits_.Sample(processes);
+  next_sample_ = SteadyClock::now() + kSamplePeriod;
+}
+
+std::vector<SoakFailure> SoakRun::failures() const {
+  std::vector<SoakFailure> failures = log_.failures();
+  for (SoakFailure& failure : failures) {
+    if (!failure.limited_since) {
+      continue;
+    }
+    const StarvationWatch::Wait wait =
+        waits_.LongestWait(*failure.limited_since, failure.at);
+    if (wait.seconds >= kStarvedSeconds) {
+      failure.starvation = fmt::format("{} {:.1f} s", wait.cause, wait.seconds);
+    }
+  }
+  return failures;
 }
 
 void SoakRun::At(double seconds, std::function<void()> action) {
--- a/tools/soak_driver/soak_run.h
+++ b/tools/soak_driver/soak_run.h
@@ -13,6 +13,7 @@
 #include "soak_driver/soak_event.h"
 #include "soak_driver/soak_log.h"
 #include "soak_driver/soak_options.h"
+#include "soak_driver/starvation_watch.h"
 #include "soak_driver/table_edits.h"
 #include "support/fleet.h"
 
@@ -27,8 +28,9 @@
   // Returns whether all promises were kept.
   bool Run();
 
-  // Returns the broken promises.
-  std::vector<SoakFailure> failures() const { return log_.failures(); }
+  // Returns the broken promises, with what shows that the machine may have
+  // caused them.
+  std::vector<SoakFailure> failures() const;
   // Returns the counts of the run as text.
   std::string Summary() const;
 
@@ -52,6 +54,7 @@
   // Waits until all calls of a window succeeded. Returns false after `seconds`.
   bool WaitForSuccess(double seconds);
   void Poll();
+  void SampleWaits();
   void At(double seconds, std::function<void()> action);
   void SwitchTarget(int node, const std::string& json, int timeout_ms);
   std::optional<std::map<std::string, int>> Executions() const;
@@ -65,6 +68,8 @@
   TableEdits edits_;
   CallerPool callers_;
   DaemonGroup daemons_;
+  StarvationWatch waits_;
+  SoakTime next_sample_;
   // Ends of faults by time.
   std::multimap<SoakTime, std::function<void()>> actions_;
   double recovery_seconds_ = 0;
--- a/tools/soak_driver/table_edits.cc
+++ b/tools/soak_driver/table_edits.cc
@@ -88,8 +88,9 @@
     ++accepted_;
   } else if (exit_code != kStoreUnreachable) {
     // Edits of different cells do not conflict.
-    log_->ReportFailure(fmt::format("edit {} {} ended with exit code {}",
-                                    service, value, exit_code));
+    log_->ReportFailure(
+        {.text = fmt::format("edit {} {} ended with exit code {}", service,
+                             value, exit_code)});
   }
 }
 
--- a/tools/soak_driver/version_watch.cc
+++ b/tools/soak_driver/version_watch.cc
@@ -55,9 +55,10 @@
     }
     const uint64_t version = status.value("version", uint64_t{0});
     if (version < highest_[i]) {
-      log_->ReportFailure(fmt::format("node {} returned from version {} to {}",
-                                      i, highest_[i], version),
-                          static_cast<int>(i));
+      log_->ReportFailure(
+          {.text = fmt::format("node {} returned from version {} to {}", i,
+                               highest_[i], version),
+           .node = static_cast<int>(i)});
     }
     highest_[i] = version;
   }
