tools/soak: judge a stop by the time that pauses leave it

The daemon gets SIGTERM at 2.473 s and is paused from 2.896 s to 7.574 s: loop_paused names 4753 ms. When it goes on, 0.4 s of its own time have passed, but 5.1 s of the drain timeout of 5 s, so it cuts off its call and exits with 1, as docs/settings.md says: the drain timeout counts from the signal, because SIGKILL follows it whatever held up the process. The driver granted pauses for the moment of the exit, but not for its code, so it asked for 0 from a daemon that had no time to drain.

Code 1 is now accepted if the drain timeout has passed and the daemon ran for less than 3 s of it: the entry grace and the deadline of a call, 1 s each, and as much for the handover. In all other cases it stays a failure, in particular without a pause, and after an earlier exit.

--- a/tools/soak_driver/daemon_group.cc
+++ b/tools/soak_driver/daemon_group.cc
@@ -22,6 +22,11 @@
 // start of the signal handler and the reaping on a busy machine.
 constexpr std::chrono::milliseconds kExitMargin{500 + 500};
 
+// The running time that a stop needs: the entry grace and the deadline of
+// calls, 1 s each, and as much again for the handover. The drain timeout
+// includes the time for which the process is paused (docs/settings.md), so that
+// a stop that had less may be cut short.
+constexpr std::chrono::milliseconds kDrainNeed{3000};
 // Time from the start of a process until its program handles SIGTERM. It takes
 // 3 ms; the rest is for a busy machine.
 constexpr std::chrono::milliseconds kHandlerLimit{1000};
@@ -50,6 +55,7 @@
   daemon.life = lives_.size() - 1;
   daemon.handles_terminate = false;
   daemon.terminate_waits = false;
+  daemon.paused_in_stop = SteadyClock::duration::zero();
   daemon.must_handle_by = SteadyClock::now() + kHandlerLimit;
   daemon.running = fleet_->StartNode(node);
   return daemon.running;
@@ -135,7 +141,9 @@
   const SoakTime now = SteadyClock::now();
   daemon.must_handle_by += now - *daemon.paused;
   if (life.terminated) {
-    daemon.must_exit_by += now - std::max(*daemon.paused, *life.terminated);
+    const auto paused = now - std::max(*daemon.paused, *life.terminated);
+    daemon.must_exit_by += paused;
+    daemon.paused_in_stop += paused;
   }
   daemon.paused.reset();
   fleet_->nodes()[node].daemon->Signal(SIGCONT);
@@ -237,7 +245,12 @@
                        WTERMSIG(wait_status) == SIGKILL;
   const bool by_stop = life.terminated && WIFEXITED(wait_status) &&
                        WEXITSTATUS(wait_status) == 0;
-  if (by_kill || by_stop) {
+  const bool by_pause =
+      life.terminated && WIFEXITED(wait_status) &&
+      WEXITSTATUS(wait_status) == 1 &&
+      now - *life.terminated >= std::chrono::milliseconds(kDrainTimeoutMs) &&
+      now - *life.terminated - daemon.paused_in_stop < kDrainNeed;
+  if (by_kill || by_stop || by_pause) {
     log_->Write(text);
   } else {
     // A stop that its drain timeout cuts short exits with 1.
--- a/tools/soak_driver/daemon_group.h
+++ b/tools/soak_driver/daemon_group.h
@@ -63,6 +63,8 @@
     SoakTime must_handle_by;
     bool terminate_waits = false;
     std::optional<SoakTime> paused;
+    // How long it was paused since its first SIGTERM.
+    SoakTime::duration paused_in_stop{};
     SoakTime resume_at;
     std::optional<SoakTime> target_resume_at;
   };
