Exit with 1 only after a stop that lost something

An operator looked for hanging targets that did not exist.

Two causes, each with a test: - The exit code depended on the time at which the call task reported its end, not on what it had cut off. The handover is bounded by 10 s of its own, 1 s per message, and by the end of the process; a handover that ended between the drain timeout and the end of the process lost nothing, but gave 1. - The process also ended with 1 when all calls and the handover had ended and only links were open: the layer waits 1 s for a peer that does not close its link, which may be longer than the stop has left.

on_stopped now reports the calls that were cut off, and the exit code is 0 if there are none. They include the calls with a key of this node that arrived at other nodes, which neither entry_calls nor target_calls counted; `ended` and `call_drain_ended` have them as `keyed_calls`. The bound of 0.4 s after the drain timeout stays; a handover that it ends still gives 1.

Evidence, before the fix: - control_task/late_stop_that_cuts_off_nothing_exits_with_0: "exit_code":1, "outcome":"drain_timeout", "entry_calls":0, "target_calls":0 - control_task/stop_that_waits_only_for_a_link_exits_with_0: the same line.

Calls with keys from other nodes that were cut off are possible too; then the exit code 1 was right, and `keyed_calls` shows it now.

--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -25,13 +25,34 @@
 // and the one-time records.
 class CallTask final {
  public:
+  // Calls that have no response yet.
+  struct CallsInProgress {
+    // Those that arrived at the call port.
+    int64_t entry = 0;
+    // Those for the local target.
+    int64_t target = 0;
+  };
+
+  // Calls that were ended without the response of a target.
+  struct CutOffCalls {
+    // Those that arrived at the call port.
+    int64_t entry = 0;
+    // Those for the local target.
+    int64_t target = 0;
+    // Those with a key that this node owns, at whichever node they arrived.
+    int64_t keyed = 0;
+
+    bool none() const { return entry == 0 && target == 0 && keyed == 0; }
+  };
+
   // Reports to the control task. They are called on the thread of the call
   // task; the receiver posts them to its own mailbox.
   struct Events {
     // All calls have ended and the one-time records are handed over to
     // `successor`, which is empty if there were no records or no node to take
-    // them over.
-    std::function<void(const NodeId& successor)> on_stopped;
+    // them over. `cut_off` are the calls that the stop cut off.
+    std::function<void(const NodeId& successor, const CutOffCalls& cut_off)>
+        on_stopped;
     // The calls in progress were cut off as PostCutOff() requested, and their
     // responses are written.
     std::function<void()> on_cut_off;
@@ -48,14 +69,6 @@
     std::function<void()> on_target_lost;
   };
 
-  // Calls that have no response yet.
-  struct CallsInProgress {
-    // Those that arrived at the call port.
-    int64_t entry = 0;
-    // Those for the local target.
-    int64_t target = 0;
-  };
-
   // Binds the ports and starts the thread. Returns null if a port cannot be
   // bound. The pointers must outlive the task. `incarnation` is that of this
   // node's record.
@@ -81,7 +94,7 @@
   // Stops the thread. Calls that are still in progress are cut off without a
   // response, because no thread writes it any more. Returns how many calls were
   // cut off since the start. The task handles no messages afterwards.
-  CallsInProgress End();
+  CutOffCalls End();
 
   // Messages to the task; they may be posted from any thread.
 
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -157,7 +157,7 @@
     return {metrics_.entry_calls()->value(), metrics_.target_calls()->value()};
   }
 
-  CallsInProgress End() {
+  CutOffCalls End() {
     loop_->Stop();
     if (thread_.joinable()) {
       thread_.join();
@@ -235,6 +235,8 @@
     const CallsInProgress in_progress = calls_in_progress();
     cut_off_.entry += in_progress.entry;
     cut_off_.target += in_progress.target;
+    cut_off_.keyed +=
+        static_cast<int64_t>(one_time_->dispatcher()->calls_in_progress());
     // In this order, calls whose target or owner is at this node end with the
     // more exact result.
     target_proxy_->CutOff();
@@ -295,9 +297,10 @@
 
   void ReportStopped(const NodeId& successor) {
     logger_->Info("call_drain_ended", {{"entry_calls", cut_off_.entry},
-                                       {"target_calls", cut_off_.target}});
+                                       {"target_calls", cut_off_.target},
+                                       {"keyed_calls", cut_off_.keyed}});
     if (events_.on_stopped) {
-      events_.on_stopped(successor);
+      events_.on_stopped(successor, cut_off_);
     }
   }
 
@@ -327,7 +330,7 @@
   // The thread has ended.
   bool ended_ = false;
   // The calls that were cut off.
-  CallsInProgress cut_off_;
+  CutOffCalls cut_off_;
   Mailbox<Message> mailbox_;
   std::thread thread_;
 };
@@ -367,7 +370,7 @@
   return impl_->calls_in_progress();
 }
 
-CallTask::CallsInProgress CallTask::End() {
+CallTask::CutOffCalls CallTask::End() {
   return impl_->End();
 }
 
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -162,8 +162,10 @@
 
 bool ControlTask::MakeCallTask(Failure* reason) {
   CallTask::Events events;
-  events.on_stopped = [this](const NodeId& successor) {
-    mailbox_.Post([this, successor] { OnCallsStopped(successor); });
+  events.on_stopped = [this](const NodeId& successor,
+                             const CallTask::CutOffCalls& cut_off) {
+    mailbox_.Post(
+        [this, successor, cut_off] { OnCallsStopped(successor, cut_off); });
   };
   events.on_cut_off = [this] { mailbox_.Post([this] { loop_->Stop(); }); };
   events.on_takeover = [this](const NodeId& owner, uint64_t incarnation) {
@@ -208,13 +210,14 @@
   core_->Start();
   loop_->timers().SubscribeEvery(kTrimPeriod, [] { malloc_trim(0); });
   loop_->Run();
-  const CallTask::CallsInProgress cut_off =
-      call_task_ == nullptr ? CallTask::CallsInProgress() : call_task_->End();
+  const CallTask::CutOffCalls cut_off =
+      call_task_ == nullptr ? CallTask::CutOffCalls() : call_task_->End();
   call_task_.reset();
   logger_->Info("ended", {{"exit_code", int64_t{exit_code_}},
                           {"outcome", std::string(outcome_)},
                           {"entry_calls", cut_off.entry},
-                          {"target_calls", cut_off.target}});
+                          {"target_calls", cut_off.target},
+                          {"keyed_calls", cut_off.keyed}});
   return exit_code_;
 }
 
@@ -339,19 +342,21 @@
     }
     return;
   }
-  stop_deadline_ = clock_->Now() + Milliseconds(settings_.drain_timeout_ms);
   readiness_handler_.set_ready(false);
   core_->BeginDrain();
   loop_->timers().SubscribeOnce(
       Milliseconds(settings_.drain_timeout_ms) + kHandoverGracePeriod, [this] {
-        if (outcome_.empty()) {
+        if (calls_stopped_) {
+          // Only links are still open, whose peers do not close them.
+          EndStop();
+        } else if (outcome_.empty()) {
           logger_->Error("drain_timeout",
                          {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
           CutStopShort("drain_timeout");
         }
       });
   if (call_task_ == nullptr) {
-    OnCallsStopped({});
+    OnCallsStopped({}, {});
     return;
   }
   call_task_->PostStop();
@@ -368,12 +373,19 @@
   }
 }
 
-void ControlTask::OnCallsStopped(const NodeId& successor) {
-  const bool in_time = clock_->Now() < stop_deadline_;
+void ControlTask::OnCallsStopped(const NodeId& successor,
+                                 const CallTask::CutOffCalls& cut_off) {
+  calls_stopped_ = true;
+  // A stop that ended late, but lost nothing, is no reason for an operator to
+  // act.
+  calls_drained_ = cut_off.none();
   core_->AnnounceSuccessor(successor);
-  links_->Shutdown([this, in_time] {
-    StopLoop(in_time ? 0 : 1, in_time ? "drained" : "drain_timeout");
-  });
+  links_->Shutdown([this] { EndStop(); });
+}
+
+void ControlTask::EndStop() {
+  StopLoop(calls_drained_ ? 0 : 1,
+           calls_drained_ ? "drained" : "drain_timeout");
 }
 
 void ControlTask::CutStopShort(std::string_view outcome) {
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -47,8 +47,9 @@
   ControlTask& operator=(const ControlTask&) = delete;
 
   // Runs until the process is signalled to stop. Returns the exit code of the
-  // process: 0 after a graceful stop; 1 if the stop was cut short by SIGINT or
-  // by the drain timeout, or if the call and mesh ports could not be bound.
+  // process: 0 after a graceful stop; 1 if the stop was cut short by SIGINT, if
+  // the drain timeout cut off calls or the handover of the one-time records, or
+  // if the call and mesh ports could not be bound.
   int Run();
 
  private:
@@ -81,7 +82,10 @@
   void BeginStop(int signal);
   // Called when callers are no longer directed to this node.
   void OnNoMoreCallers();
-  void OnCallsStopped(const NodeId& successor);
+  void OnCallsStopped(const NodeId& successor,
+                      const CallTask::CutOffCalls& cut_off);
+  // Ends a stop whose calls have ended and whose records are handed over.
+  void EndStop();
   // Ends a stop with exit code 1: the calls in progress are cut off, and the
   // loop stops when their responses are written. Stops the loop at once if it
   // is called again.
@@ -117,10 +121,12 @@
   std::unique_ptr<OtlpExporter> exporter_;
   std::vector<event*> signal_events_;
   bool stopping_ = false;
+  // Set by OnCallsStopped(): that it was called, and whether the stop cut off
+  // no call.
+  bool calls_stopped_ = false;
+  bool calls_drained_ = false;
   // Whether an announcement of the target is being handled.
   bool handling_announcement_ = false;
-  // When the calls that are still in flight are aborted.
-  TimePoint stop_deadline_;
   int exit_code_ = 0;
   std::string_view outcome_;
   // Destroyed first: its thread posts to the mailbox.
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -243,7 +243,8 @@
     settings.mesh_port = kMeshPort;
     auto node = std::make_unique<Node>(settings);
     CallTask::Events events;
-    events.on_stopped = [flag = &node->stopped](const NodeId&) {
+    events.on_stopped = [flag = &node->stopped](const NodeId&,
+                                                const CallTask::CutOffCalls&) {
       *flag = true;
     };
     events.on_ejected = [to = node.get()](const std::string& service,
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -67,6 +67,7 @@
     settings.trace_collector = collector_->address();
     Environment environment = Environment::Native();
     environment.reload = [this, settings](Failure* failure) {
+      std::this_thread::sleep_for(reload_time_.load());
       *failure = Failure{FailureCode::kInvalidSetting, "file:1", "test"};
       return ++reloads_ == 1 ? std::nullopt : std::optional(settings);
     };
@@ -130,6 +131,8 @@
 
   const std::string& address() const { return address_; }
   int reloads() const { return reloads_; }
+  // Sets how long a SIGHUP keeps the thread of the control task busy.
+  void set_reload_time(Milliseconds time) { reload_time_ = time; }
 
  private:
   void WaitForRoute() const {
@@ -144,6 +147,7 @@
   }
 
   std::atomic<int> reloads_ = 0;
+  std::atomic<Milliseconds> reload_time_ = Milliseconds(0);
   const SystemClock clock_;
   Logger logger_;
   const std::string address_;
@@ -223,6 +227,39 @@
   cr_expect(std::chrono::steady_clock::now() - start >= Milliseconds(1000));
 }
 
+// Guards against an exit code that reports a stop as cut short although it cut
+// off nothing: it only ended after the drain timeout, here because the control
+// task was busy.
+Test(control_task, late_stop_that_cuts_off_nothing_exits_with_0) {
+  LogReader log;
+  NodeFixture fixture(RespondLate, LogLevel::kInfo);
+  fixture.set_reload_time(Milliseconds(1050));
+  raise(SIGTERM);
+  log.WaitFor("stop_requested");
+  raise(SIGHUP);
+  cr_expect_eq(fixture.Join(), 0);
+  const nlohmann::json ended = log.WaitFor("ended");
+  cr_expect(ended["exit_code"] == 0 && ended["outcome"] == "drained", "%s",
+            ended.dump().c_str());
+  ExpectCalls(ended, 0, 0);
+  cr_expect_eq(log.Find("settings_refused").size(), 1u);
+}
+
+// Guards against the same exit code if all calls have ended and only a peer
+// that does not close its link delays the end until the time of a stop is over.
+Test(control_task, stop_that_waits_only_for_a_link_exits_with_0) {
+  LogReader log;
+  NodeFixture fixture(RespondLate, LogLevel::kInfo);
+  const Socket peer(fixture.address(), 7003);
+  cr_assert_geq(peer.fd(), 0);
+  raise(SIGTERM);
+  cr_expect_eq(fixture.Join(), 0);
+  const nlohmann::json ended = log.WaitFor("ended");
+  cr_expect(ended["exit_code"] == 0 && ended["outcome"] == "drained", "%s",
+            ended.dump().c_str());
+  cr_expect_eq(log.Find("drain_timeout").size(), 0u);
+}
+
 // Guards against a log that does not show whether a stop ended the calls that
 // were in progress when it began.
 Test(control_task, log_names_the_calls_and_the_end_of_a_graceful_stop) {
@@ -271,6 +308,7 @@
                       (second_signal ? "second_signal" : "drain_timeout"),
               "%s", ended.dump().c_str());
     ExpectCalls(ended, 1, 1);
+    cr_expect_eq(ended["keyed_calls"], 0);
     const nlohmann::json failed = log.WaitFor("call_failed");
     cr_expect(failed["reason"] == "stopping" && failed["outcome"] == "unknown",
               "%s", failed.dump().c_str());
--- a/tests/onetime_loopback_test.cc
+++ b/tests/onetime_loopback_test.cc
@@ -142,6 +142,8 @@
 
   // Ends the calls in progress at a node.
   void CutOff(int node) { nodes_[node]->task->PostCutOff(); }
+  // Ends a node. Returns the calls that were cut off there.
+  CallTask::CutOffCalls End(int node) { return nodes_[node]->task->End(); }
 
   void Crash(int node) {
     {
@@ -178,7 +180,8 @@
     settings.store_timeout_ms = 200;
     Node* node = nodes_[i].get();
     CallTask::Events events;
-    events.on_stopped = [node](const NodeId& successor) {
+    events.on_stopped = [node](const NodeId& successor,
+                               const CallTask::CutOffCalls&) {
       node->successor = successor;
       node->stopped = true;
     };
@@ -412,6 +415,9 @@
     caller.join();
     ExpectResponse(reply, 504, "unknown", "stopping", "");
     cr_expect_eq(fixture.Executions("a"), 1);
+    const CallTask::CutOffCalls calls = fixture.End(cut_off);
+    cr_expect_eq(calls.entry, cut_off == 0);
+    cr_expect_eq(calls.keyed, cut_off == 1);
   }
 }
 
