Own a request until evhttp has reported its end

What a caller could see: the response of a target that is too long ends the call as too_large or as upstream_failed, depending on what freed memory holds. The store client and the trace exporter took the wrong reason in the same way. A crash is possible in principle; no run showed one.

Cause: on a failure evhttp frees the request before it calls the error callback, and the callback read it (ResponseLimiter::IsBodyTooLarge()). The comment that evhttp reports errors before it frees the request was wrong.

Why it works: the connection owns its request, which evhttp then does not free. It is freed after evhttp has reported its end or, if that never happens, after the connection.

--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -127,6 +127,10 @@
       evhttp_request_new(&UpstreamConnection::OnResponse, this);
   evhttp_request_set_error_cb(request, &UpstreamConnection::OnError);
   evhttp_request_set_header_cb(request, &UpstreamConnection::OnHead);
+  // evhttp frees a failed request before it calls the error callback, which
+  // reads the request.
+  evhttp_request_own(request);
+  request_ = HttpRequestPtr(request, HttpRequestDeleter{deleter_});
   return request;
 }
 
@@ -188,7 +192,6 @@
 
 void UpstreamConnection::OnError(evhttp_request_error error, void* self) {
   auto* connection = static_cast<UpstreamConnection*>(self);
-  // evhttp reports errors before it frees the request.
   connection->too_large_ = error == EVREQ_HTTP_DATA_TOO_LONG &&
                            connection->limiter_.IsBodyTooLarge();
 }
@@ -248,6 +251,8 @@
 }
 
 void UpstreamConnection::HandleResponse(evhttp_request* request) {
+  // The next request may begin in the callbacks below.
+  HttpRequestPtr owned_request = std::move(request_);
   Exchange* exchange = std::exchange(exchange_, nullptr);
   if (exchange == nullptr) {
     sending_ = false;
@@ -276,9 +281,7 @@
   } else {
     Retire();
   }
-  evhttp_request_own(request);
-  exchange->Finish(ExchangeOutcome::kCompleted,
-                   HttpRequestPtr(request, HttpRequestDeleter{deleter_}));
+  exchange->Finish(ExchangeOutcome::kCompleted, std::move(owned_request));
 }
 
 void UpstreamConnection::Retire() {
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -46,7 +46,7 @@
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
-  // Returns a new request for Send().
+  // Returns a new request for Send(). The connection owns it.
   evhttp_request* NewRequest();
 
   // Sends a request. Returns false if evhttp could not start it; then no byte
@@ -106,6 +106,8 @@
   bool retired_ = false;
   bool too_large_ = false;
   ResponseLimiter limiter_;
+  // The request until evhttp has reported its end.
+  HttpRequestPtr request_;
   std::optional<Milliseconds> keep_alive_timeout_;
   TimePoint idle_since_{};
 };
--- a/src/store/http_connection.cc
+++ b/src/store/http_connection.cc
@@ -68,6 +68,10 @@
 
 }  // namespace
 
+void HttpConnection::RequestDeleter::operator()(evhttp_request* request) const {
+  evhttp_request_free(request);
+}
+
 HttpConnection::HttpConnection(EventLoop* loop,
                                HostPort peer,
                                size_t max_response_bytes)
@@ -140,6 +144,10 @@
 
   evhttp_request* sent = evhttp_request_new(&HttpConnection::OnResponse, this);
   assert(sent != nullptr);
+  // evhttp frees a failed request before it calls the error callback, which
+  // reads the request.
+  evhttp_request_own(sent);
+  request_.reset(sent);
   evhttp_request_set_error_cb(sent, [](evhttp_request_error error, void* self) {
     auto* connection = static_cast<HttpConnection*>(self);
     if (error == EVREQ_HTTP_INVALID_HEADER ||
@@ -159,7 +167,7 @@
   }
   evbuffer_add(evhttp_request_get_output_buffer(sent), request.body.data(),
                request.body.size());
-  // On failure evhttp has freed the request and calls no callback.
+  // On failure evhttp calls no callback.
   if (evhttp_make_request(connection_, sent, ToEvhttpCommand(request.method),
                           request.target.c_str()) != 0) {
     OnResponse(nullptr, this);
@@ -221,7 +229,6 @@
                              const evbuffer_cb_info* info,
                              void* self) {
   auto* connection = static_cast<HttpConnection*>(self);
-  // Once the response has ended, evhttp may have freed the request.
   if (!connection->busy() || connection->finish_timer_ != 0 ||
       info->n_added == 0) {
     return;
@@ -251,6 +258,7 @@
   if (response_.outcome != HttpOutcome::kCompleted) {
     Close();
   }
+  request_.reset();
   const Callback callback = std::exchange(callback_, nullptr);
   callback(std::move(response_));
   // The callback may have destroyed this object.
--- a/src/store/http_connection.h
+++ b/src/store/http_connection.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "base/response_limiter.h"
@@ -105,6 +106,10 @@
   // Calls the callback, after closing the connection if the exchange failed.
   void Finish();
 
+  struct RequestDeleter {
+    void operator()(evhttp_request* request) const;
+  };
+
   EventLoop* const loop_;
   const HostPort peer_;
   const size_t max_response_bytes_;
@@ -118,6 +123,9 @@
   // Whether bytes of the request may have left this process.
   bool sent_ = false;
   ResponseLimiter limiter_;
+  // The request until Finish(). It outlives its place in the queue of
+  // `connection_`.
+  std::unique_ptr<evhttp_request, RequestDeleter> request_;
   // kLost, or the reason for which the limits or evhttp reject the response.
   HttpOutcome failure_ = HttpOutcome::kLost;
   TimerId timeout_timer_ = 0;
