End the call task only when cut-off calls have their responses

What a caller could see: no response to a call that a stop cuts off, if the process is paused, or its call thread is late, between the cut-off and the end 0.3 s later.

Cause: the control task requested the cut-off by one message and stopped the call loop after a fixed time. That time bounded nothing either, because the thread was joined afterwards.

Now CallTask::End() is the only way: the call loop cuts off its calls, runs for 50 ms while there were any, and stops itself, and the caller of End() waits for it. The message PostCutOff(), the event on_cut_off and the limit are gone. The destructor still ends a task at once, which tests use for a crash.

No test holds the process in that window.

Also corrects the reason for the order of the cut-off, which holds for owners of keys and not for targets at the same node.

--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -53,9 +53,6 @@
     // them over. `cut_off` are the calls that the stop cut off.
     std::function<void(const NodeId& successor, const CutOffCalls& cut_off)>
         on_stopped;
-    // The calls in progress were cut off as PostCutOff() requested, and their
-    // responses are written.
-    std::function<void()> on_cut_off;
     // This node has taken over the one-time records of (owner, incarnation).
     std::function<void(const NodeId& owner, uint64_t incarnation)> on_takeover;
     // The endpoint of `service` on the node `target` is ejected for `period`
@@ -83,7 +80,7 @@
       Events events,
       Failure* reason);
 
-  // Stops the thread without waiting for calls, see End().
+  // Stops the thread at once: calls in progress get no response.
   ~CallTask();
   CallTask(const CallTask&) = delete;
   CallTask& operator=(const CallTask&) = delete;
@@ -91,9 +88,11 @@
   // May be called from any thread.
   CallsInProgress calls_in_progress() const;
 
-  // Stops the thread. Calls that are still in progress are cut off without a
-  // response, because no thread writes it any more. Returns how many calls were
-  // cut off since the start. The task handles no messages afterwards.
+  // Cuts off the calls in progress and stops the thread; waits for both, about
+  // 50 ms if there are calls. The calls get a response with the reason
+  // `stopping`; the outcome is unknown unless the call has certainly not run.
+  // Returns how many calls were cut off since the start. The task handles no
+  // messages afterwards.
   CutOffCalls End();
 
   // Messages to the task; they may be posted from any thread.
@@ -113,11 +112,6 @@
   // progress after the drain timeout are cut off.
   void PostStop();
 
-  // Ends all calls in progress at once: they get a response with the reason
-  // `stopping`, and the outcome is unknown unless the call has certainly not
-  // run. Refuses new calls. Reports on_cut_off when the responses are written.
-  void PostCutOff();
-
  private:
   class Impl;
   explicit CallTask(std::unique_ptr<Impl> impl);
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -48,12 +48,12 @@
 
 struct StopMessage {};
 struct NoMoreCallersMessage {};
-struct CutOffMessage {};
+struct EndMessage {};
 using Message = std::variant<std::shared_ptr<const RouteSnapshot>,
                              LocalTarget,
                              StopMessage,
                              NoMoreCallersMessage,
-                             CutOffMessage>;
+                             EndMessage>;
 
 }  // namespace
 
@@ -113,7 +113,16 @@
   }
 
   ~Impl() {
-    End();
+    loop_->Stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    ended_ = true;
+    if (mesh_server_ != nullptr) {
+      // The connections are closed with the servers, so the calls must have
+      // ended before.
+      CutOff();
+    }
     entry_.reset();
     // The target proxy reports refused attempts to the attempt guard, which
     // `one_time_` owns.
@@ -158,15 +167,10 @@
   }
 
   CutOffCalls End() {
-    loop_->Stop();
     if (thread_.joinable()) {
+      Post(EndMessage{});
       thread_.join();
     }
-    if (!std::exchange(ended_, true) && mesh_server_ != nullptr) {
-      // The connections are closed with the servers, so these calls must have
-      // ended before.
-      CutOff();
-    }
     return cut_off_;
   }
 
@@ -220,13 +224,13 @@
                                   [this] { EndEntryGrace(); });
   }
 
-  void Handle(CutOffMessage) {
+  void Handle(EndMessage) {
     CutOff();
-    loop_->timers().SubscribeOnce(kTimeToWrite, [this] {
-      if (events_.on_cut_off) {
-        events_.on_cut_off();
-      }
-    });
+    if (cut_off_.none()) {
+      loop_->Stop();
+      return;
+    }
+    loop_->timers().SubscribeOnce(kTimeToWrite, [this] { loop_->Stop(); });
   }
 
   // Ends all calls in progress. Their responses are written in the next
@@ -237,8 +241,8 @@
     cut_off_.target += in_progress.target;
     cut_off_.keyed +=
         static_cast<int64_t>(one_time_->dispatcher()->calls_in_progress());
-    // In this order, calls whose target or owner is at this node end with the
-    // more exact result.
+    // In this order, calls whose owner is at this node end with the result of
+    // the owner.
     target_proxy_->CutOff();
     one_time_->CutOff();
     entry_->CutOff();
@@ -390,8 +394,4 @@
   impl_->Post(StopMessage{});
 }
 
-void CallTask::PostCutOff() {
-  impl_->Post(CutOffMessage{});
-}
-
 }  // namespace dragonflytack
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -23,12 +23,6 @@
 // half a second.
 constexpr Milliseconds kHandoverGracePeriod{400};
 
-// The call task takes about 50 ms to cut off its calls and to write their
-// responses. The process ends after this time also if that thread does not run:
-// after SIGINT it must end at once, and after the drain timeout before it is
-// killed, which may be 1 s later (calls.kill_after).
-constexpr Milliseconds kCutOffLimit{300};
-
 // The C library returns freed memory to the system only from the end of the
 // heap. A snapshot and each rebuild of the routes free more than 3 MB in the
 // middle of it at 5,300 nodes, so the heap is trimmed periodically.
@@ -167,7 +161,6 @@
     mailbox_.Post(
         [this, successor, cut_off] { OnCallsStopped(successor, cut_off); });
   };
-  events.on_cut_off = [this] { mailbox_.Post([this] { loop_->Stop(); }); };
   events.on_takeover = [this](const NodeId& owner, uint64_t incarnation) {
     mailbox_.Post([this, owner, incarnation] {
       core_->AnnounceTakeover(owner, incarnation);
@@ -338,7 +331,7 @@
     // Only SIGINT, sent from a terminal, requests an immediate end; automation
     // uses SIGKILL for that.
     if (signal == SIGINT) {
-      CutStopShort("second_signal");
+      StopLoop(1, "second_signal");
     }
     return;
   }
@@ -349,10 +342,10 @@
         if (calls_stopped_) {
           // Only links are still open, whose peers do not close them.
           EndStop();
-        } else if (outcome_.empty()) {
+        } else {
           logger_->Error("drain_timeout",
                          {{"after_ms", int64_t{settings_.drain_timeout_ms}}});
-          CutStopShort("drain_timeout");
+          StopLoop(1, "drain_timeout");
         }
       });
   if (call_task_ == nullptr) {
@@ -388,17 +381,6 @@
            calls_drained_ ? "drained" : "drain_timeout");
 }
 
-void ControlTask::CutStopShort(std::string_view outcome) {
-  if (call_task_ == nullptr || !outcome_.empty()) {
-    StopLoop(1, outcome);
-    return;
-  }
-  exit_code_ = 1;
-  outcome_ = outcome;
-  call_task_->PostCutOff();
-  loop_->timers().SubscribeOnce(kCutOffLimit, [this] { loop_->Stop(); });
-}
-
 void ControlTask::StopLoop(int exit_code, std::string_view outcome) {
   if (outcome_.empty()) {
     exit_code_ = exit_code;
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -86,10 +86,6 @@
                       const CallTask::CutOffCalls& cut_off);
   // Ends a stop whose calls have ended and whose records are handed over.
   void EndStop();
-  // Ends a stop with exit code 1: the calls in progress are cut off, and the
-  // loop stops when their responses are written. Stops the loop at once if it
-  // is called again.
-  void CutStopShort(std::string_view outcome);
   // `outcome` is the cause of the end for the log. Only the first call has an
   // effect on both.
   void StopLoop(int exit_code, std::string_view outcome);
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -245,7 +245,7 @@
     std::this_thread::sleep_for(Milliseconds(2));
   }
   fixture.task(1)->PostStop();
-  fixture.task(1)->PostCutOff();
+  cr_expect_eq(fixture.task(1)->End().target, 2);
   for (std::thread& caller : callers) {
     caller.join();
   }
@@ -256,7 +256,6 @@
   ExpectEqual(replies[1].Header("x-outcome"), "not-run");
   ExpectEqual(replies[1].Header("x-reason"), "stopping");
   cr_expect(replies[1].elapsed < Milliseconds(2000));
-  cr_expect_eq(fixture.task(1)->End().target, 2);
   cr_expect_eq(target.requests(), 1);
   released = true;
   released.notify_all();
--- a/tests/onetime_loopback_test.cc
+++ b/tests/onetime_loopback_test.cc
@@ -140,8 +140,6 @@
     return nodes_[node]->successor;
   }
 
-  // Ends the calls in progress at a node.
-  void CutOff(int node) { nodes_[node]->task->PostCutOff(); }
   // Ends a node. Returns the calls that were cut off there.
   CallTask::CutOffCalls End(int node) { return nodes_[node]->task->End(); }
 
@@ -411,11 +409,10 @@
     while (fixture.Executions("a") == 0) {
       std::this_thread::sleep_for(Milliseconds(2));
     }
-    fixture.CutOff(cut_off);
+    const CallTask::CutOffCalls calls = fixture.End(cut_off);
     caller.join();
     ExpectResponse(reply, 504, "unknown", "stopping", "");
     cr_expect_eq(fixture.Executions("a"), 1);
-    const CallTask::CutOffCalls calls = fixture.End(cut_off);
     cr_expect_eq(calls.entry, cut_off == 0);
     cr_expect_eq(calls.keyed, cut_off == 1);
   }
