tools/soak: faults of connections to the store and to targets

The relay delays, resets, cuts in one direction or silences the connections of one to three nodes to the store or to their targets, all or the open ones, for up to 4 s; some open ones stay silent for good.

Connections between nodes have no faults still: a node announces the address that it listens on, so no relay fits in between without a change of the daemon.

--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -31,6 +31,7 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitUndecided = 3;
 constexpr int kMinNodes = 4;
+// Below the bits of RelayFault::nodes.
 constexpr int kMaxNodes = 60;
 // Each run of this tool uses two networks, from this one on.
 constexpr int kFirstNetwork = 200;
@@ -170,6 +171,8 @@
       "log-dir",
       options::value(&arguments.log_dir)->default_value("build/soak-logs"),
       "folder for the logs; those of failing seeds are kept")(
+      "connection-faults", options::bool_switch(&soak.connection_faults),
+      "add faults of connections to the store and to targets")(
       "keep-logs", options::bool_switch(&arguments.keep_logs),
       "keep the logs of seeds that pass as well");
   try {
--- a/tools/soak_driver/schedule.cc
+++ b/tools/soak_driver/schedule.cc
@@ -14,6 +14,8 @@
 // Mean time between the beginnings of two faults. Most faults last longer, so
 // that several overlap.
 constexpr double kMeanGapSeconds = 0.45;
+// The same for faults of connections.
+constexpr double kMeanRelayGap = 0.8;
 constexpr std::array<const char*, 7> kTargetSwitches = {
     R"({"hang":true})",      R"({"close":true})",   R"({"truncate":true})",
     R"({"error_rate":0.5})", R"({"delay_ms":400})", R"({"drain":true})",
@@ -24,10 +26,14 @@
 
 }  // namespace
 
-Schedule::Schedule(uint64_t seed, int nodes, double seconds)
+Schedule::Schedule(uint64_t seed,
+                   int nodes,
+                   double seconds,
+                   bool connection_faults)
     : random_(seed),
       nodes_(nodes),
       seconds_(seconds),
+      connection_faults_(connection_faults),
       stops_only_(random_.Below(3) == 0) {}
 
 std::vector<SoakEvent> Schedule::Draw() {
@@ -58,6 +64,12 @@
       drawn -= wave.weight;
     }
   }
+  // Drawn last, so that the other events do not depend on it.
+  if (connection_faults_ && !stops_only_) {
+    for (double at = 0; at < seconds_; at += Between(0, 2 * kMeanRelayGap)) {
+      AddRelayFault(at);
+    }
+  }
   std::stable_sort(
       events_.begin(), events_.end(),
       [](const SoakEvent& a, const SoakEvent& b) { return a.at < b.at; });
@@ -111,6 +123,25 @@
   }
 }
 
+void Schedule::AddRelayFault(double at) {
+  RelayFault fault;
+  fault.kind = static_cast<RelayFaultKind>(random_.Below(5));
+  fault.route =
+      random_.Below(2) == 0 ? RelayRoute::kStore : RelayRoute::kTarget;
+  for (const int node : Nodes(1 + static_cast<int>(random_.Below(3)))) {
+    fault.nodes |= uint64_t{1} << node;
+  }
+  if (fault.kind == RelayFaultKind::kDelay) {
+    fault.delay_ms = 5 + static_cast<int>(random_.Below(250));
+  }
+  fault.open_only = random_.Below(3) == 0;
+  fault.for_good = fault.kind == RelayFaultKind::kSilence && fault.open_only &&
+                   random_.Below(2) == 0;
+  SoakEvent event{SoakEventKind::kRelayFault, at, 0, Between(0.1, 4)};
+  event.relay_fault = fault;
+  events_.push_back(event);
+}
+
 double Schedule::Between(double low, double high) {
   return low + (high - low) * random_.Unit();
 }
--- a/tools/soak_driver/schedule.h
+++ b/tools/soak_driver/schedule.h
@@ -14,8 +14,9 @@
 // notice.
 class Schedule final {
  public:
-  // Faults begin within `seconds`.
-  Schedule(uint64_t seed, int nodes, double seconds);
+  // Faults begin within `seconds`. With `connection_faults`, there are faults
+  // of connections besides the events that a seed has without it.
+  Schedule(uint64_t seed, int nodes, double seconds, bool connection_faults);
 
   // Returns the events in the order of their times.
   std::vector<SoakEvent> Draw();
@@ -30,6 +31,7 @@
   void AddTargetSwitch(double at);
   void AddStoreFault(double at);
   void AddEdits(double at);
+  void AddRelayFault(double at);
 
   double Between(double low, double high);
   int Node() { return static_cast<int>(random_.Below(nodes_)); }
@@ -39,6 +41,7 @@
   Random random_;
   const int nodes_;
   const double seconds_;
+  const bool connection_faults_;
   const bool stops_only_;
   std::vector<SoakEvent> events_;
 };
--- a/tools/soak_driver/soak_event.cc
+++ b/tools/soak_driver/soak_event.cc
@@ -22,6 +22,8 @@
       return "target_switch";
     case SoakEventKind::kStoreFault:
       return "store_fault";
+    case SoakEventKind::kRelayFault:
+      return "relay_fault";
     case SoakEventKind::kEdit:
       return "edit";
   }
@@ -33,6 +35,9 @@
 std::string SoakEvent::ToString() const {
   const std::string result =
       fmt::format("{} node {} duration {:.3f}", NameOf(kind), node, duration);
+  if (kind == SoakEventKind::kRelayFault) {
+    return result + " " + relay_fault.ToString();
+  }
   return text.empty() ? result : result + " " + text;
 }
 
--- a/tools/soak_driver/soak_event.h
+++ b/tools/soak_driver/soak_event.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "soak_driver/relay_fault.h"
+
 namespace dragonflytack {
 
 enum class SoakEventKind {
@@ -13,6 +15,7 @@
   kPauseTarget,     // The same for a target.
   kTargetSwitch,    // A switch of a target for the duration.
   kStoreFault,      // A fault of the store for the duration.
+  kRelayFault,      // A fault of connections for the duration.
   kEdit,            // An edit of the table with the command-line tool.
 };
 
@@ -28,6 +31,7 @@
   double duration = 0;
   // Switches of the target as JSON, or the fault of the store.
   std::string text = {};
+  RelayFault relay_fault = {};
 
   std::string ToString() const;
 };
--- a/tools/soak_driver/soak_options.h
+++ b/tools/soak_driver/soak_options.h
@@ -19,6 +19,9 @@
   std::string work_dir;
   // Second byte of the addresses. The next one is used as well.
   int network = 200;
+  // Relays the connections of the daemons to the store and to their targets,
+  // with faults.
+  bool connection_faults = false;
 };
 
 }  // namespace dragonflytack
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -47,7 +47,10 @@
 SoakRun::SoakRun(const SoakOptions& options)
     : options_(options),
       log_(options.work_dir + "/soak.log"),
-      drawn_(options.seed, options.nodes, options.seconds),
+      drawn_(options.seed,
+             options.nodes,
+             options.seconds,
+             options.connection_faults),
       schedule_(drawn_.Draw()),
       epoch_(SteadyClock::now()),
       fleet_(MakeFleetOptions()),
@@ -55,6 +58,7 @@
              fleet_.store().ToString(),
              options.work_dir + "/edits.log",
              &log_),
+      relay_(RelayPaths()),
       callers_(Entries(), options.callers_per_node, options.seed),
       daemons_(&fleet_, &log_) {
   log_.Write(fmt::format("seed {} nodes {} seconds {}{}", options.seed,
@@ -77,6 +81,9 @@
   // Long enough for calls in flight at every fault.
   fleet.service_ms = 30;
   fleet.drain_timeout_ms = DaemonGroup::kDrainTimeoutMs;
+  if (options_.connection_faults) {
+    fleet.relay_network = options_.network + 1;
+  }
   return fleet;
 }
 
@@ -96,6 +103,23 @@
   return entries;
 }
 
+std::vector<FaultRelay::Path> SoakRun::RelayPaths() const {
+  std::vector<FaultRelay::Path> paths;
+  if (options_.connection_faults) {
+    for (size_t i = 0; i < fleet_.nodes().size(); ++i) {
+      const Fleet::Node& node = fleet_.nodes()[i];
+      const int index = static_cast<int>(i);
+      paths.push_back({fleet_.AddressFor(node, Fleet::kStorePort),
+                       fleet_.store(), RelayRoute::kStore, index});
+      paths.push_back({fleet_.AddressFor(node, Fleet::kTargetPort),
+                       {node.address, Fleet::kTargetPort},
+                       RelayRoute::kTarget,
+                       index});
+    }
+  }
+  return paths;
+}
+
 bool SoakRun::Run() {
   const SoakTime start = SteadyClock::now();
   if (!StartProcesses()) {
@@ -120,7 +144,8 @@
 }
 
 bool SoakRun::StartProcesses() {
-  return fleet_.StartStore() && edits_.AddRows() && daemons_.StartAll() &&
+  return fleet_.StartStore() && edits_.AddRows() && relay_.Start() &&
+         daemons_.StartAll() &&
          fleet_
              .WaitForMemberCount(fleet_.nodes().size(),
                                  static_cast<int>(kRestartSeconds * 1000))
@@ -137,6 +162,7 @@
 }
 
 void SoakRun::Begin(const SoakEvent& event) {
+  const int id = faults_++;
   bool done = true;
   switch (event.kind) {
     case SoakEventKind::kTerminate:
@@ -164,6 +190,10 @@
       fleet_.SetStoreFault(event.text);
       At(event.duration, [this] { fleet_.SetStoreFault(kStoreFaultsOff); });
       break;
+    case SoakEventKind::kRelayFault:
+      relay_.Begin(id, event.relay_fault);
+      At(event.duration, [this, id] { relay_.End(id); });
+      break;
     case SoakEventKind::kEdit:
       edits_.Start(event.node);
       break;
@@ -173,6 +203,9 @@
 
 void SoakRun::EndFaults() {
   actions_.clear();
+  for (int id = 0; id < faults_; ++id) {
+    relay_.End(id);
+  }
   fleet_.SetStoreFault(kStoreFaultsOff);
   daemons_.ResumeAll();
   log_.Write("all faults end");
--- a/tools/soak_driver/soak_run.h
+++ b/tools/soak_driver/soak_run.h
@@ -9,6 +9,7 @@
 
 #include "soak_driver/caller_pool.h"
 #include "soak_driver/daemon_group.h"
+#include "soak_driver/fault_relay.h"
 #include "soak_driver/schedule.h"
 #include "soak_driver/soak_event.h"
 #include "soak_driver/soak_log.h"
@@ -38,6 +39,7 @@
   FleetOptions MakeFleetOptions() const;
   std::vector<std::string> Addresses() const;
   std::vector<HostPort> Entries() const;
+  std::vector<FaultRelay::Path> RelayPaths() const;
 
   bool StartProcesses();
   void InjectFaults();
@@ -66,12 +68,14 @@
   SoakTime epoch_;
   Fleet fleet_;
   TableEdits edits_;
+  FaultRelay relay_;
   CallerPool callers_;
   DaemonGroup daemons_;
   StarvationWatch waits_;
   SoakTime next_sample_;
   // Ends of faults by time.
   std::multimap<SoakTime, std::function<void()>> actions_;
+  int faults_ = 0;
   double recovery_seconds_ = 0;
   double edit_seconds_ = 0;
 };
--- a/tools/support/fleet.cc
+++ b/tools/support/fleet.cc
@@ -95,6 +95,16 @@
   return {nodes_[index].address, kCallPort};
 }
 
+HostPort Fleet::AddressFor(const Node& node, uint16_t port) const {
+  if (options_.relay_network == 0) {
+    return port == kStorePort ? store() : HostPort{node.address, port};
+  }
+  const std::string prefix = fmt::format("127.{}.", options_.network);
+  return {fmt::format("127.{}.{}", options_.relay_network,
+                      node.address.substr(prefix.size())),
+          port};
+}
+
 size_t Fleet::RunningCount() const {
   return static_cast<size_t>(
       std::count_if(nodes_.begin(), nodes_.end(),
@@ -168,7 +178,7 @@
   file << fmt::format(
       "[store]\naddress={}\nport={}\nregion={}\nwatch_on_every_node={}\n"
       "[calls]\ndrain_timeout_ms={}\n",
-      store().address, store().port, kRegions[0],
+      AddressFor(node, kStorePort).address, kStorePort, kRegions[0],
       options_.watch_on_every_node ? "true" : "false",
       options_.drain_timeout_ms);
   file << fmt::format("[security]\nshared_key={}\n[trace]\nsample={}\n",
@@ -183,7 +193,8 @@
        HostPort{node->address, kAdminPort}.ToString(), "--call",
        HostPort{node->address, kCallPort}.ToString(), "--service",
        node->service, "--service-ms", fmt::format("{}", options_.service_ms),
-       "--slots", std::to_string(options_.slots)},
+       "--slots", std::to_string(options_.slots), "--announced",
+       AddressFor(*node, kTargetPort).ToString()},
       fmt::format("{}/{}-target.log", options_.work_dir, node->id));
   return node->target.has_value();
 }
--- a/tools/support/fleet.h
+++ b/tools/support/fleet.h
@@ -102,6 +102,9 @@
   }
   HostPort store() const;
   HostPort EntryOf(size_t index) const;
+  // Returns the address at which the daemon of a node finds the store or, with
+  // `kTargetPort`, its target.
+  HostPort AddressFor(const Node& node, uint16_t port) const;
   size_t RunningCount() const;
   const FleetOptions& options() const { return options_; }
 
--- a/tools/support/fleet_options.h
+++ b/tools/support/fleet_options.h
@@ -15,6 +15,10 @@
   // Second byte of all addresses. Fleets that run one after the other use
   // different values, so that late connections of one cannot reach the next.
   int network = 20;
+  // Second byte of the addresses at which the daemons find the store and their
+  // targets, each with the rest of its own address and the usual port; 0 for
+  // the store and the targets themselves. The caller relays the connections.
+  int relay_network = 0;
   // Makes every node watch the store, as in the baseline.
   bool watch_on_every_node = false;
   // Starts a target beside each node.
--- a/tools/target_standin/main.cc
+++ b/tools/target_standin/main.cc
@@ -26,6 +26,7 @@
   std::string listen;
   std::string admin;
   std::string call;
+  std::string announced;
   StandinOptions standin;
 };
 
@@ -40,6 +41,8 @@
       "IP:port on which the target serves calls")(
       "admin", options::value(&arguments->admin),
       "IP:port of the admin port of its node, for announcements")(
+      "announced", options::value(&arguments->announced),
+      "IP:port to announce instead of the one of --listen, for a relay")(
       "call", options::value(&arguments->call),
       "IP:port of the call port of its node, for chains")(
       "slots", options::value(&standin->slots)->default_value(standin->slots),
@@ -117,7 +120,8 @@
   StandinOptions& standin = arguments.standin;
   if (!ReadAddress(arguments.listen, &listen) || !listen ||
       !ReadAddress(arguments.admin, &standin.admin) ||
-      !ReadAddress(arguments.call, &standin.call)) {
+      !ReadAddress(arguments.call, &standin.call) ||
+      !ReadAddress(arguments.announced, &standin.announced)) {
     std::cerr << "an address is not an IP:port\n" << description;
     return kExitUsage;
   }
--- a/tools/target_standin/standin_options.h
+++ b/tools/target_standin/standin_options.h
@@ -18,6 +18,8 @@
   std::optional<HostPort> admin;
   // Call port of the node beside it, for the calls of chains.
   std::optional<HostPort> call;
+  // Announced instead of `listen`.
+  std::optional<HostPort> announced;
   int slots = 12;
   int service_ms = 5;
   // The state "warming" is announced for this long after the start.
--- a/tools/target_standin/target_standin.cc
+++ b/tools/target_standin/target_standin.cc
@@ -306,10 +306,11 @@
   announcement_ = connections_.Start(
       *options_.admin, 2, kAnnouncePeriod, EVHTTP_REQ_POST, "/announce",
       [this](evhttp_request* out) {
+        const HostPort self = options_.announced.value_or(options_.listen);
         const std::string body = nlohmann::json{
             {"service", options_.service},
-            {"address", options_.listen.address},
-            {"port", options_.listen.port},
+            {"address", self.address},
+            {"port", self.port},
             {"state", AnnouncedState()},
             {"slots",
              options_.slots}}.dump();
