tools/soak: count the limit of the signal handlers from the process

The restart had been due 1.7 s earlier: the driver had spent that time in writing the settings file and fork(), and the limit began before them. The daemon wrote `started` 11 ms after that line.

The limit now begins when the process exists. The check is as strict: it is read after that at each poll, and a handler that is registered in time is seen.

--- a/tools/soak_driver/daemon_group.cc
+++ b/tools/soak_driver/daemon_group.cc
@@ -56,8 +56,9 @@
   daemon.handles_terminate = false;
   daemon.terminate_waits = false;
   daemon.paused_in_stop = SteadyClock::duration::zero();
-  daemon.must_handle_by = SteadyClock::now() + kHandlerLimit;
   daemon.running = fleet_->StartNode(node);
+  // The driver itself may wait for its disk before it creates the process.
+  daemon.must_handle_by = SteadyClock::now() + kHandlerLimit;
   return daemon.running;
 }
 
