tools/soak: find a lower table version that is taken at a restart

--stale-peers adds a restart at which it cannot: all nodes but three are paused until the three have closed their links, a version comes into force at the three, the store refuses connections, and at the moment at which the others go on, the three are killed and started again.

--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -173,6 +173,8 @@
       "folder for the logs; those of failing seeds are kept")(
       "connection-faults", options::bool_switch(&soak.connection_faults),
       "add faults of connections to the store and to targets")(
+      "stale-peers", options::bool_switch(&soak.stale_peers),
+      "add a restart at which all peers have an older table")(
       "keep-logs", options::bool_switch(&arguments.keep_logs),
       "keep the logs of seeds that pass as well");
   try {
--- a/tools/soak_driver/schedule.cc
+++ b/tools/soak_driver/schedule.cc
@@ -26,14 +26,12 @@
 
 }  // namespace
 
-Schedule::Schedule(uint64_t seed,
-                   int nodes,
-                   double seconds,
-                   bool connection_faults)
-    : random_(seed),
-      nodes_(nodes),
-      seconds_(seconds),
-      connection_faults_(connection_faults),
+Schedule::Schedule(const SoakOptions& options)
+    : random_(options.seed),
+      nodes_(options.nodes),
+      seconds_(options.seconds),
+      connection_faults_(options.connection_faults),
+      stale_peers_(options.stale_peers),
       stops_only_(random_.Below(3) == 0) {}
 
 std::vector<SoakEvent> Schedule::Draw() {
@@ -70,6 +68,9 @@
       AddRelayFault(at);
     }
   }
+  if (stale_peers_ && !stops_only_) {
+    AddStalePeers(Between(0, seconds_));
+  }
   std::stable_sort(
       events_.begin(), events_.end(),
       [](const SoakEvent& a, const SoakEvent& b) { return a.at < b.at; });
@@ -142,6 +143,29 @@
   events_.push_back(event);
 }
 
+void Schedule::AddStalePeers(double at) {
+  // Longer than the 3 s after which the others close the links to a silent
+  // node. What is sent to an open link reaches the node when it goes on.
+  constexpr double kPause = 4.5;
+  constexpr double kEditAt = 4;
+  constexpr double kStoreFaultAt = 4.4;
+  constexpr double kKillAt = kPause + 0.02;
+  // A version comes into force once two nodes hold it.
+  constexpr size_t kAhead = 3;
+  const std::vector<int> nodes = Nodes(nodes_);
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    if (i < kAhead) {
+      events_.push_back(
+          {SoakEventKind::kKill, at + kKillAt, nodes[i], Between(0, 0.5)});
+    } else {
+      events_.push_back({SoakEventKind::kPause, at, nodes[i], kPause});
+    }
+  }
+  events_.push_back({SoakEventKind::kEdit, at + kEditAt, nodes[0]});
+  events_.push_back({SoakEventKind::kStoreFault, at + kStoreFaultAt, 0,
+                     Between(2, 4), "outage=refuse"});
+}
+
 double Schedule::Between(double low, double high) {
   return low + (high - low) * random_.Unit();
 }
--- a/tools/soak_driver/schedule.h
+++ b/tools/soak_driver/schedule.h
@@ -6,6 +6,7 @@
 
 #include "dragonflytack/base/random.h"
 #include "soak_driver/soak_event.h"
+#include "soak_driver/soak_options.h"
 
 namespace dragonflytack {
 
@@ -14,9 +15,10 @@
 // notice.
 class Schedule final {
  public:
-  // Faults begin within `seconds`. With `connection_faults`, there are faults
-  // of connections besides the events that a seed has without it.
-  Schedule(uint64_t seed, int nodes, double seconds, bool connection_faults);
+  // Draws for the seed, the number of nodes and the seconds of the options, in
+  // which faults begin. The events that further options add do not change the
+  // others.
+  explicit Schedule(const SoakOptions& options);
 
   // Returns the events in the order of their times.
   std::vector<SoakEvent> Draw();
@@ -32,6 +34,9 @@
   void AddStoreFault(double at);
   void AddEdits(double at);
   void AddRelayFault(double at);
+  // Lets three nodes get a table version that the others have not seen, then
+  // kills them and starts them again while only the others can be reached.
+  void AddStalePeers(double at);
 
   double Between(double low, double high);
   int Node() { return static_cast<int>(random_.Below(nodes_)); }
@@ -42,6 +47,7 @@
   const int nodes_;
   const double seconds_;
   const bool connection_faults_;
+  const bool stale_peers_;
   const bool stops_only_;
   std::vector<SoakEvent> events_;
 };
--- a/tools/soak_driver/soak_options.h
+++ b/tools/soak_driver/soak_options.h
@@ -22,6 +22,8 @@
   // Relays the connections of the daemons to the store and to their targets,
   // with faults.
   bool connection_faults = false;
+  // Adds a restart at which only peers with an older table can be reached.
+  bool stale_peers = false;
 };
 
 }  // namespace dragonflytack
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "soak_driver/call_judge.h"
+#include "soak_driver/version_log.h"
 #include "soak_driver/version_watch.h"
 #include "support/http_batch.h"
 #include "support/timing.h"
@@ -47,10 +48,7 @@
 SoakRun::SoakRun(const SoakOptions& options)
     : options_(options),
       log_(options.work_dir + "/soak.log"),
-      drawn_(options.seed,
-             options.nodes,
-             options.seconds,
-             options.connection_faults),
+      drawn_(options),
       schedule_(drawn_.Draw()),
       epoch_(SteadyClock::now()),
       fleet_(MakeFleetOptions()),
@@ -140,6 +138,9 @@
   CheckRecovery();
   CheckCalls();
   CheckCommonStop();
+  for (int node = 0; node < options_.nodes; ++node) {
+    CheckVersionsInLog(options_.work_dir, node, &log_);
+  }
   return log_.failures().empty();
 }
 
