--- a/tools/soak_driver/soak_options.h
+++ b/tools/soak_driver/soak_options.h
@@ -19,6 +19,11 @@
   std::string work_dir;
   // Second byte of the addresses. The next one is used as well.
   int network = 200;
+  // Relays the connections of the daemons to the store and to their targets,
+  // with faults.
+  bool connection_faults = false;
+  // Adds a restart at which only peers with an older table can be reached.
+  bool stale_peers = false;
 };
 
 }  // namespace dragonflytack
