Leave fault tests time for the delays of a busy machine

Three tests of call_task failed once each at a load of 16: the outcome was `deadline` instead of that of the fault, or no request reached the target.

Cause: the tests' own deadline of 200 ms, most of which passes on a starved machine while no thread of the path of the call runs.

The deadline of these tests is now 2 s, since no case depends on its length. The target that responds late still does so 200 ms after it. A fault that ends a call by itself must end it before half of the deadline, so that a call that waits for its deadline still fails the test by its reason and its time. In milliseconds this bound is wider: 1,000 instead of 350.

--- a/tests/call_task_faults_test.cc
+++ b/tests/call_task_faults_test.cc
@@ -20,6 +20,18 @@
 
 using Script = ScriptedTarget::Script;
 
+// On a busy machine, a thread of the test or the kernel's thread that delivers
+// loopback packets can wait for a processor for several hundred milliseconds.
+// The deadline leaves time for this, so that a call fails by its fault only.
+constexpr int kDeadlineMs = 2000;
+
+// Returns the longest time that a call may take. A fault that ends a call
+// before its deadline must not take half of it.
+Milliseconds MaxElapsed(const std::string& reason) {
+  return reason == "deadline" ? Milliseconds(kDeadlineMs) + kSlack
+                              : Milliseconds(kDeadlineMs / 2);
+}
+
 bool CloseAtOnce(int /*fd*/, const std::string& /*head*/, int /*n*/) {
   return false;
 }
@@ -60,7 +72,7 @@
 }
 
 bool RespondLate(int fd, const std::string& head, int /*n*/) {
-  std::this_thread::sleep_for(Milliseconds(400));
+  std::this_thread::sleep_for(Milliseconds(kDeadlineMs + 200));
   return ScriptedTarget::Respond(fd, RequestId(head));
 }
 
@@ -91,8 +103,6 @@
     {"responds after the deadline", RespondLate, 504, "unknown", "deadline", 1},
 };
 
-constexpr int kDeadlineMs = 200;
-
 }  // namespace
 
 // Guards against a one-time call that is sent twice, a failure that is reported
@@ -111,8 +121,7 @@
     ExpectEqual(reply.Header("x-outcome"), fault.outcome, fault.name);
     ExpectEqual(reply.Header("x-reason"), fault.reason, fault.name);
     cr_expect(reply.body.starts_with("{\"detail\":"), "%s", fault.name);
-    cr_expect(reply.elapsed < Milliseconds(kDeadlineMs) + kSlack, "%s",
-              fault.name);
+    cr_expect(reply.elapsed < MaxElapsed(fault.reason), "%s", fault.name);
     if (target != nullptr) {
       cr_expect_eq(target->requests(), fault.requests, "%s: %d", fault.name,
                    target->requests());
@@ -356,7 +365,7 @@
     ExpectEqual(reply.Header("x-reason"), test.reason, test.name);
     cr_expect_eq(reply.status,
                  reply.Header("x-outcome") == "unknown" ? 504 : 503);
-    cr_expect(reply.elapsed < Milliseconds(kDeadlineMs) + kSlack);
+    cr_expect(reply.elapsed < MaxElapsed(test.reason), "%s", test.name);
     const int requests = first.requests() + second.requests();
     cr_expect_eq(requests, test.requests, "%s: %d", test.name, requests);
   }
