Tests that do not depend on the moments of a busy machine

call_task/overload_is_refused_quickly_and_not_run: done was 4 instead of 3. A caller that started later than the 200 ms that the target ran its call found room in the queue. The target now runs its call until seven calls have ended.

evhttp_contract/unsolicited_bytes_close_an_idle_connection: "pending" instead of "1". The client ran its loop for 100 ms, in which no response arrived. It now runs until there is one, and for 100 ms after it, and waits for the close.

Both checks are unchanged.

--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -269,9 +269,15 @@
   row.max_queue = 2;
   row.retry_limit = 0;
   CallFixture fixture(1, row);
+  // The target runs its call until all others are queued or refused, however
+  // late the callers start.
+  std::atomic<int> ended = 0;
+  constexpr int kRefused = 7;
   ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
-                        [](int fd, const std::string& head, int n) {
-                          std::this_thread::sleep_for(Milliseconds(200));
+                        [&ended](int fd, const std::string& head, int n) {
+                          for (int i = 0; i < 1500 && ended < kRefused; ++i) {
+                            std::this_thread::sleep_for(Milliseconds(1));
+                          }
                           return RespondWithRequestId(fd, head, n);
                         });
   std::atomic<int> done = 0;
@@ -286,6 +292,7 @@
                          reply.Header("x-reason") == "overloaded"
                      ? 1
                      : 0;
+      ++ended;
     });
   }
   for (std::thread& caller : callers) {
--- a/tests/evhttp_contract_test.cc
+++ b/tests/evhttp_contract_test.cc
@@ -28,6 +28,15 @@
   loop->Run();
 }
 
+// Runs the loop until `is_done`, for at most 5 s, which a starved machine may
+// need. Returns whether it is done.
+bool RunUntil(EventLoop* loop, const std::function<bool()>& is_done) {
+  for (int i = 0; i < 500 && !is_done(); ++i) {
+    RunFor(loop, Milliseconds(10));
+  }
+  return is_done();
+}
+
 // A bare evhttp client connection.
 class Client {
  public:
@@ -48,10 +57,17 @@
     evhttp_request* request = evhttp_request_new(&OnResponse, this);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "h");
     evhttp_make_request(connection_, request, EVHTTP_REQ_GET, "/");
+    RunUntil(loop_, [this] { return result_ != "pending"; });
+    // What follows the response.
     RunFor(loop_, Milliseconds(100));
     return result_;
   }
 
+  // Returns whether evhttp closes the connection in time.
+  bool WaitUntilClosed() {
+    return RunUntil(loop_, [this] { return bufferevent_getfd(bufev()) < 0; });
+  }
+
   bufferevent* bufev() {
     return evhttp_connection_get_bufferevent(connection_);
   }
@@ -128,7 +144,7 @@
                         });
   Client client(loop.get());
   ExpectEqual(client.Get(), "ok");
-  cr_expect_lt(bufferevent_getfd(client.bufev()), 0);
+  cr_expect(client.WaitUntilClosed());
   ExpectEqual(client.Get(), "ok");
 }
 
@@ -145,7 +161,7 @@
                         });
   Client client(loop.get());
   ExpectEqual(client.Get(), "1");
-  cr_expect_lt(bufferevent_getfd(client.bufev()), 0);
+  cr_expect(client.WaitUntilClosed());
   ExpectEqual(client.Get(), "2");
 }
 
