--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -21,7 +21,7 @@
               "1000ms", "250ms",        "roster", 2};
   review::SmallFleet fleet({.services = {"roster", "booking", "roster"},
                             .routes = {view, moved},
-                            .with_relay = true},
+                            .with_relays = true},
                            record);
   if (!fleet.Start()) {
     return 2;
@@ -33,7 +33,9 @@
   record->Line("version 7 is acknowledged");
   review::SleepFor(0.6);
   if (with_trouble) {
-    fleet.relay().SilenceOpen();
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      fleet.relay(i).SilenceOpen();
+    }
     record->Line("the open connections to the store go silent");
   }
   review::SleepFor(review::kSettleSeconds + 0.2);
--- a/review/stand_ins/relay.h
+++ b/review/stand_ins/relay.h
@@ -1,5 +1,6 @@
-// A relay between the daemons and the store, whose open connections can go
-// silent for good, without a reset, while new ones work.
+// A relay between a daemon and the store. Its open connections can go silent
+// for good, without a reset, while new ones work; or it can turn the daemon
+// away with 503, as the store may do with some machines.
 #ifndef REVIEW_STAND_INS_RELAY_H_
 #define REVIEW_STAND_INS_RELAY_H_
 
@@ -21,13 +22,21 @@
   bool ok() const { return server_->ok(); }
   // From now on, the connections that are open carry nothing more.
   void SilenceOpen() { ++generation_; }
+  // While set, each request is answered with 503; a watch that waits is cut.
+  void set_turns_away(bool turns_away) { turns_away_ = turns_away; }
+  // Whether the last request that was passed on is a watch.
+  bool carries_watch() const { return watches_ > 0; }
 
  private:
   void Serve(int socket);
+  void TurnAway(int socket);
 
   const std::string to_;
   const uint16_t to_port_;
   std::atomic<uint64_t> generation_ = 0;
+  std::atomic<bool> turns_away_ = false;
+  // Watches that wait for their answers.
+  std::atomic<int> watches_ = 0;
   std::unique_ptr<Server> server_;
 };
 
--- a/review/stand_ins/small_fleet.cc
+++ b/review/stand_ins/small_fleet.cc
@@ -1,5 +1,6 @@
 #include "small_fleet.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <set>
 
@@ -19,10 +20,14 @@
 bool SmallFleet::Start() {
   const std::string store_ip = place_.Ip(200);
   store_ = std::make_unique<Store>(store_ip, kStore);
-  if (options_.with_relay) {
-    relay_ = std::make_unique<Relay>(store_ip, kRelay, store_ip, kStore);
+  for (size_t i = 0; options_.with_relays && i < options_.services.size();
+       ++i) {
+    relays_.push_back(std::make_unique<Relay>(
+        store_ip, static_cast<uint16_t>(kRelay + i), store_ip, kStore));
   }
-  if (!place_.ok() || !store_->ok() || (relay_ != nullptr && !relay_->ok())) {
+  if (!place_.ok() || !store_->ok() ||
+      std::any_of(relays_.begin(), relays_.end(),
+                  [](const auto& relay) { return !relay->ok(); })) {
     record_->Line("cannot run: no free addresses");
     return false;
   }
@@ -30,13 +35,13 @@
   for (size_t i = 0; i < options_.services.size(); ++i) {
     const std::string number = std::to_string(i + 1);
     const Node::Options node{
-        .id = "sidecar-zone-" + number,
+        .id = "sidecar-" + number,
         .ip = place_.Ip(static_cast<int>(i) + 1),
-        .zone = "zone-" + number,
+        .zone = options_.in_one_zone ? "zone-1" : "zone-" + number,
         .region = "region-1",
         .service = options_.services[i],
         .store = store_ip + ":" +
-                 std::to_string(options_.with_relay ? kRelay : kStore),
+                 std::to_string(options_.with_relays ? kRelay + i : kStore),
         .bounds = {{"grace", "6s"},
                    {"retry_budget_ratio", "0.2"},
                    {"budget_window", "10s"},
--- a/review/stand_ins/small_fleet.h
+++ b/review/stand_ins/small_fleet.h
@@ -1,4 +1,4 @@
-// Three machines in three zones, with a store and an endpoint each.
+// A few machines with an endpoint each, and a store.
 #ifndef REVIEW_STAND_INS_SMALL_FLEET_H_
 #define REVIEW_STAND_INS_SMALL_FLEET_H_
 
@@ -25,8 +25,10 @@
     std::vector<Route> routes;
     int slots = 12;
     double work_s = 0.05;
-    // Whether the daemons reach the store through a relay.
-    bool with_relay = false;
+    // Whether each daemon reaches the store through a relay.
+    bool with_relays = false;
+    // Whether all machines are in one zone, not in one each.
+    bool in_one_zone = false;
   };
 
   SmallFleet(const Options& options, Record* record);
@@ -36,7 +38,8 @@
   bool Start();
 
   Store& store() { return *store_; }
-  Relay& relay() { return *relay_; }
+  Relay& relay(size_t i) { return *relays_[i]; }
+  size_t size() const { return nodes_.size(); }
   Node& node(size_t i) { return *nodes_[i]; }
   Endpoint& endpoint(size_t i) { return *endpoints_[i]; }
   const std::string& ip(size_t i) const { return nodes_[i]->options().ip; }
@@ -48,7 +51,7 @@
   Record* const record_;
   const Place place_;
   std::unique_ptr<Store> store_;
-  std::unique_ptr<Relay> relay_;
+  std::vector<std::unique_ptr<Relay>> relays_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Endpoint>> endpoints_;
 };
