--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,74 +1,81 @@
-// DRAIN: after a report of another writer with fields of another type, the
-// daemon acknowledges the leaving of its endpoint, but does not act on it.
-#include <atomic>
+// CONFIG: while the store turns the machines away that watch it, no other
+// machine watches in their place, and no machine hears of a new version.
 #include <string>
-#include <thread>
-
-#include <nlohmann/json.hpp>
+#include <vector>
 
 #include "small_fleet.h"
 
 namespace {
 
-using review::Endpoint;
-using review::Report;
+using review::Answer;
 using review::Route;
 
-constexpr double kDrainSeconds = 2;
-constexpr int kDeadlineMs = 1200;
+constexpr double kApplySeconds = 2;
+constexpr double kMaxStretchSeconds = 5;
+constexpr double kTurnAwaySeconds = 9;
+constexpr int kDeadlineMs = 1000;
 
 int Run(review::Record* record, bool with_trouble) {
-  const Route route{"r-book", "book.example", "/book/",  "unsafe",
-                    "1200ms", "300ms",        "booking", 2};
-  review::SmallFleet fleet(
-      {.services = {"roster", "booking", "booking"}, .routes = {route}},
-      record);
+  Route moved{"r-look", "look.example", "/look/", "safe",
+              "1000ms", "250ms",        "roster", 2};
+  review::SmallFleet fleet({.services = {"roster", "booking", "roster",
+                                         "booking", "roster", "booking"},
+                            .routes = {moved},
+                            .with_relays = true,
+                            .in_one_zone = true},
+                           record);
   if (!fleet.Start()) {
     return 2;
   }
-  std::atomic<bool> stop = false;
-  std::thread client([&] {
-    for (int i = 0; !stop; ++i) {
-      review::Call(fleet.ip(0), route, "POST", "book" + std::to_string(i),
-                   kDeadlineMs, record);
+  // At most 0.35 of the machines are turned away.
+  std::vector<size_t> turned_away;
+  std::vector<size_t> others;
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    (fleet.relay(i).carries_watch() && turned_away.size() < 2 ? turned_away
+                                                              : others)
+        .push_back(i);
+  }
+  for (const size_t i : turned_away) {
+    record->Line("node %s watches the store",
+                 fleet.node(i).options().id.c_str());
+    if (with_trouble) {
+      fleet.relay(i).set_turns_away(true);
+      record->Line("the store answers 503 to node %s from now on",
+                   fleet.node(i).options().id.c_str());
     }
-  });
-  Endpoint& leaving = fleet.endpoint(1);
-  review::SleepFor(1);
-  if (with_trouble) {
-    // Written by another program: `version` is a number and `zone` is missing.
-    Report foreign = leaving.MakeHeartbeat("ready");
-    nlohmann::json body = nlohmann::json::parse(foreign.body);
-    body["info"]["version"] = 7;
-    body["info"].erase("zone");
-    body["status"]["seq"] = 5000;
-    foreign.body = body.dump();
-    record->Line("another writer sends %s: answer %d", foreign.body.c_str(),
-                 leaving.Send(foreign));
   }
-  review::SleepFor(0.5);
-  bool acknowledged = leaving.Beat("draining");
+  const double begin = record->Now();
+  review::SleepFor(0.3);
+  moved.service = "booking";
+  fleet.store().Configure(fleet.Configuration(7, {moved}));
   const double acknowledged_at = record->Now();
-  // It serves for `drain` after the acknowledgement and some seconds longer.
-  review::SleepFor(kDrainSeconds + 3);
-  leaving.Deregister();
-  leaving.Exit();
-  stop = true;
-  client.join();
-  int late = 0;
-  for (const Endpoint::Arrival& arrival : leaving.TakeArrivals()) {
-    const double after = arrival.at - acknowledged_at;
-    if (after > kDrainSeconds) {
-      ++late;
-      record->Line("DRAIN: %s reached endpoint 2 %.3f s after the ack",
-                   arrival.attempt.c_str(), after);
+  record->Line("version 7 is acknowledged: /look/ goes to booking");
+  review::SleepFor(kApplySeconds + kMaxStretchSeconds + 0.1);
+  int old = 0;
+  int sent = 0;
+  while (record->Now() < begin + kTurnAwaySeconds - 0.2) {
+    for (const size_t i : others) {
+      const Answer answer =
+          review::Call(fleet.ip(i), moved, "GET", "look" + std::to_string(sent),
+                       kDeadlineMs, record);
+      ++sent;
+      if (answer.body == "from roster") {
+        ++old;
+        record->Line(
+            "CONFIG: %s was sent %.3f s after the ack by a machine "
+            "that the store serves, and run by the old service",
+            answer.attempt.c_str(), answer.sent_at - acknowledged_at);
+      }
     }
   }
+  for (const size_t i : turned_away) {
+    fleet.relay(i).set_turns_away(false);
+  }
   record->Line(
-      "%d requests reached the endpoint later than %.1f s after the "
-      "acknowledgement",
-      late, kDrainSeconds);
-  return !acknowledged ? 2 : late > 0 ? 1 : 0;
+      "%d of %d requests sent later than %.1f s after the "
+      "acknowledgement were run by the old service",
+      old, sent, kApplySeconds + kMaxStretchSeconds);
+  return old > 0 ? 1 : 0;
 }
 
 }  // namespace
--- a/review/stand_ins/endpoint.cc
+++ b/review/stand_ins/endpoint.cc
@@ -158,7 +158,8 @@
   const std::string attempt = request.Header("attempt-id");
   const std::string expected = request.Header("expected-instance");
   const std::string id_header = "Attempt-Id: " + attempt;
-  Arrival arrival{record_->Now(), attempt, options_.id, false};
+  Arrival arrival{record_->Now(), attempt, options_.id, request.Target(),
+                  false};
   if (request.Target() == "/healthz") {
     return Response(draining_ ? 503 : 200,
                     {"Upstream-Instance: " + options_.id}, "");
--- a/review/stand_ins/endpoint.h
+++ b/review/stand_ins/endpoint.h
@@ -42,6 +42,7 @@
     double at = 0;
     std::string attempt;
     std::string instance;
+    std::string target;
     bool ran = false;
   };
 
--- a/review/stand_ins/fleet.cc
+++ b/review/stand_ins/fleet.cc
@@ -223,18 +223,19 @@
             const std::string& method,
             const std::string& attempt,
             int deadline_ms,
-            Record* record) {
+            Record* record,
+            const std::string& path) {
   Answer result;
   result.attempt = attempt;
   result.sent_at = record->Now();
-  record->Line("client sends %s %s %s%sx to %s", attempt.c_str(),
+  record->Line("client sends %s %s %s%s%s to %s", attempt.c_str(),
                method.c_str(), route.host.c_str(), route.prefix.c_str(),
-               ip.c_str());
+               path.c_str(), ip.c_str());
   const int socket = Connect(ip, kOutbound, 1);
   if (socket >= 0) {
     const std::string request =
-        method + " " + route.prefix + "x HTTP/1.1\r\nHost: " + route.host +
-        "\r\nAttempt-Id: " + attempt +
+        method + " " + route.prefix + path +
+        " HTTP/1.1\r\nHost: " + route.host + "\r\nAttempt-Id: " + attempt +
         "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
         (method == "GET" ? "" : "\r\nContent-Length: 0") + "\r\n\r\n";
     Message answer;
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -97,13 +97,15 @@
   std::string attempt;
 };
 
-// Sends one request on a new connection to the machine's outbound address.
+// Sends one request on a new connection to the machine's outbound address, for
+// `path` below the prefix of the route.
 Answer Call(const std::string& ip,
             const Route& route,
             const std::string& method,
             const std::string& attempt,
             int deadline_ms,
-            Record* record);
+            Record* record,
+            const std::string& path = "x");
 
 }  // namespace review
 
