Store: notice silent connections within 4 s and close kept ones

Cause: a silent connection shows only by a missing response. A watch waited 5 s at the platform's store (30 s at the own store) and was given up 2 s later. The read after it took a kept connection of the other pool, silent as well, and lost 2 s more. All nodes begin their watches at the same moment.

Fix: WatchTiming bounds the wait of a watch request (3 s) and the time for its response (1 s) for both store clients; HttpStoreClient makes a longer watch of several requests. A request without a response closes the kept connections of both pools. The sum is below the 5 s that remain for a version acknowledged 3 s after the silence.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -116,6 +116,11 @@
   evhttp_connection_free(std::exchange(connection_, nullptr));
 }
 
+void HttpConnection::CloseIdle() {
+  assert(!busy());
+  Close();
+}
+
 void HttpConnection::Send(const HttpRequest& request,
                           Milliseconds timeout,
                           Callback callback) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -87,6 +87,10 @@
 
   bool busy() const { return callback_ != nullptr; }
 
+  // Closes the connection, so that the next request opens a new one. Must not
+  // be called while busy().
+  void CloseIdle();
+
  private:
   static void OnResponse(evhttp_request* request, void* self);
   static int OnHead(evhttp_request* request, void* self);
--- a/src/store/http_pool.cc
+++ b/src/store/http_pool.cc
@@ -35,6 +35,14 @@
   Dispatch();
 }
 
+void HttpPool::CloseIdle() {
+  for (const auto& connection : connections_) {
+    if (!connection->busy()) {
+      connection->CloseIdle();
+    }
+  }
+}
+
 HttpConnection* HttpPool::FindIdleConnection() {
   for (const auto& connection : connections_) {
     if (!connection->busy()) {
--- a/src/store/http_pool.h
+++ b/src/store/http_pool.h
@@ -38,6 +38,12 @@
             Milliseconds timeout,
             ResponseCallback callback);
 
+  // Closes the kept connections that carry no request. To be called when a
+  // request to the same address got no response: other connections may have
+  // gone silent with its connection, and a request on one of them would be lost
+  // as well.
+  void CloseIdle();
+
  private:
   struct QueuedRequest {
     uint64_t id = 0;
--- a/src/store/http_store_client.cc
+++ b/src/store/http_store_client.cc
@@ -10,6 +10,7 @@
 #include "net/http_connection.h"
 #include "store/http_pool.h"
 #include "store/store_protocol.h"
+#include "store/watch_timing.h"
 
 namespace dragonflytack {
 
@@ -75,6 +76,10 @@
   pool->Send(
       std::move(request), timeout,
       [this, callback = std::move(callback)](HttpResponse response) {
+        if (response.outcome == HttpOutcome::kTimeout) {
+          request_pool_->CloseIdle();
+          watch_pool_->CloseIdle();
+        }
         const auto found = response.headers.find(StoreProtocol::kEraHeader);
         if (response.outcome == HttpOutcome::kCompleted &&
             found != response.headers.end()) {
@@ -236,13 +241,33 @@
     });
     return;
   }
+  WatchUntil(key, after, loop_->clock().Now() + timeout, std::move(callback));
+}
+
+void HttpStoreClient::WatchUntil(const std::string& key,
+                                 StoreVersion after,
+                                 TimePoint end,
+                                 VersionCallback callback) {
+  const Milliseconds wait =
+      std::clamp(std::chrono::ceil<Milliseconds>(end - loop_->clock().Now()),
+                 Milliseconds(0), WatchTiming::kMaxWait);
   Send(watch_pool_.get(),
        HttpRequest{.target = fmt::format("{}{}?after={}&timeout_ms={}",
                                          StoreProtocol::kWatchPath, key, after,
-                                         timeout.count()),
+                                         wait.count()),
                    .headers = EraHeaders()},
-       timeout + timeout_,
-       [this, key, callback = std::move(callback)](HttpResponse response) {
+       WatchTiming::Timeout(wait, timeout_),
+       [this, key, after, end, wait, sent_at = loop_->clock().Now(),
+        callback = std::move(callback)](HttpResponse response) {
+         const TimePoint now = loop_->clock().Now();
+         // A store that answers earlier has another reason, such as a new era.
+         const bool has_waited = now - sent_at >= wait;
+         if (has_waited && now < end &&
+             response.outcome == HttpOutcome::kCompleted &&
+             response.status == kOk && ReadVersionHeader(response) == after) {
+           WatchUntil(key, after, end, callback);
+           return;
+         }
          HandleVersionResponse(response, key, callback);
        });
 }
--- a/src/store/http_store_client.h
+++ b/src/store/http_store_client.h
@@ -84,6 +84,12 @@
   void HandleVersionResponse(const HttpResponse& response,
                              const std::string& key,
                              const VersionCallback& callback) const;
+  // Sends watch requests until one reports a change or a failure, or until the
+  // time `end`.
+  void WatchUntil(const std::string& key,
+                  StoreVersion after,
+                  TimePoint end,
+                  VersionCallback callback);
   // Calls `report` on a later turn of the loop, for a call that is rejected
   // without a request to the store.
   void RejectLater(std::function<void()> report);
--- a/tests/holding_relay.h
+++ b/tests/holding_relay.h
@@ -19,7 +19,8 @@
 namespace dragonflytack {
 
 // Relays TCP connections to a server and holds back the end of each stream, as
-// a network does whose last packet is delayed.
+// a network does whose last packet is delayed. Can make the open connections
+// silent, as a network does that has lost their state.
 class HoldingRelay final {
  public:
   HoldingRelay(EventLoop* loop, const HostPort& address, HostPort server)
@@ -48,12 +49,19 @@
   const HostPort& address() const { return address_; }
   // Number of streams whose end is held back.
   int held_ends() const { return held_ends_; }
+  // Drops all further bytes of the connections that are open now.
+  void Silence() {
+    for (const auto& side : sides_) {
+      side->is_silent = true;
+    }
+  }
 
  private:
   struct Side {
     HoldingRelay* relay = nullptr;
     bufferevent* socket = nullptr;
     Side* other = nullptr;
+    bool is_silent = false;
   };
 
   Side* AddSide(int fd) {
@@ -90,8 +98,12 @@
   }
 
   static void OnReadable(bufferevent* socket, void* side) {
-    bufferevent_write_buffer(static_cast<Side*>(side)->other->socket,
-                             bufferevent_get_input(socket));
+    evbuffer* const input = bufferevent_get_input(socket);
+    if (static_cast<Side*>(side)->is_silent) {
+      evbuffer_drain(input, evbuffer_get_length(input));
+      return;
+    }
+    bufferevent_write_buffer(static_cast<Side*>(side)->other->socket, input);
   }
 
   static void OnEvent(bufferevent* socket, short what, void* side) {
