Calls: choose how requests name their service at the start

Cause: the call port served two interfaces, and each call was taken for one of them by whether the table in force had a route.

Fix: CallInterface holds the codec of the headers and a CallAddressing, and is chosen at the start: RouteAddressing on the platform, by the setting calls.addressing in the product. A table with a sheet of routes needs addressing = routes there now; before, the sheet itself switched. The tests that publish routes state so too; their checks are unchanged.

--- a/bench/call_bench.cc
+++ b/bench/call_bench.cc
@@ -26,6 +26,7 @@
 
 #include "calls/http_server.h"
 #include "calls/native_header_codec.h"
+#include "calls/service_addressing.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/settings.h"
 #include "dragonflytack/base/system_clock.h"
@@ -205,8 +206,11 @@
     settings.mesh_port = kMeshPort;
     const std::set<std::string> before = ThreadIds();
     Failure reason;
-    task_ = CallTask::Make(settings, std::make_shared<NativeHeaderCodec>(), 1,
-                           clock, &logger_, &metrics_, &tracer_, {}, &reason);
+    task_ =
+        CallTask::Make(settings,
+                       {std::make_shared<NativeHeaderCodec>(),
+                        std::make_shared<ServiceAddressing>()},
+                       1, clock, &logger_, &metrics_, &tracer_, {}, &reason);
     if (task_ == nullptr) {
       fmt::print(stderr, "{}\n", reason.ToString());
       std::exit(EXIT_FAILURE);
--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -47,6 +47,8 @@
   // [calls]
   int drain_timeout_ms =
       30'000;  // drain_timeout_ms: maximum wait for calls in flight at a stop
+  int max_buffered_mb = 0;    // max_buffered_mb; 0 for a quarter of the memory
+  bool routes_calls = false;  // addressing: "routes" instead of "services"
   // [target]
   std::optional<HostPort> target_address;    // address: only this is accepted
   int target_heartbeat_timeout_ms = 15'000;  // heartbeat: four times its value
--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -8,12 +8,12 @@
 
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/failure.h"
+#include "dragonflytack/calls/call_interface.h"
 #include "dragonflytack/calls/local_target.h"
 #include "dragonflytack/registry/node_id.h"
 
 namespace dragonflytack {
 
-class CallHeaderCodec;
 class Logger;
 class MetricsRegistry;
 class Tracer;
@@ -69,16 +69,15 @@
   // Binds the ports and starts the thread. Returns null if a port cannot be
   // bound. The pointers must outlive the task. `incarnation` is that of this
   // node's record.
-  static std::unique_ptr<CallTask> Make(
-      const Settings& settings,
-      std::shared_ptr<const CallHeaderCodec> header_codec,
-      uint64_t incarnation,
-      const Clock* clock,
-      Logger* logger,
-      MetricsRegistry* metrics,
-      Tracer* tracer,
-      Events events,
-      Failure* reason);
+  static std::unique_ptr<CallTask> Make(const Settings& settings,
+                                        CallInterface call_interface,
+                                        uint64_t incarnation,
+                                        const Clock* clock,
+                                        Logger* logger,
+                                        MetricsRegistry* metrics,
+                                        Tracer* tracer,
+                                        Events events,
+                                        Failure* reason);
 
   // Stops the thread at once: calls in progress get no response.
   ~CallTask();
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -231,6 +231,11 @@
   return true;
 }
 
+bool ApplyAddressing(const std::string& text, Settings* settings) {
+  settings->routes_calls = text == "routes";
+  return settings->routes_calls || text == "services";
+}
+
 constexpr std::string_view kNodeIdFormat = "1 to 63 characters of a-z 0-9 - .";
 constexpr std::string_view kLabelFormat = "1 to 63 characters of a-z 0-9 -";
 constexpr std::string_view kIpAddressFormat = "an IP address";
@@ -276,6 +281,9 @@
     {"calls.drain_timeout_ms", false, "a number from 1000 to 600000",
      &ApplyInteger<&Settings::drain_timeout_ms, 1000, kMaxDrainTimeoutMs>},
     {"calls.kill_after", false, "a time from 2s to 600s", &ApplyKillAfter},
+    {"calls.max_buffered_mb", false, "a number from 8 to 65536",
+     &ApplyInteger<&Settings::max_buffered_mb, 8, 65'536>},
+    {"calls.addressing", false, "services or routes", &ApplyAddressing},
     {"target.address", false, "IP:port", &ApplyTargetAddress},
     {"target.heartbeat", false, "a time from 100ms to 60s", &ApplyHeartbeat},
     {"retry.ratio", false, "a number from 0 to 1", &ApplyRetryRatio},
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -11,6 +11,7 @@
 
 class AttemptGuard;
 class AttemptIdGenerator;
+class CallAddressing;
 class CallHeaderCodec;
 class CallMetrics;
 class ConnectionPool;
@@ -36,6 +37,7 @@
   CallMetrics* metrics = nullptr;
   Tracer* tracer = nullptr;
   const CallHeaderCodec* header_codec = nullptr;
+  const CallAddressing* addressing = nullptr;
   RetryShare* retry_share = nullptr;
   // The responses to callers and nodes that are being written.
   ResponseWrites* response_writes = nullptr;
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -10,8 +10,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/util.h>
-#include <fmt/format.h>
 
+#include "calls/call_addressing.h"
 #include "calls/call_metrics.h"
 #include "calls/call_span.h"
 #include "calls/deferred_deleter.h"
@@ -30,11 +30,6 @@
 
 namespace {
 
-struct CallPath {
-  std::string service;
-  std::string uri;
-};
-
 // Retry-after time of refusals that specify none: roughly the time in which a
 // change in the fleet reaches all nodes.
 constexpr Milliseconds kDefaultRetryAfter{100};
@@ -72,36 +67,6 @@
   return lengths > 0 && (!length || static_cast<size_t>(*length) != size);
 }
 
-// Splits "/<service>/<path>". If the header x-service names the service, the
-// complete path is for the target. The service is empty if none is named.
-CallPath ParsePath(std::string_view uri, std::string_view service_header) {
-  if (!uri.starts_with('/')) {
-    return {};
-  }
-  if (!service_header.empty()) {
-    return {std::string(service_header), std::string(uri)};
-  }
-  const size_t end = std::min(uri.find_first_of("/?", 1), uri.size());
-  std::string rest(uri.substr(end));
-  if (!rest.starts_with('/')) {
-    rest.insert(0, 1, '/');
-  }
-  return {std::string(uri.substr(1, end - 1)), std::move(rest)};
-}
-
-// Refuses a call for which the table in force has no route or service. Callers
-// do not repeat a call after 404, so the reason is a different one if a newer
-// version may have it.
-CallResult RefuseUnrouted(const RouteSnapshot& routes, std::string_view cause) {
-  if (!routes.IsOutdated()) {
-    return CallResult::Refused(CallReason::kNoService, std::string(cause));
-  }
-  return CallResult::Refused(
-      CallReason::kTableOutdated,
-      fmt::format("{}; version {} is in force, but version {} exists", cause,
-                  routes.version, routes.newest_version));
-}
-
 int64_t ToMillis(TimePoint::duration time) {
   return std::chrono::duration_cast<Milliseconds>(time).count();
 }
@@ -215,38 +180,12 @@
 
 std::optional<CallResult> CallEntry::Route(evhttp_request* request,
                                            CallRequest* routed) {
-  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-  const std::string_view uri = evhttp_request_get_uri(request);
   const auto& routes = context_->router->routes();
   if (routes == nullptr || routes->version == 0) {
     return CallResult::Refused(CallReason::kNoTarget,
                                "no table is in force yet");
   }
-  if (routes->route_index != nullptr) {
-    const RouteRow* route =
-        routes->route_index->Find(FindHeader(headers, "Host"), uri);
-    if (route == nullptr) {
-      return RefuseUnrouted(*routes, "no route has the host and path");
-    }
-    routed->policy = CallPolicy::Of(*route);
-    routed->max_time_limit = routed->policy.time_limit;
-    routed->uri = uri;
-    routed->pool = context_->router->DrawPool(*route);
-    return std::nullopt;
-  }
-  CallPath path = ParsePath(uri, FindHeader(headers, kServiceHeader));
-  if (path.service.empty()) {
-    return CallResult::Refused(CallReason::kBadRequest,
-                               "the path does not name a service");
-  }
-  routed->pool = context_->router->Find(path.service);
-  if (routed->pool == nullptr) {
-    return RefuseUnrouted(*routes, "the table has no such service");
-  }
-  routed->policy = CallPolicy::Of(routed->pool->route()->row);
-  routed->max_time_limit = kMaxDeadline;
-  routed->uri = std::move(path.uri);
-  return std::nullopt;
+  return context_->addressing->Resolve(context_->router, request, routed);
 }
 
 std::optional<CallResult> CallEntry::Prepare(evhttp_request* request,
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -23,8 +23,6 @@
 // the responses.
 class CallEntry final {
  public:
-  // Upper limit of the deadlines of callers.
-  static constexpr Milliseconds kMaxDeadline{60'000};
   // Path of the requests for one-time keys.
   static constexpr char kKeysPath[] = "/-/keys";
 
@@ -60,8 +58,7 @@
 
   // Returns the refusal if the call cannot be routed, std::nullopt otherwise.
   std::optional<CallResult> Prepare(evhttp_request* request, Call* call);
-  // Finds the service of a call by its route, or by its path if the table has
-  // no routes. Returns the refusal if there is no such service.
+  // Determines the service of a call. Returns the refusal if there is none.
   std::optional<CallResult> Route(evhttp_request* request, CallRequest* routed);
   void SendResponse(Call* call, const CallResult& result);
   // Counts and logs the end of a call.
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -61,7 +61,7 @@
 class CallTask::Impl final {
  public:
   Impl(const Settings& settings,
-       std::shared_ptr<const CallHeaderCodec> header_codec,
+       CallInterface call_interface,
        uint64_t incarnation,
        std::unique_ptr<EventLoop> loop,
        Logger* logger,
@@ -69,7 +69,7 @@
        Tracer* tracer,
        Events events)
       : settings_(settings),
-        header_codec_(std::move(header_codec)),
+        call_interface_(std::move(call_interface)),
         logger_(logger),
         events_(std::move(events)),
         loop_(std::move(loop)),
@@ -92,7 +92,8 @@
     context_.logger = logger;
     context_.metrics = &metrics_;
     context_.tracer = tracer;
-    context_.header_codec = header_codec_.get();
+    context_.header_codec = call_interface_.headers.get();
+    context_.addressing = call_interface_.addressing.get();
     context_.retry_share = &retry_share_;
     context_.response_writes = &response_writes_;
     context_.on_ejected = events_.on_ejected;
@@ -317,7 +318,7 @@
   }
 
   const Settings settings_;
-  const std::shared_ptr<const CallHeaderCodec> header_codec_;
+  const CallInterface call_interface_;
   Logger* const logger_;
   const Events events_;
   const std::unique_ptr<EventLoop> loop_;
@@ -357,16 +358,15 @@
 
 CallTask::~CallTask() = default;
 
-std::unique_ptr<CallTask> CallTask::Make(
-    const Settings& settings,
-    std::shared_ptr<const CallHeaderCodec> header_codec,
-    uint64_t incarnation,
-    const Clock* clock,
-    Logger* logger,
-    MetricsRegistry* metrics,
-    Tracer* tracer,
-    Events events,
-    Failure* reason) {
+std::unique_ptr<CallTask> CallTask::Make(const Settings& settings,
+                                         CallInterface call_interface,
+                                         uint64_t incarnation,
+                                         const Clock* clock,
+                                         Logger* logger,
+                                         MetricsRegistry* metrics,
+                                         Tracer* tracer,
+                                         Events events,
+                                         Failure* reason) {
   // libevent writes to sockets that the peer may have closed.
   std::signal(SIGPIPE, SIG_IGN);
   std::unique_ptr<EventLoop> loop = EventLoop::Make(clock);
@@ -375,7 +375,7 @@
                "cannot create the event loop"};
     return nullptr;
   }
-  auto impl = std::make_unique<Impl>(settings, std::move(header_codec),
+  auto impl = std::make_unique<Impl>(settings, std::move(call_interface),
                                      incarnation, std::move(loop), logger,
                                      metrics, tracer, std::move(events));
   if (!impl->Start(reason)) {
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -175,9 +175,10 @@
   events.on_target_lost = [this] {
     mailbox_.Post([this] { target_life_cycle_->OnUnreachable(); });
   };
-  call_task_ = CallTask::Make(settings_, environment_.header_codec,
-                              core_->self().incarnation, clock_, logger_,
-                              &metrics_, &tracer_, std::move(events), reason);
+  call_task_ =
+      CallTask::Make(settings_, environment_.make_call_interface(settings_),
+                     core_->self().incarnation, clock_, logger_, &metrics_,
+                     &tracer_, std::move(events), reason);
   return call_task_ != nullptr;
 }
 
--- a/src/daemon/environment.cc
+++ b/src/daemon/environment.cc
@@ -1,6 +1,8 @@
 #include "daemon/environment.h"
 
 #include "calls/native_header_codec.h"
+#include "calls/route_addressing.h"
+#include "calls/service_addressing.h"
 #include "store/http_store_client.h"
 
 namespace dragonflytack {
@@ -12,7 +14,16 @@
     return HttpStoreClient::Make(
         loop, settings.store, Milliseconds(settings.store_timeout_ms), logger);
   };
-  native.header_codec = std::make_shared<NativeHeaderCodec>();
+  native.make_call_interface = [](const Settings& settings) {
+    CallInterface native_interface;
+    native_interface.headers = std::make_shared<NativeHeaderCodec>();
+    if (settings.routes_calls) {
+      native_interface.addressing = std::make_shared<RouteAddressing>();
+    } else {
+      native_interface.addressing = std::make_shared<ServiceAddressing>();
+    }
+    return native_interface;
+  };
   return native;
 }
 
--- a/src/daemon/environment.h
+++ b/src/daemon/environment.h
@@ -8,7 +8,7 @@
 #include "daemon/admin_handler.h"
 #include "dragonflytack/base/failure.h"
 #include "dragonflytack/base/settings.h"
-#include "dragonflytack/calls/call_header_codec.h"
+#include "dragonflytack/calls/call_interface.h"
 #include "dragonflytack/calls/local_target.h"
 #include "dragonflytack/store/store_client.h"
 
@@ -18,7 +18,7 @@
 class Logger;
 
 // The interfaces of the daemon that depend on where it is deployed: the store
-// client, the headers of calls and the announcements of targets.
+// client, the interface for callers and the announcements of targets.
 struct Environment final {
   // Handles an announcement. Returns a failure other than kNone if it is
   // refused. It is called from within AdminHandler::Handle() and must not
@@ -29,7 +29,7 @@
   std::function<
       std::unique_ptr<StoreClient>(const Settings&, EventLoop*, Logger*)>
       make_store;
-  std::shared_ptr<const CallHeaderCodec> header_codec;
+  std::function<CallInterface(const Settings&)> make_call_interface;
   // Creates the handler of the configured announcement port; empty if targets
   // send announcements to the admin port only.
   std::function<std::unique_ptr<AdminHandler>(const Settings&,
--- /dev/null
+++ b/tests/call_addressing_test.cc
@@ -0,0 +1,98 @@
+// How the requests of callers name their service.
+
+#include "dragonflytack/calls/call_task.h"
+
+#include <sys/socket.h>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+#include "call_fixture.h"
+#include "platform/platform_header_codec.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr Milliseconds kLimit{2'000};
+
+// Script of a target of the platform, which names the path that it ran.
+bool RespondWithPath(int fd, const std::string& head, int /*n*/) {
+  const std::string path = head.substr(0, head.find(" HTTP"));
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: c1\r\nUpstream-Signature: s\r\n"
+      "Content-Length: " +
+      std::to_string(path.size()) + "\r\n\r\n" + path;
+  return send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0;
+}
+
+HttpReply Send(const CallFixture& fixture,
+               const std::string& path,
+               const std::string& headers) {
+  const Socket socket(fixture.Address(0), CallFixture::kCallPort);
+  socket.Send("POST " + path + " HTTP/1.1\r\n" + headers +
+              "Attempt-Id: c1\r\nContent-Length: 0\r\n\r\n");
+  return socket.Receive(kLimit);
+}
+
+}  // namespace
+
+// Guards against a table without routes that makes the call port speak another
+// interface: requests on the dropped route ran at the service that their path
+// happened to name, with another path.
+Test(call_addressing, removal_of_the_last_route_leaves_no_route) {
+  const ServiceRow row = Row(ServiceKind::kOneTime);
+  CallFixture fixture(1, row, std::make_shared<platform::PlatformHeaderCodec>(),
+                      Settings().drain_timeout_ms,
+                      CallFixture::Addressing::kRoutes);
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        RespondWithPath);
+  RouteRow route;
+  route.name = "r";
+  route.host = "h";
+  route.prefix = "/s/";
+  route.shares = {{"s", 1}};
+  const auto wait_for = [&](int status) {
+    HttpReply reply;
+    for (int i = 0; i < 100 && reply.status != status; ++i) {
+      std::this_thread::sleep_for(Milliseconds(10));
+      reply = Send(fixture, "/s/x", "Host: h\r\n");
+    }
+    return reply;
+  };
+  fixture.Publish(row, {{"r", route}});
+  ExpectEqual(wait_for(200).body, "POST /s/x");
+  fixture.Publish(row, {});
+  const HttpReply dropped = wait_for(404);
+  cr_expect_eq(dropped.status, 404, "%d", dropped.status);
+  const int requests = target.requests();
+  for (const char* headers :
+       {"Host: h\r\n", "Host: other\r\n", "Host: h\r\nx-service: s\r\n"}) {
+    for (const char* path : {"/s/x", "/s", "/s?a", "/"}) {
+      const HttpReply reply = Send(fixture, path, headers);
+      cr_expect_eq(reply.status, 404, "%s %s: %d", path, headers, reply.status);
+    }
+  }
+  cr_expect_eq(target.requests(), requests);
+}
+
+// Guards against routes of the table that take the calls of an address on which
+// the path names the service.
+Test(call_addressing, routes_do_not_change_an_address_by_service) {
+  const ServiceRow row = Row(ServiceKind::kIdempotent);
+  CallFixture fixture(1, row);
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        RespondWithRequestId);
+  RouteRow route;
+  route.name = "r";
+  route.host = "h";
+  route.prefix = "/a/";
+  route.shares = {{"s", 1}};
+  fixture.Publish(row, {{"r", route}});
+  std::this_thread::sleep_for(Milliseconds(20));
+  ExpectEqual(fixture.Call("1", 1000).body, "1");
+}
+
+}  // namespace dragonflytack
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -20,6 +20,8 @@
 #include <fmt/format.h>
 
 #include "calls/native_header_codec.h"
+#include "calls/route_addressing.h"
+#include "calls/service_addressing.h"
 #include "dragonflytack/routing/route_index.h"
 
 namespace dragonflytack {
@@ -264,10 +266,18 @@
 CallFixture::CallFixture(int targets,
                          const ServiceRow& row,
                          std::shared_ptr<const CallHeaderCodec> header_codec,
-                         int drain_timeout_ms)
+                         int drain_timeout_ms,
+                         Addressing addressing,
+                         int max_buffered_mb)
     : service_(row.service) {
-  if (header_codec == nullptr) {
-    header_codec = std::make_shared<NativeHeaderCodec>();
+  CallInterface call_interface{std::move(header_codec), nullptr};
+  if (call_interface.headers == nullptr) {
+    call_interface.headers = std::make_shared<NativeHeaderCodec>();
+  }
+  if (addressing == Addressing::kRoutes) {
+    call_interface.addressing = std::make_shared<RouteAddressing>();
+  } else {
+    call_interface.addressing = std::make_shared<ServiceAddressing>();
   }
   for (int i = 0; i <= targets; ++i) {
     Settings settings;
@@ -278,6 +288,7 @@
     settings.call_port = kCallPort;
     settings.mesh_port = kMeshPort;
     settings.drain_timeout_ms = drain_timeout_ms;
+    settings.max_buffered_mb = max_buffered_mb;
     auto node = std::make_unique<Node>(settings);
     CallTask::Events events;
     events.on_stopped = [flag = &node->stopped](const NodeId&,
@@ -292,7 +303,7 @@
       to->ejected.push_back(service + "/" + target);
     };
     Failure reason;
-    node->task = CallTask::Make(settings, header_codec, 1, &node->clock,
+    node->task = CallTask::Make(settings, call_interface, 1, &node->clock,
                                 &node->logger, &node->metrics, &node->tracer,
                                 std::move(events), &reason);
     cr_assert_not_null(node->task.get(), "%s", reason.ToString().c_str());
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -119,12 +119,32 @@
   static constexpr uint16_t kMeshPort = 7002;
   static constexpr uint16_t kTargetPort = 7003;
 
+  // How the nodes determine the service of a call.
+  enum class Addressing { kServices, kRoutes };
+
   // Starts one node without a target and `targets` nodes with one each. Their
   // header codec is the native one unless another is given.
   CallFixture(int targets,
               const ServiceRow& row,
               std::shared_ptr<const CallHeaderCodec> header_codec = nullptr,
-              int drain_timeout_ms = Settings().drain_timeout_ms);
+              int drain_timeout_ms = Settings().drain_timeout_ms,
+              Addressing addressing = Addressing::kServices,
+              int max_buffered_mb = Settings().max_buffered_mb);
+  CallFixture(int targets, const ServiceRow& row, Addressing addressing)
+      : CallFixture(targets,
+                    row,
+                    nullptr,
+                    Settings().drain_timeout_ms,
+                    addressing) {}
+
+  // As above, with a limit of the memory for responses.
+  CallFixture(int targets, const ServiceRow& row, int max_buffered_mb)
+      : CallFixture(targets,
+                    row,
+                    nullptr,
+                    Settings().drain_timeout_ms,
+                    Addressing::kServices,
+                    max_buffered_mb) {}
 
   std::string Address(int node) const { return LoopbackAddress(node); }
   CallTask* task(int node) { return nodes_[node]->task.get(); }
--- a/tests/call_task_queue_test.cc
+++ b/tests/call_task_queue_test.cc
@@ -21,7 +21,7 @@
 // of a call, which the queue beside the target needs.
 Test(call_task, entry_passes_on_objective_and_rank) {
   const ServiceRow row = Row(ServiceKind::kIdempotent);
-  CallFixture fixture(1, row);
+  CallFixture fixture(1, row, CallFixture::Addressing::kRoutes);
   fixture.Kill(1);
   std::mutex mutex;
   std::vector<std::string> heads;
--- a/tests/configuration_values_test.cc
+++ b/tests/configuration_values_test.cc
@@ -209,7 +209,8 @@
       cr_expect(false, "%s: %s", service.c_str(), reason.ToString().c_str());
       continue;
     }
-    CallFixture fixture(1, table->rows().at(service));
+    CallFixture fixture(1, table->rows().at(service),
+                        CallFixture::Addressing::kRoutes);
     ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
                           RespondWithRequestId);
     fixture.Publish(table->rows().at(service), table->routes());
@@ -228,7 +229,7 @@
 // Guards against routes that are in force, but that no call takes.
 Test(configuration_values, calls_take_routes_with_unusual_prefixes) {
   const ServiceRow row = Row(ServiceKind::kIdempotent);
-  CallFixture fixture(1, row);
+  CallFixture fixture(1, row, CallFixture::Addressing::kRoutes);
   ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
                         RespondWithRequestId);
   Table::Routes routes;
--- a/tests/onetime_loopback_test.cc
+++ b/tests/onetime_loopback_test.cc
@@ -14,6 +14,7 @@
 
 #include "call_fixture.h"
 #include "calls/native_header_codec.h"
+#include "calls/service_addressing.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/wakeup.h"
 #include "store/store_standin.h"
@@ -203,7 +204,9 @@
       successors_[{owner, incarnation}] = Name(i);
     };
     Failure reason;
-    node->task = CallTask::Make(settings, std::make_shared<NativeHeaderCodec>(),
+    node->task = CallTask::Make(settings,
+                                {std::make_shared<NativeHeaderCodec>(),
+                                 std::make_shared<ServiceAddressing>()},
                                 1, &node->clock, &node->logger, &node->metrics,
                                 &node->tracer, std::move(events), &reason);
     cr_assert(node->task != nullptr, "%s", reason.ToString().c_str());
--- a/tests/outdated_table_test.cc
+++ b/tests/outdated_table_test.cc
@@ -29,7 +29,10 @@
         fixture_(1,
                  Row(ServiceKind::kOneTime),
                  is_platform ? std::make_shared<platform::PlatformHeaderCodec>()
-                             : nullptr),
+                             : nullptr,
+                 Settings().drain_timeout_ms,
+                 has_routes ? CallFixture::Addressing::kRoutes
+                            : CallFixture::Addressing::kServices),
         target_(fixture_.Address(1),
                 CallFixture::kTargetPort,
                 RespondWithRequestId) {}
