Calls: calls waiting beside a leaving target end within its leaving time

Cause: the state of the target was checked when a call arrived, not when it left the queue beside the target. Calls waited up to their own deadline.

Fix: the queue has one last time at which a call may end at the target, the cut-off of a stop or the leaving time of the target, whichever is earlier. When the target announces that it leaves, calls that are not expected to end by then are refused at once as not run, the last ones first, so that another endpoint can run them; the rest runs. target.drain sets the time, from bounds.drain on the platform, where it may be missing: a key that may be empty stands for its default then. All other keys still need a value.

--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -52,6 +52,7 @@
   // [target]
   std::optional<HostPort> target_address;    // address: only this is accepted
   int target_heartbeat_timeout_ms = 15'000;  // heartbeat: four times its value
+  int target_leaving_ms = 2'000;  // drain: no call later after a leaving
   // [retry]: in each window, the whole fleet may make at most ratio times the
   // number of calls of a service, plus slack, as retries of these calls
   double retry_ratio = 0.1;      // ratio
--- a/src/base/setting_keys.h
+++ b/src/base/setting_keys.h
@@ -19,6 +19,9 @@
   // Parses `text` into the settings. Returns false if it is malformed or out of
   // range.
   bool (*apply)(const std::string& text, Settings* settings);
+  // Whether a key without a value stands for the default, because a platform
+  // that fills in the file may have no value.
+  bool may_be_empty = false;
 };
 
 // Returns all keys that a settings file may contain.
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -286,6 +286,9 @@
     {"calls.addressing", false, "services or routes", &ApplyAddressing},
     {"target.address", false, "IP:port", &ApplyTargetAddress},
     {"target.heartbeat", false, "a time from 100ms to 60s", &ApplyHeartbeat},
+    {"target.drain", false, "a time from 500ms to 600s, or nothing",
+     &ApplyDuration<&Settings::target_leaving_ms, 500, kMaxDrainTimeoutMs>,
+     true},
     {"retry.ratio", false, "a number from 0 to 1", &ApplyRetryRatio},
     {"retry.window", false, "a time from 1s to 600s",
      &ApplyDuration<&Settings::retry_window_ms, 1000, kMaxDrainTimeoutMs>},
@@ -360,6 +363,9 @@
     return fmt::format("{} is already set in line {}", option.name,
                        earlier->second);
   }
+  if (option.value.empty() && key->may_be_empty) {
+    return {};
+  }
   if (option.value.empty()) {
     return fmt::format("{} has no value; expected {}", option.name,
                        key->expected);
--- a/src/calls/admission_queue.h
+++ b/src/calls/admission_queue.h
@@ -117,6 +117,21 @@
     });
   }
 
+  // Removes and returns the last call if it is not expected to end by `end`,
+  // otherwise null.
+  Item* PopEndingAfter(TimePoint end, TimePoint now) {
+    if (queue_.empty() || ExpectedEnd(queue_.size() - 1, now) <= end) {
+      return nullptr;
+    }
+    return queue_.PopLast(now);
+  }
+
+  // Returns when a call is expected to end that is started now.
+  TimePoint ExpectedEnd(TimePoint now) const {
+    return now + std::chrono::duration_cast<TimePoint::duration>(
+                     slots_.average_run_time());
+  }
+
   // Removes and returns any call, null if the queue is empty.
   Item* Pop(TimePoint now) { return queue_.Pop(now); }
 
@@ -158,6 +173,12 @@
             terms.rank};
   }
 
+  // Returns when a call is expected to end that is started after `ahead`
+  // others.
+  TimePoint ExpectedEnd(size_t ahead, TimePoint now) const {
+    return ExpectedEnd(now) + WaitBehind(ahead, 1);
+  }
+
   // Returns the expected wait of a call behind `ahead` others that get `share`
   // of the slots, above 0.
   TimePoint::duration WaitBehind(size_t ahead, double share) const {
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -139,8 +139,9 @@
   bool Start(Failure* reason) {
     entry_ = std::make_unique<CallEntry>(&context_, one_time_.get(),
                                          [this] { AdvanceStop(); });
-    target_proxy_ =
-        std::make_unique<TargetProxy>(&context_, [this] { AdvanceStop(); });
+    target_proxy_ = std::make_unique<TargetProxy>(
+        &context_, Milliseconds(settings_.target_leaving_ms),
+        [this] { AdvanceStop(); });
     call_server_ = HttpServer::Make(
         loop_->base(), {settings_.address, settings_.call_port},
         [this](evhttp_request* request) { entry_->OnRequest(request); },
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -33,6 +33,15 @@
 
 namespace {
 
+// Time for a call to reach the target after it was started, on a host that
+// does not schedule this process for a while.
+constexpr Milliseconds kSendMargin{250};
+
+bool IsLeaving(const LocalTarget& target) {
+  return target.state == TargetState::kDraining ||
+         target.state == TargetState::kLeft;
+}
+
 ResponseVerdict ToVerdict(TargetResponseKind kind) {
   switch (kind) {
     case TargetResponseKind::kResponse:
@@ -49,8 +58,11 @@
 }  // namespace
 
 TargetProxy::TargetProxy(const CallContext* context,
+                         Milliseconds leaving_time,
                          std::function<void()> on_call_ended)
-    : context_(context), on_call_ended_(std::move(on_call_ended)) {}
+    : context_(context),
+      leaving_time_(leaving_time),
+      on_call_ended_(std::move(on_call_ended)) {}
 
 TargetProxy::~TargetProxy() {
   context_->loop->timers().Cancel(queue_timer_);
@@ -125,8 +137,7 @@
 
 std::optional<CallResult> TargetProxy::Validate(Call* call) {
   const evkeyvalq* headers = call->inbound.headers();
-  if (draining_ || target_.state == TargetState::kDraining ||
-      target_.state == TargetState::kLeft) {
+  if (draining_ || IsLeaving(target_)) {
     return CallResult::Refused(CallReason::kDraining, "the target is draining");
   }
   if (route_ == nullptr ||
@@ -346,12 +357,18 @@
     route_ = nullptr;
     RefuseQueued(CallReason::kWrongService,
                  "the local target serves another service now");
+  if (!IsLeaving(target)) {
+    target_end_ = TimePoint::max();
+  } else if (!IsLeaving(target_)) {
+    target_end_ = context_->loop->clock().Now() + leaving_time_ - kSendMargin;
+  }
   }
   OnRoutes();
 }
 
 void TargetProxy::OnRoutes() {
   const auto& routes = context_->router->routes();
+  RefuseBeyondEnd();
   if (routes != nullptr) {
     const auto found = routes->services.find(target_.service);
     route_ = found == routes->services.end() ? nullptr : found->second;
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_SRC_CALLS_TARGET_PROXY_H_
 #define DRAGONFLYTACK_SRC_CALLS_TARGET_PROXY_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -32,7 +33,11 @@
   // `context` must outlive the object. `on_call_ended` is called after each
   // call, also from within OnRequest(), SetTarget() and OnRoutes(). It must not
   // destroy the object.
-  TargetProxy(const CallContext* context, std::function<void()> on_call_ended);
+  // A target that announces that it leaves gets no call later than
+  // `leaving_time` after that.
+  TargetProxy(const CallContext* context,
+              Milliseconds leaving_time,
+              std::function<void()> on_call_ended);
   // All calls must have ended, see CutOff().
   ~TargetProxy();
   TargetProxy(const TargetProxy&) = delete;
@@ -42,8 +47,9 @@
   void OnRequest(evhttp_request* request);
 
   // Sets the local target as it last announced itself. A target that is neither
-  // warming nor ready receives no new calls; queued and running calls finish.
-  // If its service changes, the queued calls are refused as not run.
+  // warming nor ready receives no new calls, and running calls finish. If it
+  // leaves, queued calls are refused as not run unless they are expected to end
+  // within its leaving time; if its service changes, all of them are.
   void SetTarget(const LocalTarget& target);
 
   // Applies the row and the limits of the snapshot that is now in force. If the
@@ -99,8 +105,12 @@
   // Refuses all queued calls as not run.
   void RefuseQueued(CallReason reason, const std::string& detail);
   void ArmQueueTimer();
-  // Returns when the response to a call started now is expected.
-  TimePoint ExpectedResponseTime() const;
+  // Refuses all queued calls, or those not expected to end, after the last time
+  // at which a call may end at the target.
+  void RefuseBeyondEnd();
+  // Returns when the last call at the target may end: before the cut-off of a
+  // stop and within the leaving time of the target.
+  TimePoint LastCallEnd() const { return std::min(cut_off_time_, target_end_); }
   void ApplyLimits();
   void Reply(Call* call, const CallResult& result);
   // Returns the running and queued calls without `ended`, in thousandths of the
@@ -111,6 +121,7 @@
   void Remove(Call* call);
 
   const CallContext* const context_;
+  const Milliseconds leaving_time_;
   const std::function<void()> on_call_ended_;
   LocalTarget target_;
   // The row and endpoints of the target's service, null if the table has no
@@ -119,6 +130,8 @@
   bool draining_ = false;
   // Set with `draining_`.
   TimePoint cut_off_time_ = TimePoint::max();
+  // The end of the leaving time, if the target leaves.
+  TimePoint target_end_ = TimePoint::max();
   // The limits of the last row, which also hold while `route_` is null.
   int max_connections_ = 0;
   RateLimiter rate_;
--- a/src/calls/target_proxy_queue.cc
+++ b/src/calls/target_proxy_queue.cc
@@ -58,12 +58,12 @@
 void TargetProxy::RunQueued() {
   ExpireQueued();
   while (true) {
-    if (ExpectedResponseTime() > cut_off_time_ && queue_.slots().has_free()) {
-      RefuseQueued(CallReason::kStopping,
-                   "the node stops before the end of the call");
+    const TimePoint now = context_->loop->clock().Now();
+    if (queue_.ExpectedEnd(now) > LastCallEnd() && queue_.slots().has_free()) {
+      RefuseBeyondEnd();
       return;
     }
-    Call* call = queue_.StartNext(context_->loop->clock().Now());
+    Call* call = queue_.StartNext(now);
     if (call == nullptr) {
       return;
     }
@@ -73,15 +73,34 @@
   }
 }
 
-TimePoint TargetProxy::ExpectedResponseTime() const {
-  return std::chrono::time_point_cast<TimePoint::duration>(
-      context_->loop->clock().Now() + queue_.slots().average_run_time());
+void TargetProxy::RefuseBeyondEnd() {
+  const TimePoint now = context_->loop->clock().Now();
+  const bool target_leaves = target_end_ < cut_off_time_;
+  const CallReason reason =
+      target_leaves ? CallReason::kDraining : CallReason::kStopping;
+  const char* const detail =
+      target_leaves ? "the target leaves before the end of the call"
+                    : "the node stops before the end of the call";
+  if (queue_.ExpectedEnd(now) > LastCallEnd()) {
+    RefuseQueued(reason, detail);
+    return;
+  }
+  while (Call* call = queue_.PopEndingAfter(LastCallEnd(), now)) {
+    Reply(call, CallResult::Refused(reason, detail));
+    Remove(call);
+  }
+  context_->metrics->queue_length()->Set(static_cast<int64_t>(queue_.size()));
+  ArmQueueTimer();
 }
 
 void TargetProxy::ExpireQueued() {
   // A call that is started too late to meet its deadline would take a slot from
   // one that can meet it. Expiring such calls keeps the useful work at the
   // capacity under overload.
+  if (LastCallEnd() <= context_->loop->clock().Now()) {
+    RefuseBeyondEnd();
+    return;
+  }
   while (Call* call = queue_.PopExpired(context_->loop->clock().Now())) {
     Reply(call, CallResult::Refused(CallReason::kDeadline,
                                     "the wait in the queue was too long"));
@@ -112,7 +131,10 @@
 }
 
 void TargetProxy::ArmQueueTimer() {
-  const std::optional<TimePoint> earliest = queue_.EarliestExpiry();
+  std::optional<TimePoint> earliest = queue_.EarliestExpiry();
+  if (earliest) {
+    earliest = std::min(*earliest, LastCallEnd());
+  }
   context_->loop->timers().Cancel(queue_timer_);
   queue_timer_ = 0;
   if (earliest) {
--- a/src/calls/wait_queue.h
+++ b/src/calls/wait_queue.h
@@ -102,6 +102,18 @@
     return item;
   }
 
+  // Removes and returns the item that would be started last, null if the queue
+  // is empty.
+  Item* PopLast(TimePoint now) {
+    DemoteLate(now);
+    if (order_.empty()) {
+      return nullptr;
+    }
+    Item* item = std::prev(order_.end())->second;
+    Remove(item);
+    return item;
+  }
+
   // Removes and returns the last item if a new one with the given priority
   // would come before it, otherwise null.
   Item* PopLastIfBehind(const QueuePriority& priority, TimePoint now) {
@@ -110,9 +122,7 @@
         std::prev(order_.end())->first < KeyOf(priority, now, next_arrival_)) {
       return nullptr;
     }
-    Item* item = std::prev(order_.end())->second;
-    Remove(item);
-    return item;
+    return PopLast(now);
   }
 
   // Removes and returns the last item if it has missed its objective and
