Distribution: watch the store in place of nodes that it rejects

Cause: a standby watcher took over only when the links to all nodes that rank before it were silent. That the store does not serve them was reported to no one.

Fix: a heartbeat reports a watch that the store does not serve, or a standby watch that it serves, at once when that changes. A standby watcher takes over when no node before it has been served for 2 s, and 0.5 s later for each rank between. The line store_watch and the field failing_watchers show it.

--- a/fuzz/frame_entry_points.cc
+++ b/fuzz/frame_entry_points.cc
@@ -55,6 +55,7 @@
   const std::vector<Message> messages = {
       HelloMessage{true, 1, 2, 3, 4, 5, 6},
       HeartbeatMessage{true, 9, {1, UINT64_MAX}},
+      HeartbeatMessage{true, 9, {1, 2}, StoreWatchState::kFailing},
       SmallRecords(),
       SuspicionsMessage{{{"a", 1, 2}, {"b", 3, 4}}},
       DeltaMessage{{1, 2, {row}, {"gone"}, 99}},
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -90,7 +90,8 @@
             return std::max(table_sync_.held_version(), table_sync_.refused());
           },
           [this](StoreVersion version) { OnStoreVersion(version); },
-          [this](const StoreObject& object) { OnStoreObject(object); }),
+          [this](const StoreObject& object) { OnStoreObject(object); },
+          [this] { OnWatchServedChanged(); }),
       table_restorer_(
           settings.node_id,
           &store_,
@@ -184,7 +185,7 @@
 void DistributionCore::Impl::SendHeartbeats() {
   const HeartbeatMessage heartbeat{
       joined(), joined() ? table_sync_.in_force()->version() : 0,
-      registry_.digests().whole()};
+      registry_.digests().whole(), OwnWatchState()};
   const Message message = heartbeat;
   const std::string frame = MessageCodec::Encode(message);
   for (LinkState* link : links_.Up()) {
@@ -207,6 +208,8 @@
         "speaker_substitute",
         {{"active", standby_watcher},
          {"rank", link_manager_.overlay().data_centre_rank},
+         {"failing_watchers",
+          static_cast<uint64_t>(link_manager_.CountFailingWatchers())},
          {"quiet_ms", int64_t{LinkState::kUnresponsiveAfter.count()}}});
   }
   // A standby watcher has already waited for the designated watchers.
@@ -228,7 +231,25 @@
   table_watcher_.SetActive(
       IsDesignatedWatcher() && grace_period_over &&
           (joined() || table_sync_.floor().has_store_version()),
-      delay);
+      standby_watcher, delay);
+}
+
+void DistributionCore::Impl::OnWatchServedChanged() {
+  logger_->Info("store_watch",
+                {{"failing", table_watcher_.is_failing()},
+                 {"served", table_watcher_.is_served()},
+                 {"rank", link_manager_.overlay().data_centre_rank}});
+  // Standby watchers learn of it before the next regular heartbeat.
+  SendHeartbeats();
+}
+
+StoreWatchState DistributionCore::Impl::OwnWatchState() const {
+  if (table_watcher_.is_failing()) {
+    return StoreWatchState::kFailing;
+  }
+  return is_standby_watcher_ && table_watcher_.is_served()
+             ? StoreWatchState::kServedStandby
+             : StoreWatchState::kDefault;
 }
 
 void DistributionCore::Impl::EvaluateTable() {
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -88,6 +88,8 @@
   void SendHello(LinkState* link);
   void Tick();
   void SendHeartbeats();
+  void OnWatchServedChanged();
+  StoreWatchState OwnWatchState() const;
   // Updates the standby role and starts or stops watching the store.
   void UpdateWatcherRole();
   void EvaluateTable();
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -96,6 +96,7 @@
 void DistributionCore::Impl::Handle(LinkState* link,
                                     const HeartbeatMessage& message) {
   link->in_force = message.in_force;
+  link->store_watch = message.store_watch;
   if (message.in_force) {
     peer_versions_.Record(link->peer, message.version,
                           timers_->clock().WallMillis());
--- a/src/distribution/link_manager.cc
+++ b/src/distribution/link_manager.cc
@@ -34,6 +34,7 @@
       random_(random),
       logger_(logger),
       on_unreachable_(std::move(on_unreachable)),
+      store_last_watched_(clock->Now()),
       higher_ranked_last_received_(clock->Now()) {}
 
 void LinkManager::Refresh() {
@@ -62,17 +63,53 @@
 }
 
 bool LinkManager::IsStandbyWatcherNeeded() const {
-  return clock_->Now() - higher_ranked_last_received_ >
-         LinkState::kUnresponsiveAfter;
+  if (overlay_.higher_ranked.empty()) {
+    return false;
+  }
+  const TimePoint now = clock_->Now();
+  const auto rank =
+      static_cast<int64_t>(overlay_.data_centre_rank - Overlay::kGateways);
+  return now - higher_ranked_last_received_ > LinkState::kUnresponsiveAfter ||
+         now - store_last_watched_ > kStandbyDelay + rank * kStandbyRankDelay;
+}
+
+size_t LinkManager::CountFailingWatchers() const {
+  return static_cast<size_t>(
+      std::count_if(overlay_.higher_ranked.begin(),
+                    overlay_.higher_ranked.end(), [this](const NodeId& id) {
+                      const LinkState* const link = links_->FindUp(id);
+                      return link != nullptr &&
+                             link->store_watch == StoreWatchState::kFailing;
+                    }));
+}
+
+bool LinkManager::IsServedWatcher(const LinkState& link) const {
+  if (link.store_watch != StoreWatchState::kDefault) {
+    return link.store_watch == StoreWatchState::kServedStandby;
+  }
+  // Only designated watchers watch without a report.
+  const auto ranks = overlay_.data_centre_ranks.find(link.data_centre);
+  if (ranks == overlay_.data_centre_ranks.end()) {
+    return false;
+  }
+  const auto end =
+      ranks->second.begin() + static_cast<ptrdiff_t>(std::min(
+                                  Overlay::kGateways, ranks->second.size()));
+  return std::find(ranks->second.begin(), end, link.peer) != end;
 }
 
 void LinkManager::UpdateHigherRankedContact(bool joined) {
   if (!joined || overlay_.higher_ranked.empty()) {
     higher_ranked_last_received_ = clock_->Now();
+    store_last_watched_ = clock_->Now();
     return;
   }
   for (const NodeId& id : overlay_.higher_ranked) {
     if (const LinkState* link = links_->FindUp(id)) {
+      if (IsServedWatcher(*link)) {
+        store_last_watched_ =
+            std::max(store_last_watched_, link->last_received);
+      }
       higher_ranked_last_received_ =
           std::max(higher_ranked_last_received_, link->last_received);
     }
--- a/src/distribution/link_manager.h
+++ b/src/distribution/link_manager.h
@@ -32,6 +32,12 @@
   // A link that the overlay does not require, such as one made to join, is
   // closed after this time.
   static constexpr Milliseconds kUnwantedLinkLifetime{10'000};
+  // Time after which the first standby watcher watches in place of nodes that
+  // the store does not serve, and what each further one waits longer. A change
+  // has to be in force 7 s after it was acknowledged while the store rejects
+  // some nodes, and a watch that gets no response is given up after 4 s.
+  static constexpr Milliseconds kStandbyDelay{2'000};
+  static constexpr Milliseconds kStandbyRankDelay{500};
   // Interval at which each gateway of a data centre dials one dead node, so
   // that two parts of a data centre that declared each other dead reconnect.
   static constexpr Milliseconds kDeadDialInterval{5'000};
@@ -65,8 +71,12 @@
   // Whether each ring neighbour has sent its hello or failed to connect.
   bool AllNeighboursContacted() const;
   // Whether this node is a standby watcher of its data centre and all nodes
-  // with a higher rank are unresponsive, as of the last Tick().
+  // with a higher rank are unresponsive, or watch the store without being
+  // served, as of the last Tick().
   bool IsStandbyWatcherNeeded() const;
+  // Returns how many nodes with a higher rank are linked and watch the store
+  // without being served.
+  size_t CountFailingWatchers() const;
   // Whether this node links to other regions and may repair across them.
   bool IsRegionGateway() const;
 
@@ -78,6 +88,9 @@
 
   bool IsRingNeighbour(const NodeId& id) const;
   void UpdateHigherRankedContact(bool joined);
+  // Whether the node watches the store by its rank or report, and did not
+  // report that the watch fails.
+  bool IsServedWatcher(const LinkState& link) const;
   void DialPeer(const NodeId& id);
   void DialOneDeadNode();
   void RecordDialFailure(const NodeId& id);
@@ -96,6 +109,9 @@
   // Ring neighbours whose link was lost. Each is dialled once to find out
   // whether it is reachable.
   std::set<NodeId> probes_;
+  // When a node with a higher rank last showed that it watches the store and is
+  // served. Kept at the current time like the next member.
+  TimePoint store_last_watched_;
   // When a frame of a node with a higher rank last arrived. Kept at the current
   // time until this node has joined and is a standby watcher, so that the links
   // have time to come up.
--- a/src/distribution/link_state.h
+++ b/src/distribution/link_state.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "distribution/store_watch_state.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/host_port.h"
 #include "dragonflytack/distribution/link_class.h"
@@ -40,6 +41,8 @@
   bool hello_received = false;
   // Whether the peer has a table in force.
   bool in_force = false;
+  // As of the last heartbeat of the peer.
+  StoreWatchState store_watch = StoreWatchState::kDefault;
   // Highest table version that the peer is known to hold.
   TableVersion version = 0;
   // Since when that version is above the one that this node holds, recorded
--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -128,6 +128,9 @@
   array->push_back(message.in_force);
   array->push_back(message.version);
   array->push_back(EncodeNumbers(digest, 2));
+  if (message.store_watch != StoreWatchState::kDefault) {
+    array->push_back(static_cast<uint8_t>(message.store_watch));
+  }
 }
 void Append(const RecordsMessage& message, json* array) {
   RecordCodec::Append(message, array);
@@ -216,6 +219,10 @@
   } else {
     reader->Fail();
   }
+  if (reader->ok() && !reader->AtEnd()) {
+    message.store_watch = static_cast<StoreWatchState>(
+        reader->Unsigned(static_cast<uint64_t>(StoreWatchState::kFailing)));
+  }
   return message;
 }
 Message ReadRecords(CborReader* reader) {
--- a/src/distribution/messages.h
+++ b/src/distribution/messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "distribution/store_watch_state.h"
 #include "dragonflytack/base/host_port.h"
 #include "dragonflytack/registry/node_record.h"
 #include "dragonflytack/table/table.h"
@@ -45,6 +46,7 @@
   bool in_force = false;
   TableVersion version = 0;
   RegistryDigest digest;
+  StoreWatchState store_watch = StoreWatchState::kDefault;
 
   friend bool operator==(const HeartbeatMessage&,
                          const HeartbeatMessage&) = default;
--- a/src/distribution/table_watcher.cc
+++ b/src/distribution/table_watcher.cc
@@ -26,13 +26,15 @@
                            Random* random,
                            ProcessedVersionFunction processed_version,
                            VersionCallback on_version,
-                           ObjectCallback on_object)
+                           ObjectCallback on_object,
+                           std::function<void()> on_served_changed)
     : store_(store),
       timers_(timers),
       random_(random),
       processed_version_(std::move(processed_version)),
       on_version_(std::move(on_version)),
-      on_object_(std::move(on_object)) {}
+      on_object_(std::move(on_object)),
+      on_served_changed_(std::move(on_served_changed)) {}
 
 TableWatcher::~TableWatcher() {
   timers_->Cancel(probe_timer_);
@@ -65,7 +67,10 @@
   }
 }
 
-void TableWatcher::SetActive(bool active, Milliseconds fetch_delay) {
+void TableWatcher::SetActive(bool active,
+                             bool is_standby,
+                             Milliseconds fetch_delay) {
+  is_standby_ = is_standby;
   fetch_delay_ = fetch_delay;
   if (active == active_) {
     return;
@@ -73,12 +78,22 @@
   active_ = active;
   ++generation_;
   timers_->Cancel(watch_timer_);
+  SetState(State::kUnknown);
   if (active_) {
     store_version_ = std::max(store_version_, processed_version_());
     StartWatch();
   }
 }
 
+void TableWatcher::SetState(State state) {
+  if (state != state_) {
+    state_ = state;
+    if (on_served_changed_) {
+      on_served_changed_();
+    }
+  }
+}
+
 void TableWatcher::StartWatch() {
   if (!active_) {
     return;
@@ -105,12 +120,15 @@
     return;
   }
   last_watch_failed_ = !succeeded;
+  SetState(succeeded ? State::kServed : State::kFailing);
   if (!succeeded || version < store_version_) {
-    RestartTimer(&watch_timer_, watch_backoff_.Next(random_),
+    Backoff& backoff = is_standby_ ? standby_backoff_ : watch_backoff_;
+    RestartTimer(&watch_timer_, backoff.Next(random_),
                  [this] { StartWatch(); });
     return;
   }
   watch_backoff_.Reset();
+  standby_backoff_.Reset();
   const bool changed = version > store_version_;
   store_version_ = std::max(store_version_, version);
   if (changed) {
--- a/tests/message_codec_test.cc
+++ b/tests/message_codec_test.cc
@@ -34,6 +34,7 @@
   return {
       HelloMessage{true, 1, 2, 3, 4, 5, 6},
       HeartbeatMessage{true, 9, {1, UINT64_MAX}},
+      HeartbeatMessage{true, 9, {1, 2}, StoreWatchState::kFailing},
       RecordsMessage{
           {{record, Liveness::kDead, 17}, {{"x", 1, 1, "r", "d", "1.1.1.1"}}},
           {{{"a", 1, "b", 2}, 3}}},
