Calls: one budget for the responses that a process receives

Operators of similar systems reported that a faulty endpoint sent bytes without end until the process of the machine ran out of memory. One at a time is bounded here, in heads, lines, chunks, trailers and interim responses (endless_response/*). Many at once were not: every bound was one of a single response.

Hosts have 160 to 512 MB.

Fix: BufferBudget counts the bytes of all responses that are being received, where they arrive. A connection may hold what is left of the budget, and 64 KB in any case, so that endless senders leave room for the others. The budget is calls.max_buffered_mb, by default a quarter of the memory; dragonflytack_buffered_bytes shows its use. A response over its part is unknown (upstream_failed), and an idempotent call is tried elsewhere.

--- a/src/calls/call_metrics.cc
+++ b/src/calls/call_metrics.cc
@@ -16,6 +16,9 @@
 
 CallMetrics::CallMetrics(MetricsRegistry* registry)
     : registry_(registry),
+      buffered_bytes_(registry->GetGauge(
+          "dragonflytack_buffered_bytes",
+          "Responses that are being received on all connections")),
       entry_calls_(GetCallsInProgress(registry, "entry")),
       target_calls_(GetCallsInProgress(registry, "target")),
       queue_length_(
--- a/src/calls/call_metrics.h
+++ b/src/calls/call_metrics.h
@@ -37,6 +37,8 @@
   // disconnected, by its reason. `side` is "entry" or "target".
   void CountFailure(const char* side, CallReason reason);
 
+  // Bytes of responses that are being received.
+  Gauge* buffered_bytes() { return buffered_bytes_; }
   // Calls that arrived at the call port and have no response yet.
   Gauge* entry_calls() { return entry_calls_; }
   // Calls for the local target that have no response yet.
@@ -48,6 +50,7 @@
  private:
   MetricsRegistry* const registry_;
   std::unordered_map<std::string, Service> services_;
+  Gauge* const buffered_bytes_;
   Gauge* const entry_calls_;
   Gauge* const target_calls_;
   Gauge* const queue_length_;
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -10,6 +10,7 @@
 
 #include <event2/http.h>
 
+#include "base/buffer_budget.h"
 #include "calls/call_context.h"
 #include "calls/call_entry.h"
 #include "calls/call_metrics.h"
@@ -44,6 +45,8 @@
 // Callers that were just directed to this node may still open a connection.
 constexpr Milliseconds kLastConnectionsGrace{100};
 
+constexpr Milliseconds kGaugePeriod{1000};
+
 // The last responses are written in the next iterations of the event loop.
 constexpr Milliseconds kTimeToWrite{50};
 
@@ -79,7 +82,10 @@
                 settings.region,
                 settings.data_centre,
                 incarnation ^ std::hash<std::string>()(settings.node_id)),
-        connections_(loop_.get(), &deleter_),
+        budget_(settings.max_buffered_mb == 0
+                    ? BufferBudget::DefaultLimit()
+                    : static_cast<size_t>(settings.max_buffered_mb) << 20),
+        connections_(loop_.get(), &deleter_, &budget_),
         response_writes_([this] { ReportStoppedIfDone(); }),
         mailbox_(loop_.get(),
                  [this](Message message) { OnMessage(std::move(message)); }) {
@@ -160,6 +166,9 @@
     if (mesh_server_ == nullptr) {
       return false;
     }
+    loop_->timers().SubscribeEvery(kGaugePeriod, [this] {
+      metrics_.buffered_bytes()->Set(static_cast<int64_t>(budget_.held()));
+    });
     thread_ = std::thread([this] {
       const SignalStack signal_stack;
       loop_->Run();
@@ -326,6 +335,7 @@
   DeferredDeleter deleter_;
   CallMetrics metrics_;
   Router router_;
+  BufferBudget budget_;
   ConnectionPool connections_;
   ResponseWrites response_writes_;
   RetryShare retry_share_;
--- a/src/calls/connection_pool.cc
+++ b/src/calls/connection_pool.cc
@@ -27,8 +27,10 @@
   return Hash64(address.address, address.port);
 }
 
-ConnectionPool::ConnectionPool(EventLoop* loop, DeferredDeleter* deleter)
-    : loop_(loop), deleter_(deleter) {
+ConnectionPool::ConnectionPool(EventLoop* loop,
+                               DeferredDeleter* deleter,
+                               BufferBudget* budget)
+    : loop_(loop), deleter_(deleter), budget_(budget) {
   sweep_timer_ = loop_->timers().SubscribeEvery(kSweepPeriod,
                                                 [this] { CloseExpiredIdle(); });
 }
@@ -52,8 +54,8 @@
     if (host->open.size() >= static_cast<size_t>(max_connections)) {
       return nullptr;
     }
-    auto created = std::make_unique<UpstreamConnection>(loop_->base(), deleter_,
-                                                        to, &host->events);
+    auto created = std::make_unique<UpstreamConnection>(
+        loop_->base(), deleter_, to, &host->events, budget_);
     connection = created.get();
     host->open.emplace(connection, std::move(created));
     connect_timeout = kConnectTimeout;
--- a/src/calls/connection_pool.h
+++ b/src/calls/connection_pool.h
@@ -18,6 +18,7 @@
 
 namespace dragonflytack {
 
+class BufferBudget;
 class DeferredDeleter;
 class EventLoop;
 
@@ -35,8 +36,11 @@
   // earlier, so that no request is sent while the peer closes it.
   static constexpr Milliseconds kKeepAliveMargin{1000};
 
-  // Both must outlive the pool.
-  ConnectionPool(EventLoop* loop, DeferredDeleter* deleter);
+  // The pointers must outlive the pool. `budget` limits the responses that are
+  // being received on all connections; null for no limit.
+  ConnectionPool(EventLoop* loop,
+                 DeferredDeleter* deleter,
+                 BufferBudget* budget = nullptr);
   ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
@@ -78,6 +82,7 @@
 
   EventLoop* const loop_;
   DeferredDeleter* const deleter_;
+  BufferBudget* const budget_;
   std::unordered_map<HostPort, std::unique_ptr<Host>, AddressHash> hosts_;
   TimerId sweep_timer_;
 };
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -30,6 +30,9 @@
   kMismatched,
   // The response exceeds the size limit.
   kTooLarge,
+  // The response exceeds the part of the memory for responses that is left for
+  // its connection.
+  kOverBudget,
 };
 
 // What a validator concludes from a response.
--- a/src/calls/keyed_call.cc
+++ b/src/calls/keyed_call.cc
@@ -289,6 +289,11 @@
       Finish(CallResult::Unknown(CallReason::kTooLarge,
                                  "the response exceeds the size limit"));
       return;
+    case ExchangeOutcome::kOverBudget:
+      Finish(CallResult::Unknown(
+          CallReason::kUpstreamFailed,
+          "the response exceeds what is left of the memory for responses"));
+      return;
   }
 }
 
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -359,6 +359,11 @@
       *attempt_outcome = AttemptOutcome::kNeutral;
       return CallResult::Unknown(CallReason::kTooLarge,
                                  "the response exceeds the size limit");
+    case ExchangeOutcome::kOverBudget:
+      *attempt_outcome = AttemptOutcome::kNeutral;
+      return CallResult::Unknown(
+          CallReason::kUpstreamFailed,
+          "the response exceeds what is left of the memory for responses");
   }
   return CallResult::Unknown(
       CallReason::kUpstreamFailed,
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -291,6 +291,11 @@
       result = CallResult::Unknown(CallReason::kTooLarge,
                                    "the response exceeds the size limit");
       break;
+    case ExchangeOutcome::kOverBudget:
+      result = CallResult::Unknown(
+          CallReason::kUpstreamFailed,
+          "the response exceeds what is left of the memory for responses");
+      break;
   }
   Reply(call, result);
   ReleaseSlot(call);
@@ -352,23 +357,23 @@
 
 void TargetProxy::SetTarget(const LocalTarget& target) {
   const bool same_service = target.service == target_.service;
-  target_ = target;
-  if (!same_service) {
-    route_ = nullptr;
-    RefuseQueued(CallReason::kWrongService,
-                 "the local target serves another service now");
   if (!IsLeaving(target)) {
     target_end_ = TimePoint::max();
   } else if (!IsLeaving(target_)) {
     target_end_ = context_->loop->clock().Now() + leaving_time_ - kSendMargin;
   }
+  target_ = target;
+  if (!same_service) {
+    route_ = nullptr;
+    RefuseQueued(CallReason::kWrongService,
+                 "the local target serves another service now");
   }
+  RefuseBeyondEnd();
   OnRoutes();
 }
 
 void TargetProxy::OnRoutes() {
   const auto& routes = context_->router->routes();
-  RefuseBeyondEnd();
   if (routes != nullptr) {
     const auto found = routes->services.find(target_.service);
     route_ = found == routes->services.end() ? nullptr : found->second;
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -102,13 +102,15 @@
 UpstreamConnection::UpstreamConnection(event_base* base,
                                        DeferredDeleter* deleter,
                                        const HostPort& to,
-                                       const Events* events)
+                                       const Events* events,
+                                       BufferBudget* budget)
     : deleter_(deleter),
       events_(events),
       connection_(evhttp_connection_base_new(base,
                                              nullptr,
                                              to.address.c_str(),
-                                             to.port)) {
+                                             to.port)),
+      received_(budget) {
   evhttp_connection_set_timeout(connection_, kInactivityTimeoutSeconds);
   evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
   evhttp_connection_set_max_body_size(connection_, kMaxBodyBytes);
@@ -150,6 +152,7 @@
   sent_ = false;
   too_large_ = false;
   limiter_.Begin(request);
+  received_.Release();
   sending_ = true;
   // A connect that fails immediately is reported from within this call.
   const bool started =
@@ -244,6 +247,8 @@
     connection->EndExchange(ExchangeOutcome::kStaleConnection);
   } else if (!connection->limiter_.AcceptInput(*info)) {
     connection->EndExchange(ExchangeOutcome::kBroken);
+  } else if (!connection->received_.Add(info->n_added)) {
+    connection->EndExchange(ExchangeOutcome::kOverBudget);
   }
 }
 
@@ -256,6 +261,7 @@
 }
 
 void UpstreamConnection::HandleResponse(evhttp_request* request) {
+  received_.Release();
   // The next request may begin in the callbacks below.
   HttpRequestPtr owned_request = std::move(request_);
   Exchange* exchange = std::exchange(exchange_, nullptr);
@@ -302,6 +308,7 @@
 void UpstreamConnection::Retire() {
   if (!retired_) {
     retired_ = true;
+    received_.Release();
     events_->on_retired(this);
   }
 }
--- a/src/calls/upstream_connection.h
+++ b/src/calls/upstream_connection.h
@@ -8,6 +8,7 @@
 
 #include <event2/http.h>
 
+#include "base/buffer_budget.h"
 #include "base/response_limiter.h"
 #include "calls/exchange.h"
 #include "dragonflytack/base/clock.h"
@@ -38,11 +39,13 @@
     std::function<void(UpstreamConnection*)> on_retired;
   };
 
-  // `deleter` and `events` must outlive the connection.
+  // `deleter`, `events` and `budget` must outlive the connection. `budget`
+  // limits the responses that are being received; null for no limit.
   UpstreamConnection(event_base* base,
                      DeferredDeleter* deleter,
                      const HostPort& to,
-                     const Events* events);
+                     const Events* events,
+                     BufferBudget* budget);
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -110,6 +113,8 @@
   bool retired_ = false;
   bool too_large_ = false;
   ResponseLimiter limiter_;
+  // The bytes of the response that is being received.
+  BufferBudget::Share received_;
   // The request until evhttp has reported its end.
   HttpRequestPtr request_;
   std::optional<Milliseconds> keep_alive_timeout_;
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -16,6 +16,7 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include "base/buffer_budget.h"
 #include "call_fixture.h"
 #include "calls/http_headers.h"
 #include "endless_sender.h"
@@ -321,4 +322,58 @@
   }
 }
 
+// Guards against many endless responses that stay below the limit of one
+// response and together take the memory of the process, and against other calls
+// that fail meanwhile.
+Test(endless_response, many_at_once_share_one_budget, .timeout = 120) {
+  constexpr int kEndless = 200;
+  constexpr int kBudgetMb = 8;
+  ServiceRow row = Row(ServiceKind::kOneTime);
+  row.slots = row.max_connections = 2 * kEndless;
+  row.max_queue = 2 * kEndless;
+  for (const char* head : {"HTTP/1.1 200 OK\r\n\r\n", kChunkedHead}) {
+    CallFixture fixture(1, row, kBudgetMb);
+    const bool is_chunked = head == kChunkedHead;
+    EndlessSender sender(
+        head, is_chunked ? "400\r\n" + std::string(1'024, 'x') + "\r\n" : "x",
+        Milliseconds(0));
+    std::atomic<int> begun = 0;
+    ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                          [&](int fd, const std::string& request, int n) {
+                            if (RequestId(request) != "bad") {
+                              return RespondWithRequestId(fd, request, n);
+                            }
+                            // All begin to send at the same time.
+                            ++begun;
+                            for (int i = 0; i < 5'000 && begun < kEndless;
+                                 ++i) {
+                              std::this_thread::sleep_for(Milliseconds(1));
+                            }
+                            return sender.Run(fd);
+                          });
+    const MemoryGrowth growth;
+    std::vector<std::thread> callers;
+    std::atomic<int> unknown = 0;
+    for (int i = 0; i < kEndless; ++i) {
+      callers.emplace_back([&] {
+        const HttpReply reply = fixture.Call("bad", 20'000);
+        unknown += reply.status == 504 ? 1 : 0;
+      });
+    }
+    while (unknown < kEndless / 2) {
+      ExpectEqual(fixture.Call("good", 20'000).body, "good");
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    cr_expect_eq(unknown, kEndless, "%d", unknown.load());
+    // Both nodes run in this process, with a budget each, beside 400 threads
+    // and their sockets.
+    constexpr size_t kBound =
+        2 * (kBudgetMb << 20) +
+        2 * kEndless * (BufferBudget::kGuaranteedBytes + (64 << 10));
+    cr_expect_leq(growth.bytes(), kBound, "%zu bytes", growth.bytes());
+  }
+}
+
 }  // namespace dragonflytack
