Targets: a late report of an earlier run does not bring calls again

Cause: after a run had left or fallen silent, a report with an earlier start time was accepted at once, because the clock of the host may have been set back in between. A late report of a run that crashed looks the same.

Fix: a run with an earlier start time takes the place of one that is over only after three reports with rising numbers over the announcement timeout. Only a living run goes on to report.

--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -299,6 +299,8 @@
          {"known_started_ms", target_life_cycle_->target().started_ms},
          {"known_sequence", target_life_cycle_->target().sequence},
          {"cause", "older than the last accepted announcement"}});
+    return {FailureCode::kConflict, target.instance,
+            "the announcement is older than the last accepted one"};
   }
   return {};
 }
--- a/src/daemon/target_life_cycle.cc
+++ b/src/daemon/target_life_cycle.cc
@@ -9,6 +9,30 @@
 
 namespace dragonflytack {
 
+namespace {
+
+bool IsLeaving(TargetState state) {
+  return state == TargetState::kDraining || state == TargetState::kLeft;
+}
+
+template <typename Value>
+bool Contains(const std::vector<Value>& values, const Value& value) {
+  return std::find(values.begin(), values.end(), value) != values.end();
+}
+
+// Adds a value and forgets the oldest one if there are too many.
+template <typename Value>
+void Remember(std::vector<Value>* values, const Value& value) {
+  constexpr size_t kMaxRemembered = 64;
+  std::erase(*values, value);
+  values->push_back(value);
+  if (values->size() > kMaxRemembered) {
+    values->erase(values->begin());
+  }
+}
+
+}  // namespace
+
 std::span<const ChartAction<TargetLifeCycle>> TargetLifeCycle::Actions() {
   static constexpr ChartAction<TargetLifeCycle> actions[] = {
       {"Publish", &TargetLifeCycle::Publish},
@@ -33,40 +57,81 @@
   timers_->Cancel(announcement_timer_);
 }
 
-bool TargetLifeCycle::IsOutdated(const LocalTarget& announced) const {
-  if (announced.started_ms != 0 && target_.started_ms != 0) {
-    if (announced.started_ms != target_.started_ms) {
-      const bool is_over = target_.state == TargetState::kLeft || is_silent_;
-      return (announced.started_ms < target_.started_ms && !is_over) ||
-             left_runs_.contains({announced.instance, announced.started_ms});
-    }
-  } else if (announced.instance != target_.instance) {
-    return past_instances_.contains(announced.instance);
+bool TargetLifeCycle::IsSameRun(const LocalTarget& announced) const {
+  // The announcement of `left` may omit the start time.
+  return announced.instance == target_.instance &&
+         (announced.started_ms == target_.started_ms ||
+          announced.started_ms == 0 || target_.started_ms == 0);
+}
+
+bool TargetLifeCycle::FollowsTarget(const LocalTarget& announced) {
+  if (target_.instance.empty()) {
+    return true;
   }
-  return announced.sequence != 0 && announced.sequence <= target_.sequence;
+  const bool is_ordered = announced.started_ms != 0 &&
+                          target_.started_ms != 0 &&
+                          announced.started_ms != target_.started_ms;
+  if (Contains(left_runs_, {announced.instance, announced.started_ms}) ||
+      (!is_ordered && Contains(past_instances_, announced.instance))) {
+    return false;
+  }
+  if (is_ordered && announced.started_ms > target_.started_ms) {
+    return true;
+  }
+  if (IsLeaving(announced.state)) {
+    // It is not the run that gets the calls, and must not get them later.
+    Remember(&left_runs_, {announced.instance, announced.started_ms});
+    Remember(&left_runs_, {announced.instance, 0});
+    return false;
+  }
+  return !is_ordered || IsConfirmed(announced);
+}
+
+bool TargetLifeCycle::IsConfirmed(const LocalTarget& announced) {
+  const TimePoint now = timers_->clock().Now();
+  const bool is_new = !earlier_run_ ||
+                      earlier_run_->instance != announced.instance ||
+                      earlier_run_->started_ms != announced.started_ms ||
+                      now - earlier_run_->last_seen > announcement_timeout_;
+  if (is_new) {
+    earlier_run_ = EarlierRun{announced.instance,
+                              announced.started_ms,
+                              announced.sequence,
+                              1,
+                              now,
+                              now};
+    return false;
+  }
+  if (announced.sequence <= earlier_run_->sequence) {
+    return false;
+  }
+  earlier_run_->sequence = announced.sequence;
+  earlier_run_->last_seen = now;
+  const bool is_over = target_.state == TargetState::kLeft || is_silent_;
+  return ++earlier_run_->announcements >= kConfirmingAnnouncements &&
+         now - earlier_run_->first_seen >= announcement_timeout_ && is_over;
 }
 
 bool TargetLifeCycle::HandleAnnouncement(const LocalTarget& announced) {
-  if (IsOutdated(announced)) {
+  const bool same_run = IsSameRun(announced);
+  if (!same_run && !FollowsTarget(announced)) {
     return false;
   }
-  // The announcement of `left` may omit the start time.
-  const bool same_run = announced.instance == target_.instance &&
-                        (announced.started_ms == target_.started_ms ||
-                         announced.started_ms == 0 || target_.started_ms == 0);
+  // A run that leaves never serves again, so that its leaving holds in whatever
+  // order it arrives.
+  if (same_run && !IsLeaving(announced.state) && announced.sequence != 0 &&
+      announced.sequence <= target_.sequence) {
+    return announced.state == target_.state;
+  }
   if (!same_run && !target_.instance.empty()) {
-    constexpr size_t kMaxPastInstances = 64;
-    if (past_instances_.size() < kMaxPastInstances) {
-      past_instances_.insert(target_.instance);
-    }
-    if (target_.state == TargetState::kLeft &&
-        left_runs_.size() < kMaxPastInstances) {
-      left_runs_.emplace(target_.instance, target_.started_ms);
+    Remember(&past_instances_, target_.instance);
+    if (target_.state == TargetState::kLeft) {
+      Remember(&left_runs_, {target_.instance, target_.started_ms});
     }
-    past_instances_.erase(announced.instance);
+    std::erase(past_instances_, announced.instance);
+    earlier_run_.reset();
   }
-  const bool was_leaving = target_.state == TargetState::kDraining ||
-                           target_.state == TargetState::kLeft;
+  const bool was_leaving = IsLeaving(target_.state);
   LocalTarget previous = std::exchange(target_, announced);
   target_.state = previous.state;
   if (same_run && target_.started_ms == 0) {
--- a/src/daemon/target_life_cycle.h
+++ b/src/daemon/target_life_cycle.h
@@ -2,10 +2,11 @@
 #define DRAGONFLYTACK_DAEMON_TARGET_LIFE_CYCLE_H_
 
 #include <functional>
-#include <set>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "dragonflytack/base/timer_service.h"
 #include "dragonflytack/calls/local_target.h"
@@ -32,12 +33,16 @@
   TargetLifeCycle(const TargetLifeCycle&) = delete;
   TargetLifeCycle& operator=(const TargetLifeCycle&) = delete;
 
-  // Returns false and changes nothing if the announcement is older than the
-  // last accepted one. Start times order the runs of targets, but a run that
-  // has left or fallen silent is also followed by one with an earlier start
-  // time: the clock of the host may have been set back in between. A run with
-  // an instance name that has announced `draining` or `left` never gets calls
-  // again, whatever it announces later.
+  // Returns whether the announcement is in force: it took effect, or its state
+  // was in force for its run already. Otherwise it changed nothing.
+  //
+  // Start times order the runs of targets, and numbers the announcements of one
+  // run. An announcement with an earlier start time is late, or the clock of
+  // the host was set back. Only a run that is alive goes on to announce itself,
+  // so it takes the place of one that has left or fallen silent after several
+  // announcements over the announcement timeout. A run with an instance name
+  // that has announced `draining` or `left` never gets calls again, whatever it
+  // announces later.
   bool HandleAnnouncement(const LocalTarget& announced);
 
   // Called when no connection to the target can be made. A target that does not
@@ -50,24 +55,45 @@
   static bool CheckChart(Failure* reason);
 
  private:
+  // Number of announcements after which a run with an earlier start time counts
+  // as alive.
+  static constexpr int kConfirmingAnnouncements = 3;
+
+  // A run with an earlier start time than that of the target, as long as it is
+  // not confirmed.
+  struct EarlierRun {
+    std::string instance;
+    int64_t started_ms = 0;
+    int64_t sequence = 0;
+    int announcements = 0;
+    TimePoint first_seen;
+    TimePoint last_seen;
+  };
+
   static std::span<const ChartAction<TargetLifeCycle>> Actions();
 
   // Action of the chart.
   void Publish();
 
-  bool IsOutdated(const LocalTarget& announced) const;
+  bool IsSameRun(const LocalTarget& announced) const;
+  // Whether the announcement is of a run that takes the place of the target.
+  bool FollowsTarget(const LocalTarget& announced);
+  // Records an announcement with an earlier start time than that of the target.
+  // Returns whether the run is alive and the target is over.
+  bool IsConfirmed(const LocalTarget& announced);
 
   TimerService* const timers_;
   const Milliseconds announcement_timeout_;
   const ChangedCallback on_changed_;
   ChartMachine<TargetLifeCycle> machine_;
   LocalTarget target_;
-  // Instance names of earlier runs of the target. They show which announcements
-  // are outdated if the start time is missing.
-  std::set<std::string> past_instances_;
-  // Instance names and start times of runs that have left and were followed by
-  // another one.
-  std::set<std::pair<std::string, int64_t>> left_runs_;
+  // Instance names of the last earlier runs of the target. They show which
+  // announcements are outdated if the start time is missing.
+  std::vector<std::string> past_instances_;
+  // Instance names and start times of the last runs that have left and are not
+  // the target; 0 for a run that left without a start time.
+  std::vector<std::pair<std::string, int64_t>> left_runs_;
+  std::optional<EarlierRun> earlier_run_;
   // Whether the announcement timeout has passed since the last announcement.
   bool is_silent_ = false;
   TimerId announcement_timer_ = 0;
