Calls: the product's interface of keys is not served on the platform

POST /-/keys on the platform's outbound address was answered by the node itself, a request for /-/handover got 504, and an unsafe request with a header Idempotency-Key got 400 or 503 (seen by the review). These names belong to callers and endpoints there.

Cause: the node guessed from the request which interface was meant. On the port between nodes, a call whose path equals that of the handover was taken for one.

Fix: CallInterface states whether the call port offers one-time keys. A handover names no service, a call between nodes does.

call_addressing/own_interface_is_not_served_on_an_address_by_route tests the three names with and without a key; it is new and was only run on the fixed code.

--- a/include/dragonflytack/calls/call_interface.h
+++ b/include/dragonflytack/calls/call_interface.h
@@ -15,6 +15,10 @@
   std::shared_ptr<const CallHeaderCodec> headers;
   // Determines the service of a call.
   std::shared_ptr<const CallAddressing> addressing;
+  // Whether callers may request keys for one-time calls at the call port, and
+  // send them in the header of keys. Otherwise that path and that header belong
+  // to the callers and targets.
+  bool has_one_time_keys = false;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -38,6 +38,8 @@
   Tracer* tracer = nullptr;
   const CallHeaderCodec* header_codec = nullptr;
   const CallAddressing* addressing = nullptr;
+  // Whether the call port offers the interface of one-time keys.
+  bool has_one_time_keys = false;
   RetryShare* retry_share = nullptr;
   // The responses to callers and nodes that are being written.
   ResponseWrites* response_writes = nullptr;
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -133,7 +133,8 @@
 }
 
 void CallEntry::OnRequest(evhttp_request* request) {
-  if (evhttp_request_get_uri(request) == std::string_view(kKeysPath) &&
+  if (context_->has_one_time_keys &&
+      evhttp_request_get_uri(request) == std::string_view(kKeysPath) &&
       !HasAmbiguousLength(request)) {
     one_time_->OnKeyRequest(request);
     return;
@@ -157,7 +158,7 @@
          {"table", uint64_t{routes == nullptr ? 0 : routes->version}},
          {"newest_table",
           uint64_t{routes == nullptr ? 0 : routes->newest_version}}});
-    if (!FindHeader(call->inbound.headers(), kKeyHeader).empty()) {
+    if (!KeyOf(call->inbound.headers()).empty()) {
       // The records of the key were not checked, so the refusal holds for this
       // request only.
       refusal->scope = NotRunScope::kRequest;
@@ -178,6 +179,11 @@
   }
 }
 
+std::string_view CallEntry::KeyOf(const evkeyvalq* headers) const {
+  return context_->has_one_time_keys ? FindHeader(headers, kKeyHeader)
+                                     : std::string_view();
+}
+
 std::optional<CallResult> CallEntry::Route(evhttp_request* request,
                                            CallRequest* routed) {
   const auto& routes = context_->router->routes();
@@ -237,7 +243,7 @@
   const auto on_result = [this, call](CallResult result) {
     OnResult(call, std::move(result));
   };
-  const std::string key(FindHeader(headers, kKeyHeader));
+  const std::string key(KeyOf(headers));
   if (!key.empty() && routed.policy.kind == ServiceKind::kOneTime) {
     call->keyed = std::make_unique<KeyedCall>(
         context_, one_time_, std::move(routed), key, on_result);
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 
 #include "calls/attempt_age.h"
@@ -13,6 +14,7 @@
 #include "dragonflytack/base/clock.h"
 
 struct evhttp_request;
+struct evkeyvalq;
 
 namespace dragonflytack {
 
@@ -60,6 +62,8 @@
   std::optional<CallResult> Prepare(evhttp_request* request, Call* call);
   // Determines the service of a call. Returns the refusal if there is none.
   std::optional<CallResult> Route(evhttp_request* request, CallRequest* routed);
+  // Returns the key of a one-time call, empty if it has none.
+  std::string_view KeyOf(const evkeyvalq* headers) const;
   void SendResponse(Call* call, const CallResult& result);
   // Counts and logs the end of a call.
   void ReportEnd(const Call& call, const CallResult& result) const;
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -100,6 +100,7 @@
     context_.tracer = tracer;
     context_.header_codec = call_interface_.headers.get();
     context_.addressing = call_interface_.addressing.get();
+    context_.has_one_time_keys = call_interface_.has_one_time_keys;
     context_.retry_share = &retry_share_;
     context_.response_writes = &response_writes_;
     context_.on_ejected = events_.on_ejected;
--- a/src/calls/one_time.cc
+++ b/src/calls/one_time.cc
@@ -90,13 +90,16 @@
 }
 
 bool OneTime::OnMeshRequest(evhttp_request* request) {
-  if (!FindHeader(evhttp_request_get_input_headers(request), kOneTimeKeyHeader)
-           .empty()) {
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  if (!FindHeader(headers, kOneTimeKeyHeader).empty()) {
     forwarded_call_server_.OnRequest(request);
     return true;
   }
-  if (evhttp_request_get_uri(request) ==
-      std::string_view(HandoverRunner::kPath)) {
+  // A call for the local target has the same path if its caller chose it, and
+  // names a service.
+  if (FindHeader(headers, kServiceHeader).empty() &&
+      evhttp_request_get_uri(request) ==
+          std::string_view(HandoverRunner::kPath)) {
     OnHandoverMessage(request);
     return true;
   }
--- a/src/daemon/environment.cc
+++ b/src/daemon/environment.cc
@@ -16,6 +16,7 @@
   };
   native.make_call_interface = [](const Settings& settings) {
     CallInterface native_interface;
+    native_interface.has_one_time_keys = true;
     native_interface.headers = std::make_shared<NativeHeaderCodec>();
     if (settings.routes_calls) {
       native_interface.addressing = std::make_shared<RouteAddressing>();
--- a/tests/call_addressing_test.cc
+++ b/tests/call_addressing_test.cc
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -78,6 +79,49 @@
   cr_expect_eq(target.requests(), requests);
 }
 
+// Guards against names of the product's own interface that the node answers or
+// reads on an address of the platform, where they belong to callers and
+// targets.
+Test(call_addressing, own_interface_is_not_served_on_an_address_by_route) {
+  const ServiceRow row = Row(ServiceKind::kOneTime);
+  CallFixture fixture(1, row, std::make_shared<platform::PlatformHeaderCodec>(),
+                      Settings().drain_timeout_ms,
+                      CallFixture::Addressing::kRoutes);
+  std::mutex mutex;
+  std::string last_head;
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        [&](int fd, const std::string& head, int n) {
+                          {
+                            const std::lock_guard<std::mutex> lock(mutex);
+                            last_head = head;
+                          }
+                          return RespondWithPath(fd, head, n);
+                        });
+  RouteRow route;
+  route.name = "r";
+  route.host = "h";
+  route.prefix = "/";
+  route.kind = ServiceKind::kOneTime;
+  route.shares = {{"s", 1}};
+  fixture.Publish(row, {{"r", route}});
+  std::this_thread::sleep_for(Milliseconds(50));
+  for (const char* path : {"/-/keys", "/-/handover", "/s/x"}) {
+    for (const char* key : {"", "k", "a-key-of-the-caller-1"}) {
+      std::string headers = "Host: h\r\n";
+      if (*key != '\0') {
+        headers += "Idempotency-Key: " + std::string(key) + "\r\n";
+      }
+      const HttpReply reply = Send(fixture, path, headers);
+      cr_expect_eq(reply.status, 200, "%s %s: %d", path, key, reply.status);
+      ExpectEqual(reply.body, "POST " + std::string(path));
+      const std::lock_guard<std::mutex> lock(mutex);
+      ExpectEqual(HttpReply{0, last_head, "", Milliseconds(0)}.Header(
+                      "idempotency-key"),
+                  key, path);
+    }
+  }
+}
+
 // Guards against routes of the table that take the calls of an address on which
 // the path names the service.
 Test(call_addressing, routes_do_not_change_an_address_by_service) {
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -286,6 +286,7 @@
     settings.data_centre = "d";
     settings.address = Address(i);
     settings.call_port = kCallPort;
+    call_interface.has_one_time_keys = true;
     settings.mesh_port = kMeshPort;
     settings.drain_timeout_ms = drain_timeout_ms;
     settings.max_buffered_mb = max_buffered_mb;
--- a/tests/onetime_loopback_test.cc
+++ b/tests/onetime_loopback_test.cc
@@ -206,7 +206,8 @@
     Failure reason;
     node->task = CallTask::Make(settings,
                                 {std::make_shared<NativeHeaderCodec>(),
-                                 std::make_shared<ServiceAddressing>()},
+                                 std::make_shared<ServiceAddressing>(),
+                                 /*has_one_time_keys=*/true},
                                 1, &node->clock, &node->logger, &node->metrics,
                                 &node->tracer, std::move(events), &reason);
     cr_assert(node->task != nullptr, "%s", reason.ToString().c_str());
