Tests: read pipelined responses one at a time

Both responses were complete and in order, but arrived in one read, and the fixture took the second one for a part of the body of the first.

Socket::ReceiveNext() leaves the bytes after a response for the next call.

--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -153,21 +153,34 @@
 }
 
 HttpReply Socket::Receive(Milliseconds limit) const {
+  std::string text;
+  return ReadReply(limit, &text);
+}
+
+HttpReply Socket::ReceiveNext(Milliseconds limit) {
+  HttpReply reply = ReadReply(limit, &unread_);
+  if (reply.status != 0) {
+    reply.body.resize(ContentLength(reply.head));
+    unread_.erase(0, unread_.find("\r\n\r\n") + 4 + reply.body.size());
+  }
+  return reply;
+}
+
+HttpReply Socket::ReadReply(Milliseconds limit, std::string* text) const {
   HttpReply reply;
   const std::chrono::nanoseconds run_delay = ReadRunDelay();
   const TimePoint start = std::chrono::steady_clock::now();
-  std::string text;
   while (true) {
-    const size_t end = text.find("\r\n\r\n");
+    const size_t end = text->find("\r\n\r\n");
     if (end != std::string::npos) {
-      reply.head = text.substr(0, end + 2);
-      reply.body = text.substr(end + 4);
+      reply.head = text->substr(0, end + 2);
+      reply.body = text->substr(end + 4);
       if (reply.body.size() >= ContentLength(reply.head)) {
-        reply.status = std::stoi(text.substr(9, 3));
+        reply.status = std::stoi(text->substr(9, 3));
         break;
       }
     }
-    if (!ReadMore(fd_, start + limit, &text)) {
+    if (!ReadMore(fd_, start + limit, text)) {
       break;
     }
   }
@@ -273,6 +286,7 @@
   CallInterface call_interface{std::move(header_codec), nullptr};
   if (call_interface.headers == nullptr) {
     call_interface.headers = std::make_shared<NativeHeaderCodec>();
+    call_interface.has_one_time_keys = true;
   }
   if (addressing == Addressing::kRoutes) {
     call_interface.addressing = std::make_shared<RouteAddressing>();
@@ -286,7 +300,6 @@
     settings.data_centre = "d";
     settings.address = Address(i);
     settings.call_port = kCallPort;
-    call_interface.has_one_time_keys = true;
     settings.mesh_port = kMeshPort;
     settings.drain_timeout_ms = drain_timeout_ms;
     settings.max_buffered_mb = max_buffered_mb;
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -60,9 +60,18 @@
   int fd() const { return fd_; }
   void Send(const std::string& text) const;
   HttpReply Receive(Milliseconds limit) const;
+  // As Receive(), but leaves bytes after the response for the next call, so
+  // that responses to several requests can be read whenever they arrive.
+  HttpReply ReceiveNext(Milliseconds limit);
 
  private:
+  // Reads until `text`, which may begin with bytes that were read before, has a
+  // complete response.
+  HttpReply ReadReply(Milliseconds limit, std::string* text) const;
+
   int fd_;
+  // Bytes after the last response that ReceiveNext() returned.
+  std::string unread_;
 };
 
 // Sends bytes and returns once the peer's kernel has received them.
--- a/tests/call_task_changes_test.cc
+++ b/tests/call_task_changes_test.cc
@@ -44,7 +44,7 @@
   }
 
   CallFixture& fixture() { return fixture_; }
-  const Socket& running() const { return running_; }
+  Socket& running() { return running_; }
   const Socket& queued() const { return queued_; }
   int requests() const { return target_.requests(); }
   void EndRunningCall() { released_ = true; }
@@ -61,7 +61,7 @@
   std::atomic<bool> released_ = false;
   CallFixture fixture_;
   ScriptedTarget target_;
-  const Socket running_;
+  Socket running_;
   const Socket queued_;
 };
 
@@ -108,8 +108,8 @@
     std::this_thread::sleep_for(Milliseconds(20));
   }
   calls.EndRunningCall();
-  ExpectEqual(calls.running().Receive(Milliseconds(1000)).body, "running");
-  ExpectEqual(calls.running().Receive(Milliseconds(1000)).body, "next");
+  ExpectEqual(calls.running().ReceiveNext(Milliseconds(1000)).body, "running");
+  ExpectEqual(calls.running().ReceiveNext(Milliseconds(1000)).body, "next");
   ExpectEqual(calls.queued().Receive(Milliseconds(1000)).body, "queued");
 }
 
