Tests: count the retries of calls that are hedged on a busy machine

A call with 1 s that takes half of it is hedged, which is what idempotent calls are meant to do.

CountRetries() moves to the fixture.

--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -375,6 +375,15 @@
   task(node)->PostTarget({service_, Address(node), kTargetPort, state, 0});
 }
 
+int CallFixture::CountRetries() const {
+  const std::string text = nodes_[0]->metrics.RenderText();
+  const std::string name =
+      "dragonflytack_retries_total{service=\"" + service_ + "\"} ";
+  const size_t at = text.find(name);
+  cr_assert(at != std::string::npos, "%s", text.c_str());
+  return std::stoi(text.substr(at + name.size()));
+}
+
 bool CallFixture::WaitUntilStopped(int node, Milliseconds limit) {
   const TimePoint end = std::chrono::steady_clock::now() + limit;
   while (!nodes_[node]->stopped && std::chrono::steady_clock::now() < end) {
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -158,6 +158,9 @@
   std::string Address(int node) const { return LoopbackAddress(node); }
   CallTask* task(int node) { return nodes_[node]->task.get(); }
   MetricsRegistry* metrics(int node) { return &nodes_[node]->metrics; }
+  // Returns how many attempts after the first one of a call the first node has
+  // made.
+  int CountRetries() const;
   Tracer* tracer(int node) { return &nodes_[node]->tracer; }
   // Returns the ejections that a node reported, in order, as "service/target".
   std::vector<std::string> Ejected(int node);
