--- a/tests/message_codec_test.cc
+++ b/tests/message_codec_test.cc
@@ -34,7 +34,6 @@
   return {
       HelloMessage{true, 1, 2, 3, 4, 5, 6},
       HeartbeatMessage{true, 9, {1, UINT64_MAX}},
-      HeartbeatMessage{true, 9, {1, 2}, StoreWatchState::kFailing},
       RecordsMessage{
           {{record, Liveness::kDead, 17}, {{"x", 1, 1, "r", "d", "1.1.1.1"}}},
           {{{"a", 1, "b", 2}, 3}}},
@@ -69,6 +68,25 @@
   }
 }
 
+// Guards against a state of the watch that is lost, and against one that does
+// not exist.
+Test(message_codec, heartbeats_carry_the_state_of_the_watch) {
+  for (const StoreWatchState state :
+       {StoreWatchState::kDefault, StoreWatchState::kServedStandby,
+        StoreWatchState::kFailing}) {
+    const Message sent = HeartbeatMessage{true, 9, {1, 2}, state};
+    Failure reason;
+    const auto decoded =
+        MessageCodec::Decode(MessageCodec::Encode(sent), &reason);
+    cr_expect(decoded == sent);
+  }
+  std::string frame = MessageCodec::Encode(
+      HeartbeatMessage{true, 9, {1, 2}, StoreWatchState::kFailing});
+  ++frame.back();
+  Failure reason;
+  cr_expect(!MessageCodec::Decode(frame, &reason).has_value());
+}
+
 // Guards against crashes and partially applied messages on malformed input:
 // each such frame gives a typed failure, closes its link and has no other
 // effect.
