--- a/src/store/http_pool.h
+++ b/src/store/http_pool.h
@@ -40,7 +40,7 @@
 
   // Closes the kept connections that carry no request. To be called when a
   // request to the same address got no response: other connections may have
-  // gone silent with its connection, and a request on one of them would be lost
+  // become silent with its connection, and a request on one of them is lost
   // as well.
   void CloseIdle();
 
