--- a/include/dragonflytack/calls/call_header_codec.h
+++ b/include/dragonflytack/calls/call_header_codec.h
@@ -19,6 +19,9 @@
   bool malformed = false;
   // Identifier that the caller gave the call, for logs; may be empty.
   std::string call_id;
+  // API key of the caller's account; empty if the header is missing or given
+  // with different values. Points into the headers.
+  std::string_view api_key;
 };
 
 // Information about a call that is sent to its target.
@@ -29,6 +32,8 @@
   std::string caller_service;
   // Instance name that the addressed target announced; may be empty.
   std::string target_instance;
+  // Client account of the caller; empty if the call needs no API key.
+  std::string account;
 };
 
 // Classification of a target's response by its headers.
@@ -54,6 +59,11 @@
   // so that it is not forwarded.
   virtual bool IsReserved(std::string_view name) const = 0;
 
+  // Returns whether callers send their API key in this header, or targets get
+  // the account of the caller in it. Such headers are not forwarded where the
+  // table has accounts.
+  virtual bool IsAccountHeader(std::string_view name) const = 0;
+
   virtual CallerRequestInfo ReadCallerHeaders(
       const evkeyvalq* headers) const = 0;
 
--- a/include/dragonflytack/routing/route_snapshot.h
+++ b/include/dragonflytack/routing/route_snapshot.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "dragonflytack/accounts/account_index.h"
 #include "dragonflytack/routing/node_location.h"
 #include "dragonflytack/routing/route_index.h"
 #include "dragonflytack/routing/service_route.h"
@@ -25,6 +26,9 @@
   std::map<std::string, std::shared_ptr<const ServiceRoute>> services;
   // Routes by host and path; null in a snapshot without routes.
   std::shared_ptr<const RouteIndex> route_index;
+  // Client accounts by key; null if the table has none, so that calls need no
+  // key.
+  std::shared_ptr<const AccountIndex> accounts;
   // All nodes by id, except those known to have left.
   std::shared_ptr<const std::unordered_map<NodeId, NodeLocation>> nodes;
   // Maps a stopped (node, incarnation) to the node that took over its one-time
--- a/include/dragonflytack/table/route_row.h
+++ b/include/dragonflytack/table/route_row.h
@@ -47,6 +47,8 @@
   int rank = 0;
   // Maximum number of targets that one call may reach.
   int attempts = 1;
+  // Calls need no API key, also if the table has accounts.
+  bool is_public = false;
   // Services among which the calls are divided by weight. At least one weight
   // is above 0.
   std::vector<RouteShare> shares;
--- a/include/dragonflytack/table/sheet.h
+++ b/include/dragonflytack/table/sheet.h
@@ -3,8 +3,8 @@
 
 namespace dragonflytack {
 
-// The two sheets of the operators' table.
-enum class Sheet { kServices, kRoutes };
+// The sheets of the operators' table.
+enum class Sheet { kServices, kRoutes, kAccounts };
 
 }  // namespace dragonflytack
 
--- a/include/dragonflytack/table/table_delta.h
+++ b/include/dragonflytack/table/table_delta.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dragonflytack/base/failure.h"
+#include "dragonflytack/table/account_row.h"
 #include "dragonflytack/table/route_row.h"
 #include "dragonflytack/table/service_row.h"
 #include "dragonflytack/table/table_version.h"
@@ -30,6 +31,9 @@
   // `to` does not have.
   std::vector<RouteRow> changed_routes;
   std::set<std::string> removed_routes;
+  // The same for accounts.
+  std::vector<AccountRow> changed_accounts;
+  std::set<std::string> removed_accounts;
 
   static TableDelta Between(const Table& from, const Table& to);
 
--- a/include/dragonflytack/table/table_document.h
+++ b/include/dragonflytack/table/table_document.h
@@ -11,8 +11,8 @@
 
 namespace dragonflytack {
 
-// Contents of the store object "table", which is stored as JSON: all rows and
-// routes and the most recent edits.
+// Contents of the store object "table", which is stored as JSON: the rows of
+// all sheets and the most recent edits.
 struct TableDocument final {
   // The largest value of the project's own store.
   static constexpr size_t kMaxBytes = 1'000'000;
@@ -20,11 +20,13 @@
   // tables, which other environments may have.
   static constexpr size_t kMaxRows = 1000;
   static constexpr size_t kMaxRoutes = 10'000;
+  static constexpr size_t kMaxAccounts = 10'000;
   // Edits beyond this number are moved to history objects.
   static constexpr size_t kMaxRecentEdits = 512;
 
   Table::Rows rows;
   Table::Routes routes;
+  Table::Accounts accounts;
   std::vector<EditRecord> recent;
 
   // Parses the JSON text. Returns std::nullopt if it is malformed, contains an
@@ -36,8 +38,8 @@
 
   std::string ToJson() const;
 
-  // Returns a failure with the subject "table" or "routes" if a sheet has more
-  // rows than the editor may write.
+  // Returns a failure with the subject "table", "routes" or "accounts" if a
+  // sheet has more rows than the editor may write.
   std::optional<Failure> FindExcessRows() const;
 
   friend bool operator==(const TableDocument&, const TableDocument&) = default;
--- /dev/null
+++ b/src/accounts/account_index.cc
@@ -0,0 +1,30 @@
+#include "dragonflytack/accounts/account_index.h"
+
+#include <cstring>
+#include <utility>
+
+#include "dragonflytack/table/table.h"
+
+namespace dragonflytack {
+
+AccountIndex::AccountIndex(std::shared_ptr<const Table> table)
+    : table_(std::move(table)) {
+  for (const auto& [name, account] : table_->accounts()) {
+    for (const KeyDigest& key : account.keys) {
+      accounts_.emplace(key, &account);
+    }
+  }
+}
+
+const AccountRow* AccountIndex::Find(const KeyDigest& key) const {
+  const auto found = accounts_.find(key);
+  return found == accounts_.end() ? nullptr : found->second;
+}
+
+size_t AccountIndex::Hash::operator()(const KeyDigest& key) const {
+  size_t hash = 0;
+  std::memcpy(&hash, key.bytes().data(), sizeof(hash));
+  return hash;
+}
+
+}  // namespace dragonflytack
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/util.h>
+#include <fmt/format.h>
 
 #include "calls/call_addressing.h"
 #include "calls/call_metrics.h"
@@ -20,6 +21,7 @@
 #include "calls/keyed_call.h"
 #include "calls/one_time.h"
 #include "calls/routed_call.h"
+#include "dragonflytack/accounts/account_index.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/calls/call_header_codec.h"
@@ -34,6 +36,10 @@
 // change in the fleet reaches all nodes.
 constexpr Milliseconds kDefaultRetryAfter{100};
 
+// Ranks of routes that are distinguished within one account rank. The rank of
+// the account takes precedence, so higher ranks of routes count as the last.
+constexpr int kRouteRanks = 4;
+
 // Returns whether bytes of the request could be taken for the next one: two
 // HTTP parsers could derive different body lengths from the headers (RFC 9112
 // section 6.3), or evhttp has not read the body that they announce. It reads
@@ -194,6 +200,38 @@
   return context_->addressing->Resolve(context_->router, request, routed);
 }
 
+std::optional<CallResult> CallEntry::IdentifyAccount(
+    std::string_view api_key,
+    CallRequest* routed) const {
+  const RouteSnapshot& routes = *context_->router->routes();
+  if (routes.accounts == nullptr) {
+    return std::nullopt;
+  }
+  routed->uses_accounts = true;
+  // Calls on public routes have the account rank 0: most are made by targets
+  // that already run a call, whose work would be lost with them.
+  int account_rank = 0;
+  if (!routed->policy.is_public) {
+    const std::optional<KeyDigest> key = KeyDigest::OfKey(api_key);
+    const AccountRow* const account =
+        key ? routes.accounts->Find(*key) : nullptr;
+    if (account == nullptr) {
+      // Callers do not repeat a call after 401, and a newer version may have
+      // the key.
+      return CallResult::Refused(
+          routes.IsOutdated() ? CallReason::kTableOutdated
+                              : CallReason::kUnknownKey,
+          key ? fmt::format("no account holds the key {}", key->ToText())
+              : "the call has no valid API key");
+    }
+    routed->account = account->account;
+    account_rank = account->rank;
+  }
+  routed->policy.rank = account_rank * kRouteRanks +
+                        std::min(routed->policy.rank, kRouteRanks - 1);
+  return std::nullopt;
+}
+
 std::optional<CallResult> CallEntry::Prepare(evhttp_request* request,
                                              Call* call) {
   const evkeyvalq* headers = call->inbound.headers();
@@ -214,6 +252,10 @@
     return refusal;
   }
   CallerRequestInfo info = context_->header_codec->ReadCallerHeaders(headers);
+  if (std::optional<CallResult> refusal =
+          IdentifyAccount(info.api_key, &routed)) {
+    return refusal;
+  }
   if (info.malformed) {
     return CallResult::Refused(CallReason::kBadRequest,
                                "the deadline is not a whole number");
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -62,6 +62,11 @@
   std::optional<CallResult> Prepare(evhttp_request* request, Call* call);
   // Determines the service of a call. Returns the refusal if there is none.
   std::optional<CallResult> Route(evhttp_request* request, CallRequest* routed);
+  // Determines the client account of a call and the rank that it gives to the
+  // call. Returns the refusal if the call needs an API key and has none that is
+  // known.
+  std::optional<CallResult> IdentifyAccount(std::string_view api_key,
+                                            CallRequest* routed) const;
   // Returns the key of a one-time call, empty if it has none.
   std::string_view KeyOf(const evkeyvalq* headers) const;
   void SendResponse(Call* call, const CallResult& result);
--- a/src/calls/call_request.h
+++ b/src/calls/call_request.h
@@ -29,6 +29,8 @@
   Milliseconds latency_objective{0};
   // Urgency; 0 is the most urgent.
   int rank = 0;
+  // Whether the call needs no API key.
+  bool is_public = false;
 
   static CallPolicy Of(const ServiceRow& row) {
     return {{}, row.kind, Milliseconds(row.deadline_ms), row.retry_limit + 1};
@@ -39,7 +41,8 @@
             Milliseconds(route.timeout_ms),
             route.attempts,
             Milliseconds(route.latency_objective_ms),
-            route.rank};
+            route.rank,
+            route.is_public};
   }
 };
 
@@ -54,6 +57,11 @@
   // Service of the target that made the call, from the settings of the entry
   // node; may be empty.
   std::string caller_service;
+  // Client account of the caller; empty if the call needs no API key.
+  std::string account;
+  // Whether the table has accounts, so that the caller's headers for the API
+  // key and the account are not forwarded.
+  bool uses_accounts = false;
   // Identifier that the caller gave the call, for logs; may be empty.
   std::string call_id;
   evhttp_request* http = nullptr;
--- a/src/calls/call_result.h
+++ b/src/calls/call_result.h
@@ -30,6 +30,8 @@
   kNoTarget,
   // The table in force has no route for the call, but a newer version exists.
   kTableOutdated,
+  // No account of the table in force holds the API key of the call.
+  kUnknownKey,
   kWrongService,
   kOverloaded,
   kRateLimited,
--- a/src/calls/forwarded_call_server.cc
+++ b/src/calls/forwarded_call_server.cc
@@ -90,6 +90,7 @@
   CallRequest request;
   request.route = pool->route();
   request.pool = std::move(pool);
+  request.account = FindHeader(headers, kAccountHeader);
   request.http = call->inbound.request();
   request.uri = evhttp_request_get_uri(request.http);
   request.start = context_->loop->clock().Now();
--- a/src/calls/http_headers.cc
+++ b/src/calls/http_headers.cc
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::array<const char*, 31> kNotForwarded = {
+constexpr std::array<const char*, 32> kNotForwarded = {
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -46,26 +46,28 @@
     kMovedHeader,
     kAttemptIdHeader,
     kCallerHeader,
+    kAccountHeader,
     kReachedHeader,
     kRetryAfterHeader,
     kOccupancyHeader,
 };
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool IsForwarded(std::string_view name) {
   // Comparing the first letter rules out most names cheaply.
   return std::none_of(kNotForwarded.begin(), kNotForwarded.end(),
                       [name](const char* other) {
                         return (name.empty() || (name[0] | 0x20) == other[0]) &&
-                               EqualsIgnoringCase(name, other);
+                               IsHeaderName(name, other);
                       });
 }
 
 }  // namespace
 
+bool IsHeaderName(std::string_view name, std::string_view other) {
+  return name.size() == other.size() &&
+         strncasecmp(name.data(), other.data(), name.size()) == 0;
+}
+
 bool ListContains(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     const size_t comma = std::min(list.find(','), list.size());
@@ -73,7 +75,7 @@
     list.remove_prefix(std::min(comma + 1, list.size()));
     item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
     item = item.substr(0, item.find_last_not_of(" \t") + 1);
-    if (EqualsIgnoringCase(item, name)) {
+    if (IsHeaderName(item, name)) {
       return true;
     }
   }
@@ -89,13 +91,18 @@
   const std::string_view first = FindHeader(headers, name);
   for (const evkeyval* item = headers->tqh_first; item != nullptr;
        item = item->next.tqe_next) {
-    if (EqualsIgnoringCase(item->key, name) && item->value != first) {
+    if (IsHeaderName(item->key, name) && item->value != first) {
       return true;
     }
   }
   return false;
 }
 
+std::string_view FindSingleHeader(const evkeyvalq* headers, const char* name) {
+  return HasSeveralValues(headers, name) ? std::string_view()
+                                         : FindHeader(headers, name);
+}
+
 std::optional<int64_t> FindNumber(const evkeyvalq* headers, const char* name) {
   const std::string_view text = FindHeader(headers, name);
   int64_t number = 0;
@@ -119,11 +126,14 @@
 
 void CopyEndToEndHeaders(const CallHeaderCodec& header_codec,
                          const evkeyvalq* from,
-                         evkeyvalq* to) {
+                         evkeyvalq* to,
+                         AccountHeaders account_headers) {
   const std::string_view connection = FindHeader(from, "Connection");
   for (const evkeyval* item = from->tqh_first; item != nullptr;
        item = item->next.tqe_next) {
     if (IsForwarded(item->key) && !header_codec.IsReserved(item->key) &&
+        (account_headers == AccountHeaders::kCopy ||
+         !header_codec.IsAccountHeader(item->key)) &&
         (connection.empty() || !ListContains(connection, item->key))) {
       evhttp_add_header(to, item->key, item->value);
     }
--- a/src/calls/http_headers.h
+++ b/src/calls/http_headers.h
@@ -28,6 +28,8 @@
 
 // Number of the attempt, counting only attempts that may have reached a target.
 inline constexpr char kAttemptHeader[] = "x-attempt";
+// Client account of the caller, if the call needs an API key.
+inline constexpr char kAccountHeader[] = "x-account";
 // Service of the target that made the call.
 inline constexpr char kCallerHeader[] = "x-caller-service";
 // "1" if the call reached its target, but the target did not run it.
@@ -60,6 +62,13 @@
 // Returns whether a header occurs more than once with different values.
 bool HasSeveralValues(const evkeyvalq* headers, const char* name);
 
+// Returns the value of a header, empty if it is missing or given with different
+// values.
+std::string_view FindSingleHeader(const evkeyvalq* headers, const char* name);
+
+// Compares names of headers, ignoring case.
+bool IsHeaderName(std::string_view name, std::string_view other);
+
 // Returns whether a comma-separated list contains `name`, ignoring case.
 bool ListContains(std::string_view list, std::string_view name);
 
@@ -74,12 +83,18 @@
 
 class CallHeaderCodec;
 
+// Whether the headers of the header codec for API keys and accounts are copied.
+// They are ordinary headers where the table has no accounts.
+enum class AccountHeaders { kCopy, kOmit };
+
 // Copies the end-to-end headers of a call. Omits hop-by-hop headers (RFC 9110
 // section 7.6.1, including those named by Connection), Content-Length, the
 // headers that nodes write themselves, and those reserved by the header codec.
-void CopyEndToEndHeaders(const CallHeaderCodec& header_codec,
-                         const evkeyvalq* from,
-                         evkeyvalq* to);
+void CopyEndToEndHeaders(
+    const CallHeaderCodec& header_codec,
+    const evkeyvalq* from,
+    evkeyvalq* to,
+    AccountHeaders account_headers = AccountHeaders::kCopy);
 
 }  // namespace dragonflytack
 
--- a/src/calls/keyed_call.cc
+++ b/src/calls/keyed_call.cc
@@ -231,7 +231,12 @@
         evkeyvalq* headers = evhttp_request_get_output_headers(out);
         CopyEndToEndHeaders(*context_->header_codec,
                             evhttp_request_get_input_headers(request_.http),
-                            headers);
+                            headers,
+                            request_.uses_accounts ? AccountHeaders::kOmit
+                                                   : AccountHeaders::kCopy);
+        if (!request_.account.empty()) {
+          evhttp_add_header(headers, kAccountHeader, request_.account.c_str());
+        }
         evhttp_add_header(headers, kServiceHeader,
                           request_.route->row.service.c_str());
         evhttp_add_header(headers, kOneTimeKeyHeader, key_text.c_str());
--- a/src/calls/native_header_codec.cc
+++ b/src/calls/native_header_codec.cc
@@ -9,15 +9,27 @@
 
 namespace dragonflytack {
 
+namespace {
+
+constexpr char kApiKey[] = "x-api-key";
+constexpr char kClientAccount[] = "x-client-account";
+
+}  // namespace
+
 bool NativeHeaderCodec::IsReserved(std::string_view /*name*/) const {
   // The native headers are the headers between nodes, which
   // CopyEndToEndHeaders() already omits.
   return false;
 }
 
+bool NativeHeaderCodec::IsAccountHeader(std::string_view name) const {
+  return IsHeaderName(name, kApiKey) || IsHeaderName(name, kClientAccount);
+}
+
 CallerRequestInfo NativeHeaderCodec::ReadCallerHeaders(
     const evkeyvalq* headers) const {
   CallerRequestInfo info;
+  info.api_key = FindSingleHeader(headers, kApiKey);
   if (!FindHeader(headers, kDeadlineHeader).empty()) {
     const std::optional<int64_t> deadline_ms =
         FindNumber(headers, kDeadlineHeader);
@@ -32,6 +44,9 @@
 void NativeHeaderCodec::WriteTargetHeaders(const TargetRequestInfo& info,
                                            evkeyvalq* headers) const {
   AddHeader(headers, kDeadlineHeader, info.time_left.count());
+  if (!info.account.empty()) {
+    evhttp_add_header(headers, kClientAccount, info.account.c_str());
+  }
 }
 
 TargetResponseKind NativeHeaderCodec::ClassifyResponse(
--- a/src/calls/native_header_codec.h
+++ b/src/calls/native_header_codec.h
@@ -9,6 +9,7 @@
 class NativeHeaderCodec final : public CallHeaderCodec {
  public:
   bool IsReserved(std::string_view name) const override;
+  bool IsAccountHeader(std::string_view name) const override;
   CallerRequestInfo ReadCallerHeaders(const evkeyvalq* headers) const override;
   void WriteTargetHeaders(const TargetRequestInfo& info,
                           evkeyvalq* headers) const override;
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -47,6 +47,7 @@
     case CallReason::kBadRequest:
     case CallReason::kNoService:
     case CallReason::kTooLarge:
+    case CallReason::kUnknownKey:
       return false;
     default:
       return true;
@@ -215,8 +216,13 @@
                               evhttp_request* out,
                               Milliseconds remaining) {
   evkeyvalq* headers = evhttp_request_get_output_headers(out);
-  CopyEndToEndHeaders(*context_->header_codec,
-                      evhttp_request_get_input_headers(request_.http), headers);
+  CopyEndToEndHeaders(
+      *context_->header_codec, evhttp_request_get_input_headers(request_.http),
+      headers,
+      request_.uses_accounts ? AccountHeaders::kOmit : AccountHeaders::kCopy);
+  if (!request_.account.empty()) {
+    evhttp_add_header(headers, kAccountHeader, request_.account.c_str());
+  }
   AddHostIfMissing(headers, request_.route->row.service.c_str());
   evhttp_add_header(headers, kServiceHeader,
                     request_.route->row.service.c_str());
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -196,13 +196,15 @@
       evhttp_request_get_command(in), evhttp_request_get_uri(in),
       [&](evhttp_request* out) {
         evkeyvalq* headers = evhttp_request_get_output_headers(out);
+        const std::string account(
+            FindHeader(call->inbound.headers(), kAccountHeader));
         CopyEndToEndHeaders(*context_->header_codec, call->inbound.headers(),
                             headers);
         AddHostIfMissing(headers, target_.service.c_str());
         context_->header_codec->WriteTargetHeaders(
             {remaining,
              std::string(FindHeader(call->inbound.headers(), kCallerHeader)),
-             target_.instance},
+             target_.instance, account},
             headers);
         evhttp_add_header(headers, kTraceHeader,
                           call->span->context().ToHeader().c_str());
--- a/src/distribution/cbor_reader.cc
+++ b/src/distribution/cbor_reader.cc
@@ -60,6 +60,16 @@
   return element->get<std::string>();
 }
 
+std::vector<uint8_t> CborReader::Bytes(size_t maximum_size) {
+  const json* element = Next();
+  if (element == nullptr || !element->is_binary() ||
+      element->get_binary().size() > maximum_size) {
+    ok_ = false;
+    return {};
+  }
+  return element->get_binary();
+}
+
 std::vector<uint64_t> CborReader::Numbers(size_t maximum_count) {
   const json* element = Next();
   if (element == nullptr || !element->is_binary() ||
--- a/src/distribution/cbor_reader.h
+++ b/src/distribution/cbor_reader.h
@@ -22,6 +22,7 @@
   int64_t Signed(int64_t minimum, int64_t maximum);
   bool Boolean();
   std::string Text(size_t maximum_size);
+  std::vector<uint8_t> Bytes(size_t maximum_size);
   // Reads a byte string of little-endian 64-bit numbers.
   std::vector<uint64_t> Numbers(size_t maximum_count);
   // Returns the next element, or an empty array if that is not an array.
--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -1,5 +1,6 @@
 #include "distribution/message_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <utility>
@@ -19,6 +20,7 @@
 
 constexpr int kMaxCellValue = 1'000'000'000;
 constexpr size_t kMaxBusyAlternatives = 64;
+constexpr size_t kMaxAccountNameBytes = 1024;
 
 // Returns a byte string of little-endian 64-bit numbers.
 json EncodeNumbers(const uint64_t* numbers, size_t count) {
@@ -80,11 +82,58 @@
     shares.push_back(share.service);
     shares.push_back(share.weight);
   }
-  return {route.name,       route.host,
-          route.prefix,     static_cast<unsigned>(route.kind),
-          route.timeout_ms, route.latency_objective_ms,
-          route.rank,       route.attempts,
-          std::move(shares)};
+  json value = {route.name,       route.host,
+                route.prefix,     static_cast<unsigned>(route.kind),
+                route.timeout_ms, route.latency_objective_ms,
+                route.rank,       route.attempts,
+                std::move(shares)};
+  // Omitted for other routes, so that earlier nodes can read them.
+  if (route.is_public) {
+    value.push_back(true);
+  }
+  return value;
+}
+
+json WriteAccount(const AccountRow& account) {
+  std::vector<uint8_t> keys;
+  keys.reserve(account.keys.size() * KeyDigest::kBytes);
+  for (const KeyDigest& key : account.keys) {
+    keys.insert(keys.end(), key.bytes().begin(), key.bytes().end());
+  }
+  return {account.account, account.rank, account.rate_limit, account.burst,
+          json::binary(std::move(keys))};
+}
+
+// Checks types only, as ReadRow() does.
+AccountRow ReadAccount(const json& value, CborReader* outer) {
+  CborReader reader(value);
+  const auto read_cell = [&] {
+    return static_cast<int>(reader.Signed(-kMaxCellValue, kMaxCellValue));
+  };
+  AccountRow account;
+  account.account = reader.Text(kMaxAccountNameBytes);
+  account.rank = read_cell();
+  account.rate_limit = read_cell();
+  account.burst = read_cell();
+  const std::vector<uint8_t> keys = reader.Bytes(MessageCodec::kMaxFrameBytes);
+  if (!reader.Finished() || keys.size() % KeyDigest::kBytes != 0) {
+    outer->Fail();
+    return account;
+  }
+  for (auto at = keys.begin(); at != keys.end(); at += KeyDigest::kBytes) {
+    KeyDigest::Bytes bytes;
+    std::copy_n(at, KeyDigest::kBytes, bytes.begin());
+    account.keys.push_back(KeyDigest::FromBytes(bytes));
+  }
+  return account;
+}
+
+json WriteAccounts(const std::vector<AccountRow>& accounts) {
+  json values = json::array();
+  for (const AccountRow& account : accounts) {
+    values.push_back(WriteAccount(account));
+  }
+  return values;
 }
 
 // Checks types only, as ReadRow() does.
@@ -111,6 +160,9 @@
         static_cast<int>(shares.Signed(-kMaxCellValue, kMaxCellValue));
     route.shares.push_back(std::move(share));
   }
+  if (reader.ok() && !reader.AtEnd()) {
+    route.is_public = reader.Boolean();
+  }
   if (!reader.Finished() || !shares.ok()) {
     outer->Fail();
   }
@@ -154,6 +206,11 @@
                 {delta.from, delta.to, delta.digest, std::move(changed),
                  json(delta.removed), std::move(changed_routes),
                  json(delta.removed_routes)});
+  // Omitted without accounts, so that earlier nodes can read the message.
+  if (!delta.changed_accounts.empty() || !delta.removed_accounts.empty()) {
+    array->push_back(WriteAccounts(delta.changed_accounts));
+    array->push_back(json(delta.removed_accounts));
+  }
 }
 void Append(const HeldVersionMessage& message, json* array) {
   array->push_back(message.version);
@@ -173,6 +230,13 @@
   }
   array->insert(array->end(), {message.version, message.digest, std::move(rows),
                                std::move(routes)});
+  if (!message.accounts.empty()) {
+    json accounts = json::array();
+    for (const auto& [name, account] : message.accounts) {
+      accounts.push_back(WriteAccount(account));
+    }
+    array->push_back(std::move(accounts));
+  }
 }
 void Append(const SnapshotRequestMessage&, json*) {}
 void Append(const SnapshotEndMessage&, json*) {}
@@ -263,6 +327,19 @@
   while (removed_routes.ok() && !removed_routes.AtEnd()) {
     delta.removed_routes.insert(removed_routes.Text(RouteRow::kMaxTextBytes));
   }
+  if (reader->ok() && !reader->AtEnd()) {
+    for (const json& account : reader->Array()) {
+      delta.changed_accounts.push_back(ReadAccount(account, reader));
+    }
+    CborReader removed_accounts(reader->Array());
+    while (removed_accounts.ok() && !removed_accounts.AtEnd()) {
+      delta.removed_accounts.insert(
+          removed_accounts.Text(kMaxAccountNameBytes));
+    }
+    if (!removed_accounts.ok()) {
+      reader->Fail();
+    }
+  }
   if (!removed.ok() || !removed_routes.ok() || delta.to <= delta.from) {
     reader->Fail();
   }
@@ -295,6 +372,16 @@
       reader->Fail();
     }
   }
+  if (reader->ok() && !reader->AtEnd()) {
+    for (const json& value : reader->Array()) {
+      AccountRow account = ReadAccount(value, reader);
+      std::string name = account.account;
+      if (!message.accounts.emplace(std::move(name), std::move(account))
+               .second) {
+        reader->Fail();
+      }
+    }
+  }
   return message;
 }
 Message ReadSnapshotBusy(CborReader* reader) {
--- a/src/distribution/messages.h
+++ b/src/distribution/messages.h
@@ -116,6 +116,7 @@
   uint64_t digest = 0;
   Table::Rows rows;
   Table::Routes routes;
+  Table::Accounts accounts;
 
   friend bool operator==(const TableMessage&, const TableMessage&) = default;
 };
--- a/src/distribution/route_builder.cc
+++ b/src/distribution/route_builder.cc
@@ -50,8 +50,14 @@
                  snapshot->newest_version != previous_->newest_version;
   if (table == table_) {
     snapshot->route_index = previous_->route_index;
-  } else if (!table->routes().empty()) {
-    snapshot->route_index = std::make_shared<const RouteIndex>(table);
+    snapshot->accounts = previous_->accounts;
+  } else {
+    if (!table->routes().empty()) {
+      snapshot->route_index = std::make_shared<const RouteIndex>(table);
+    }
+    if (!table->accounts().empty()) {
+      snapshot->accounts = std::make_shared<const AccountIndex>(table);
+    }
   }
 
   std::map<std::string_view, ServiceRoute*> rebuilt;
--- a/src/distribution/table_restorer.cc
+++ b/src/distribution/table_restorer.cc
@@ -134,6 +134,8 @@
                     DiffRows(copy->rows, held.rows())};
     const CellEdits routes = DiffRows(copy->routes, held.routes());
     edit.cells.insert(edit.cells.end(), routes.begin(), routes.end());
+    const CellEdits accounts = DiffRows(copy->accounts, held.accounts());
+    edit.cells.insert(edit.cells.end(), accounts.begin(), accounts.end());
     document.recent = std::move(copy->recent);
     if (!edit.cells.empty()) {
       document.recent.push_back(std::move(edit));
@@ -141,6 +143,7 @@
   }
   document.rows = held.rows();
   document.routes = held.routes();
+  document.accounts = held.accounts();
   std::string json = document.ToJson();
   if (json.size() > TableDocument::kMaxBytes) {
     // The table takes precedence over the record of its edits.
--- a/src/distribution/table_sync.cc
+++ b/src/distribution/table_sync.cc
@@ -51,9 +51,10 @@
     // is damaged. What another system's store accepts is not ours to refuse.
     table = object.document == nullptr
                 ? Table::Make(object.version, document->rows, document->routes,
-                              &reason)
+                              document->accounts, &reason)
                 : Table::MakeAccepted(object.version, document->rows,
-                                      document->routes, &reason);
+                                      document->routes, document->accounts,
+                                      &reason);
   }
   if (held_table_ != nullptr && object.version == held_version()) {
     RecordDigest(table == nullptr ? 0 : table->digest(), nullptr);
@@ -135,7 +136,7 @@
   }
   Failure reason;
   std::shared_ptr<const Table> table = Table::MakeAccepted(
-      message.version, message.rows, message.routes, &reason);
+      message.version, message.rows, message.routes, message.accounts, &reason);
   if (table != nullptr && table->digest() != message.digest) {
     table = nullptr;
     reason = Failure{FailureCode::kInvalidMessage,
@@ -194,7 +195,8 @@
     return;
   }
   links_->Send(link, TableMessage{held_version(), held_table_->digest(),
-                                  held_table_->rows(), held_table_->routes()});
+                                  held_table_->rows(), held_table_->routes(),
+                                  held_table_->accounts()});
 }
 
 void TableSync::Evaluate(bool floor_known) {
--- a/src/store/table_editor.cc
+++ b/src/store/table_editor.cc
@@ -187,7 +187,7 @@
   }
   Failure reason;
   if (Table::Make(version_, new_document_.rows, new_document_.routes,
-                  &reason) == nullptr) {
+                  new_document_.accounts, &reason) == nullptr) {
     Finish(reason);
     return;
   }
--- a/src/table/column.h
+++ b/src/table/column.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "dragonflytack/table/account_row.h"
 #include "dragonflytack/table/route_row.h"
 #include "dragonflytack/table/service_row.h"
 #include "dragonflytack/table/sheet.h"
@@ -51,6 +52,7 @@
 
 using Column = BasicColumn<ServiceRow>;
 using RouteColumn = BasicColumn<RouteRow>;
+using AccountColumn = BasicColumn<AccountRow>;
 
 // Returns all columns of a sheet in the order of CSV files. The first one
 // contains the name of the row.
@@ -60,12 +62,16 @@
 std::span<const Column> Columns<ServiceRow>();
 template <>
 std::span<const RouteColumn> Columns<RouteRow>();
+template <>
+std::span<const AccountColumn> Columns<AccountRow>();
 
 // The sheet to which rows of a type belong.
 template <typename Row>
 inline constexpr Sheet kSheetOf = Sheet::kServices;
 template <>
 inline constexpr Sheet kSheetOf<RouteRow> = Sheet::kRoutes;
+template <>
+inline constexpr Sheet kSheetOf<AccountRow> = Sheet::kAccounts;
 
 // Returns the name of a row: the cell of its first column.
 template <typename Row>
@@ -95,11 +101,15 @@
   return names;
 }
 
-// Returns "name" for a service, "route name" for a route.
+// Returns what a row of the sheet stands for: "service", "route" or "account".
+const char* SheetRowName(Sheet sheet);
+
+// Returns "name" for a service, "route name" for a route and "account name" for
+// an account.
 std::string RowLabel(Sheet sheet, std::string_view row);
 
-// Returns the name of a cell for the subject of failures: "service/column" or
-// "route name/column".
+// Returns the name of a cell for the subject of failures: "service/column",
+// "route name/column" or "account name/column".
 std::string CellName(Sheet sheet,
                      std::string_view row,
                      std::string_view column);
--- a/src/table/column_factory.cc
+++ b/src/table/column_factory.cc
@@ -32,8 +32,22 @@
   return static_cast<int>(number);
 }
 
+const char* SheetRowName(Sheet sheet) {
+  switch (sheet) {
+    case Sheet::kServices:
+      return "service";
+    case Sheet::kRoutes:
+      return "route";
+    case Sheet::kAccounts:
+      return "account";
+  }
+  return "row";
+}
+
 std::string RowLabel(Sheet sheet, std::string_view row) {
-  return fmt::format("{}{}", sheet == Sheet::kRoutes ? "route " : "", row);
+  return sheet == Sheet::kServices
+             ? std::string(row)
+             : fmt::format("{} {}", SheetRowName(sheet), row);
 }
 
 std::string CellName(Sheet sheet,
--- a/src/table/route_check.cc
+++ b/src/table/route_check.cc
@@ -94,6 +94,9 @@
       AppendText(share.service, encoding);
       fmt::format_to(std::back_inserter(*encoding), "={}", share.weight);
     }
+    if (route.is_public) {
+      encoding->append(" public");
+    }
     encoding->push_back('\n');
   }
 }
--- a/src/table/route_column.cc
+++ b/src/table/route_column.cc
@@ -153,8 +153,26 @@
                              : std::optional<std::string>("all weights are 0");
 }
 
+bool ParsePublicText(const RouteColumn&, std::string_view text, RouteRow* row) {
+  row->is_public = text == "yes";
+  return text == "yes" || text == "no";
+}
+
+std::string FormatPublicText(const RouteColumn&, const RouteRow& row) {
+  return row.is_public ? "yes" : "no";
+}
+
+bool ParsePublicJson(const RouteColumn&, const json& value, RouteRow* row) {
+  row->is_public = value == true;
+  return value.is_boolean();
+}
+
+json FormatPublicJson(const RouteColumn&, const RouteRow& row) {
+  return row.is_public;
+}
+
 // The defaults must equal those of RouteRow; a test compares them.
-constexpr std::array<RouteColumn, 9> kRouteColumns = {
+constexpr std::array<RouteColumn, 10> kRouteColumns = {
     Factory::TextColumn("name",
                         &RouteRow::name,
                         std::nullopt,
@@ -216,6 +234,16 @@
                 .format_json = FormatSharesJson,
                 .validate = ValidateShares,
                 .validate_accepted = ValidateShares},
+    RouteColumn{.name = "public",
+                .meaning = "whether calls need no API key",
+                .range = "yes or no",
+                .default_text = "no",
+                .parse_text = ParsePublicText,
+                .format_text = FormatPublicText,
+                .parse_json = ParsePublicJson,
+                .format_json = FormatPublicJson,
+                .validate = Factory::AcceptAll,
+                .validate_accepted = Factory::AcceptAll},
 };
 
 }  // namespace
--- a/src/table/table.cc
+++ b/src/table/table.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "dragonflytack/base/hash.h"
+#include "table/account_check.h"
 #include "table/column.h"
 #include "table/route_check.h"
 
@@ -48,29 +49,34 @@
 std::shared_ptr<const Table> Table::Make(TableVersion version,
                                          Rows rows,
                                          Routes routes,
+                                         Accounts accounts,
                                          Failure* reason) {
   return MakeFrom(Origin::kEditor, version, std::move(rows), std::move(routes),
-                  reason);
+                  std::move(accounts), reason);
 }
 
 std::shared_ptr<const Table> Table::MakeAccepted(TableVersion version,
                                                  Rows rows,
                                                  Routes routes,
+                                                 Accounts accounts,
                                                  Failure* reason) {
   return MakeFrom(Origin::kAccepted, version, std::move(rows),
-                  std::move(routes), reason);
+                  std::move(routes), std::move(accounts), reason);
 }
 
 std::shared_ptr<const Table> Table::MakeFrom(Origin origin,
                                              TableVersion version,
                                              Rows rows,
                                              Routes routes,
+                                             Accounts accounts,
                                              Failure* reason) {
   const bool is_accepted = origin == Origin::kAccepted;
   const auto validate_row =
       is_accepted ? &Column::validate_accepted : &Column::validate;
   const auto validate_route =
       is_accepted ? &RouteColumn::validate_accepted : &RouteColumn::validate;
+  const auto validate_account = is_accepted ? &AccountColumn::validate_accepted
+                                            : &AccountColumn::validate;
   for (const auto& [service, row] : rows) {
     if (std::optional<Failure> error =
             ValidateRow(service, row, validate_row)) {
@@ -83,8 +89,14 @@
     *reason = *std::move(error);
     return nullptr;
   }
+  if (std::optional<Failure> error =
+          CheckAccounts(accounts, validate_account)) {
+    *reason = *std::move(error);
+    return nullptr;
+  }
   std::string encoding = CanonicalEncoding(rows);
   AppendCanonicalEncoding(routes, &encoding);
+  AppendCanonicalEncoding(accounts, &encoding);
   if (encoding.size() > kMaxEncodedBytes) {
     *reason = Failure{FailureCode::kInvalidTable, "table",
                       fmt::format("{} bytes exceed the limit of {}",
@@ -92,13 +104,19 @@
     return nullptr;
   }
   return std::shared_ptr<const Table>(
-      new Table(version, std::move(rows), std::move(routes), Hash64(encoding)));
+      new Table(version, std::move(rows), std::move(routes),
+                std::move(accounts), Hash64(encoding)));
 }
 
-Table::Table(TableVersion version, Rows rows, Routes routes, uint64_t digest)
+Table::Table(TableVersion version,
+             Rows rows,
+             Routes routes,
+             Accounts accounts,
+             uint64_t digest)
     : version_(version),
       rows_(std::move(rows)),
       routes_(std::move(routes)),
+      accounts_(std::move(accounts)),
       digest_(digest) {}
 
 const ServiceRow* Table::Find(const std::string& service) const {
--- a/src/table/table_delta.cc
+++ b/src/table/table_delta.cc
@@ -8,33 +8,54 @@
 
 namespace dragonflytack {
 
-TableDelta TableDelta::Between(const Table& from, const Table& to) {
-  TableDelta delta;
-  delta.from = from.version();
-  delta.to = to.version();
-  delta.digest = to.digest();
-  for (const auto& [service, row] : to.rows()) {
-    const ServiceRow* old_row = from.Find(service);
-    if (old_row == nullptr || *old_row != row) {
-      delta.changed.push_back(row);
+namespace {
+
+// Determines the rows of `to` that are new or changed, and the names of the
+// rows of `from` that `to` does not have.
+template <typename Row>
+void Compare(const std::map<std::string, Row>& from,
+             const std::map<std::string, Row>& to,
+             std::vector<Row>* changed,
+             std::set<std::string>* removed) {
+  for (const auto& [name, row] : to) {
+    const auto old_row = from.find(name);
+    if (old_row == from.end() || old_row->second != row) {
+      changed->push_back(row);
     }
   }
-  for (const auto& [service, row] : from.rows()) {
-    if (to.Find(service) == nullptr) {
-      delta.removed.insert(service);
+  for (const auto& [name, row] : from) {
+    if (!to.contains(name)) {
+      removed->insert(name);
     }
   }
-  for (const auto& [name, route] : to.routes()) {
-    const auto old_route = from.routes().find(name);
-    if (old_route == from.routes().end() || old_route->second != route) {
-      delta.changed_routes.push_back(route);
-    }
+}
+
+template <typename Row>
+std::map<std::string, Row> Apply(const std::vector<Row>& changed,
+                                 const std::set<std::string>& removed,
+                                 std::string Row::*name,
+                                 std::map<std::string, Row> rows) {
+  for (const std::string& key : removed) {
+    rows.erase(key);
   }
-  for (const auto& [name, route] : from.routes()) {
-    if (!to.routes().contains(name)) {
-      delta.removed_routes.insert(name);
-    }
+  for (const Row& row : changed) {
+    rows[row.*name] = row;
   }
+  return rows;
+}
+
+}  // namespace
+
+TableDelta TableDelta::Between(const Table& from, const Table& to) {
+  TableDelta delta;
+  delta.from = from.version();
+  delta.to = to.version();
+  delta.digest = to.digest();
+  Compare(from.rows(), to.rows(), &delta.changed, &delta.removed);
+  Compare(from.routes(), to.routes(), &delta.changed_routes,
+          &delta.removed_routes);
+  Compare(from.accounts(), to.accounts(), &delta.changed_accounts,
+          &delta.removed_accounts);
   return delta;
 }
 
@@ -51,22 +72,12 @@
                       "the new version is not higher than the base version"};
     return nullptr;
   }
-  Table::Rows rows = base.rows();
-  for (const std::string& service : removed) {
-    rows.erase(service);
-  }
-  for (const ServiceRow& row : changed) {
-    rows[row.service] = row;
-  }
-  Table::Routes routes = base.routes();
-  for (const std::string& name : removed_routes) {
-    routes.erase(name);
-  }
-  for (const RouteRow& route : changed_routes) {
-    routes[route.name] = route;
-  }
-  std::shared_ptr<const Table> table =
-      Table::MakeAccepted(to, std::move(rows), std::move(routes), reason);
+  std::shared_ptr<const Table> table = Table::MakeAccepted(
+      to, Apply(changed, removed, &ServiceRow::service, base.rows()),
+      Apply(changed_routes, removed_routes, &RouteRow::name, base.routes()),
+      Apply(changed_accounts, removed_accounts, &AccountRow::account,
+            base.accounts()),
+      reason);
   if (table != nullptr && table->digest() != digest) {
     *reason = Failure{FailureCode::kInvalidMessage, subject,
                       fmt::format("the digest of the result is {:016x}, "
--- a/src/table/table_document.cc
+++ b/src/table/table_document.cc
@@ -29,13 +29,16 @@
   }
   const json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
   const bool has_routes = value.is_object() && value.contains("routes");
-  if (!value.is_object() || value.size() != (has_routes ? 3 : 2) ||
+  const bool has_accounts = value.is_object() && value.contains("accounts");
+  if (!value.is_object() ||
+      value.size() != 2U + (has_routes ? 1 : 0) + (has_accounts ? 1 : 0) ||
       !value.contains("rows") || !value["rows"].is_array() ||
       !value.contains("recent") || !value["recent"].is_array() ||
-      (has_routes && !value["routes"].is_array())) {
+      (has_routes && !value["routes"].is_array()) ||
+      (has_accounts && !value["accounts"].is_array())) {
     *reason = DocumentFailure(
         "expected a JSON object with the arrays rows and recent, and "
-        "optionally routes");
+        "optionally routes and accounts");
     return std::nullopt;
   }
   TableDocument document;
@@ -53,6 +56,14 @@
     }
     document.routes = *std::move(routes);
   }
+  if (has_accounts) {
+    std::optional<Table::Accounts> accounts =
+        RowsFromJson<AccountRow>(value["accounts"], reason);
+    if (!accounts) {
+      return std::nullopt;
+    }
+    document.accounts = *std::move(accounts);
+  }
   for (const json& item : value["recent"]) {
     std::optional<EditRecord> edit = EditFromJson(item, reason);
     if (!edit) {
@@ -74,6 +85,11 @@
                    fmt::format("{} routes exceed the limit of {}",
                                routes.size(), kMaxRoutes)};
   }
+  if (accounts.size() > kMaxAccounts) {
+    return Failure{FailureCode::kInvalidTable, "accounts",
+                   fmt::format("{} accounts exceed the limit of {}",
+                               accounts.size(), kMaxAccounts)};
+  }
   return std::nullopt;
 }
 
@@ -86,6 +102,9 @@
   if (!routes.empty()) {
     value["routes"] = RowsToJson(routes);
   }
+  if (!accounts.empty()) {
+    value["accounts"] = RowsToJson(accounts);
+  }
   // Replaces invalid UTF-8 in names and texts; the default is to throw.
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/table/table_edit.cc
+++ b/src/table/table_edit.cc
@@ -72,10 +72,9 @@
 
 template <typename Row>
 Failure RowNotFound(const std::string& name) {
-  return Failure{
-      FailureCode::kNotFound, name,
-      fmt::format("the table has no row of this {}",
-                  kSheetOf<Row> == Sheet::kRoutes ? "route" : "service")};
+  return Failure{FailureCode::kNotFound, name,
+                 fmt::format("the table has no row of this {}",
+                             SheetRowName(kSheetOf<Row>))};
 }
 
 // Applies the cells of one row. The cells are contiguous, because an edit lists
@@ -276,9 +275,15 @@
   const std::vector<CellConflict> route_conflicts = ApplyCells(cells, &routes);
   conflicts.insert(conflicts.end(), route_conflicts.begin(),
                    route_conflicts.end());
+  Table::Accounts accounts = document->accounts;
+  const std::vector<CellConflict> account_conflicts =
+      ApplyCells(cells, &accounts);
+  conflicts.insert(conflicts.end(), account_conflicts.begin(),
+                   account_conflicts.end());
   if (conflicts.empty()) {
     document->rows = std::move(rows);
     document->routes = std::move(routes);
+    document->accounts = std::move(accounts);
   }
   return conflicts;
 }
@@ -321,4 +326,23 @@
 template std::vector<CellConflict> ApplyCells(const CellEdits&,
                                               SheetRows<RouteRow>*);
 
+template CellEdits DiffRows(const SheetRows<AccountRow>&,
+                            const SheetRows<AccountRow>&);
+template std::optional<CellEdits> SetCell(const SheetRows<AccountRow>&,
+                                          const std::string&,
+                                          const std::string&,
+                                          const std::string&,
+                                          const std::optional<std::string>&,
+                                          Failure*);
+template std::optional<CellEdits> AddRow(
+    const SheetRows<AccountRow>&,
+    const std::string&,
+    const std::map<std::string, std::string>&,
+    Failure*);
+template std::optional<CellEdits> RemoveRow(const SheetRows<AccountRow>&,
+                                            const std::string&,
+                                            Failure*);
+template std::vector<CellConflict> ApplyCells(const CellEdits&,
+                                              SheetRows<AccountRow>*);
+
 }  // namespace dragonflytack
--- a/src/table/table_edit.h
+++ b/src/table/table_edit.h
@@ -14,7 +14,7 @@
 
 // A cell that another edit has changed since this edit was created.
 struct CellConflict final {
-  // Name of the service or route.
+  // Name of the service, route or account.
   std::string row;
   std::string column;
   std::string expected;
@@ -28,7 +28,8 @@
 
 using CellEdits = std::vector<CellEdit>;
 
-// The rows of one sheet by name; `Row` is ServiceRow or RouteRow.
+// The rows of one sheet by name; `Row` is ServiceRow,
+// RouteRow or AccountRow.
 template <typename Row>
 using SheetRows = std::map<std::string, Row>;
 
@@ -72,7 +73,7 @@
 std::vector<CellConflict> ApplyCells(const CellEdits& cells,
                                      SheetRows<Row>* rows);
 
-// Applies an edit to both sheets; either all cells are applied or none.
+// Applies an edit to all sheets; either all cells are applied or none.
 std::vector<CellConflict> ApplyEdit(const CellEdits& cells,
                                     TableDocument* document);
 
--- a/src/table/table_json.cc
+++ b/src/table/table_json.cc
@@ -26,9 +26,13 @@
   if (!value.is_object()) {
     return std::nullopt;
   }
-  const bool is_route = value.contains("route");
-  std::optional<std::string> row =
-      StringMember(value, is_route ? "route" : "service");
+  Sheet sheet = Sheet::kServices;
+  for (const Sheet other : {Sheet::kRoutes, Sheet::kAccounts}) {
+    if (value.contains(SheetRowName(other))) {
+      sheet = other;
+    }
+  }
+  std::optional<std::string> row = StringMember(value, SheetRowName(sheet));
   std::optional<std::string> column = StringMember(value, "column");
   std::optional<std::string> old_text = StringMember(value, "old");
   std::optional<std::string> new_text = StringMember(value, "new");
@@ -36,8 +40,7 @@
     return std::nullopt;
   }
   return CellEdit{*std::move(row), *std::move(column), *std::move(old_text),
-                  *std::move(new_text),
-                  is_route ? Sheet::kRoutes : Sheet::kServices};
+                  *std::move(new_text), sheet};
 }
 
 }  // namespace
@@ -119,25 +122,30 @@
 
 template json RowToJson(const ServiceRow&);
 template json RowToJson(const RouteRow&);
+template json RowToJson(const AccountRow&);
 template std::optional<ServiceRow> RowFromJson(const json&, Failure*);
 template std::optional<RouteRow> RowFromJson(const json&, Failure*);
+template std::optional<AccountRow> RowFromJson(const json&, Failure*);
 template json RowsToJson(const std::map<std::string, ServiceRow>&);
 template json RowsToJson(const std::map<std::string, RouteRow>&);
+template json RowsToJson(const std::map<std::string, AccountRow>&);
 template std::optional<std::map<std::string, ServiceRow>> RowsFromJson(
     const json&,
     Failure*);
 template std::optional<std::map<std::string, RouteRow>> RowsFromJson(
     const json&,
     Failure*);
+template std::optional<std::map<std::string, AccountRow>> RowsFromJson(
+    const json&,
+    Failure*);
 
 json CellsToJson(const std::vector<CellEdit>& cells) {
   json list = json::array();
   for (const CellEdit& cell : cells) {
-    list.push_back(
-        {{cell.sheet == Sheet::kRoutes ? "route" : "service", cell.row},
-         {"column", cell.column},
-         {"old", cell.old_text},
-         {"new", cell.new_text}});
+    list.push_back({{SheetRowName(cell.sheet), cell.row},
+                    {"column", cell.column},
+                    {"old", cell.old_text},
+                    {"new", cell.new_text}});
   }
   return list;
 }
--- a/src/table/table_json.h
+++ b/src/table/table_json.h
@@ -32,8 +32,8 @@
     const nlohmann::json& array,
     Failure* reason);
 
-// Returns an array of objects with the members "service" (for a cell of a
-// route: "route"), "column", "old" and "new".
+// Returns an array of objects with the members "service" (for cells of other
+// sheets "route" or "account"), "column", "old" and "new".
 nlohmann::json CellsToJson(const std::vector<CellEdit>& cells);
 
 nlohmann::json EditToJson(const EditRecord& edit);
