Admission: refuse the calls that wait beside a target that hangs

Change: StallDetector notices that at least three calls are overdue without any response. The waiting calls are then refused as not run, so that other targets can serve them, and one call each 0.5 s finds out whether the target responds.

--- a/src/calls/admission_queue.h
+++ b/src/calls/admission_queue.h
@@ -55,6 +55,12 @@
     run_times_.Record(route, run_time);
   }
 
+  // Returns a time that most calls of a route run at most; zero if none has
+  // ended yet.
+  std::chrono::nanoseconds LikelyRunTime(std::string_view route) const {
+    return run_times_.Likely(route);
+  }
+
   // Decides on a call that arrives. If it takes the place of another one in the
   // queue of `max_size`, `displaced` is set to that, which is to be refused.
   Decision Offer(Item* item,
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -185,6 +185,8 @@
   call->span = std::make_unique<CallSpan>(context_, call->trace, "target",
                                           target_.service);
   call->sent_at = context_->loop->clock().Now();
+  call->run =
+      stalls_.OnStart(queue_.LikelyRunTime(call->terms.route), call->sent_at);
   context_->retry_share->OnRun(
       FindNumber(call->inbound.headers(), kAttemptHeader).value_or(1) > 1);
   const Milliseconds remaining = std::max(
@@ -235,6 +237,9 @@
                                      HttpRequestPtr response) {
   context_->deleter->Add(std::move(call->exchange));
   const auto run_time = context_->loop->clock().Now() - call->sent_at;
+  call->has_response = outcome == ExchangeOutcome::kCompleted ||
+                       outcome == ExchangeOutcome::kMismatched ||
+                       outcome == ExchangeOutcome::kTooLarge;
   CallResult result;
   switch (outcome) {
     case ExchangeOutcome::kCompleted: {
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "admission/stall_detector.h"
 #include "calls/admission_queue.h"
 #include "calls/call_context.h"
 #include "calls/call_result.h"
@@ -98,6 +99,9 @@
   // Returns the name of the route of the call, empty if the table has none.
   std::string RouteOf(const Call& call) const;
   void RunQueued();
+  // Returns whether the target responds to none of its calls. Logs the start of
+  // a stall.
+  bool IsStalled();
   // Refuses queued calls whose deadline can no longer be met.
   void ExpireQueued();
   // Refuses queued calls that are not expected to get a slot in time.
@@ -136,6 +140,7 @@
   int max_connections_ = 0;
   RateLimiter rate_;
   AdmissionQueue<Call> queue_;
+  StallDetector stalls_;
   TimerId queue_timer_ = 0;
   std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
 };
--- a/src/calls/target_proxy_call.h
+++ b/src/calls/target_proxy_call.h
@@ -42,6 +42,9 @@
   // The span "queue" while the call waits, "target" while it runs.
   std::unique_ptr<CallSpan> span;
   bool has_slot = false;
+  StallDetector::RunId run = 0;
+  // Whether the target sent a response, to this call or another one.
+  bool has_response = false;
   // Set if the guard admitted the attempt of a one-time call.
   std::optional<AttemptId> attempt;
   TimePoint sent_at;
--- a/src/calls/target_proxy_queue.cc
+++ b/src/calls/target_proxy_queue.cc
@@ -13,11 +13,21 @@
 #include "calls/call_span.h"
 #include "calls/target_proxy_call.h"
 #include "dragonflytack/base/event_loop.h"
+#include "dragonflytack/base/logger.h"
 
 namespace dragonflytack {
 
+namespace {
+
+constexpr char kStalledDetail[] = "the target responds to none of its calls";
+
+}  // namespace
+
 std::optional<CallResult> TargetProxy::StartOrEnqueue(Call* call) {
   using Decision = AdmissionQueue<Call>::Decision;
+  if (IsStalled() && !stalls_.MayStart(context_->loop->clock().Now())) {
+    return CallResult::Refused(CallReason::kOverloaded, kStalledDetail);
+  }
   Call* displaced = nullptr;
   switch (queue_.Offer(call, call->terms,
                        static_cast<size_t>(route_->row.max_queue),
@@ -49,12 +59,32 @@
 
 void TargetProxy::ReleaseSlot(Call* call) {
   if (std::exchange(call->has_slot, false)) {
+    if (stalls_.OnEnd(call->run, call->has_response,
+                      context_->loop->clock().Now())) {
+      context_->logger->Info(
+          "target_stall_ended",
+          {{"service", target_.service}, {"instance", target_.instance}});
+    }
     queue_.slots().Release();
     context_->metrics->slots_in_use()->Set(queue_.slots().in_use());
     RunQueued();
   }
 }
 
+bool TargetProxy::IsStalled() {
+  const TimePoint now = context_->loop->clock().Now();
+  if (stalls_.Update(now)) {
+    context_->logger->Warning(
+        "target_stalled",
+        {{"service", target_.service},
+         {"instance", target_.instance},
+         {"running", static_cast<uint64_t>(stalls_.running())},
+         {"waiting", static_cast<uint64_t>(queue_.size())},
+         {"silent_ms", int64_t{stalls_.Silence(now).count()}}});
+  }
+  return stalls_.is_stalled();
+}
+
 void TargetProxy::RunQueued() {
   ExpireQueued();
   while (true) {
@@ -101,6 +131,11 @@
     RefuseBeyondEnd();
     return;
   }
+  if (!queue_.empty() && IsStalled()) {
+    // Another target may still serve these calls in time.
+    RefuseQueued(CallReason::kOverloaded, kStalledDetail);
+    return;
+  }
   while (Call* call = queue_.PopExpired(context_->loop->clock().Now())) {
     Reply(call, CallResult::Refused(CallReason::kDeadline,
                                     "the wait in the queue was too long"));
@@ -133,7 +168,8 @@
 void TargetProxy::ArmQueueTimer() {
   std::optional<TimePoint> earliest = queue_.EarliestExpiry();
   if (earliest) {
-    earliest = std::min(*earliest, LastCallEnd());
+    earliest = std::min({*earliest, LastCallEnd(),
+                         stalls_.StallsAt().value_or(TimePoint::max())});
   }
   context_->loop->timers().Cancel(queue_timer_);
   queue_timer_ = 0;
