Load reports: four figures from the target to the choosing nodes

Cause: a report with a fourth figure was ignored as a whole, and without a trace, so that two kinds of deployments had no load reports at all. Change: TargetLoad with running, waiting, slots and the work time in percent. The platform's header has three or more figures, of which four are read; the native header is a share or the same figures; x-load between nodes carries the figures, and a share as before as one number in thousandths. Reports that are not valid are counted and logged once per target. The score still uses the calls per slot only.

--- a/include/dragonflytack/calls/call_header_codec.h
+++ b/include/dragonflytack/calls/call_header_codec.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "dragonflytack/base/clock.h"
+#include "dragonflytack/routing/target_load_report.h"
 
 struct evkeyvalq;
 
@@ -77,9 +78,8 @@
       int status,
       const evkeyvalq* response_headers) const = 0;
 
-  // Returns the load that a response reports, as a share of the target's
-  // capacity (0 to 1); std::nullopt if it reports none.
-  virtual std::optional<double> ReadReportedLoad(
+  // Returns the load that a response reports of its target.
+  virtual TargetLoadReport ReadReportedLoad(
       const evkeyvalq* response_headers) const = 0;
 
   // Writes after which time the caller may retry a call that was not run.
--- a/src/calls/call_metrics.cc
+++ b/src/calls/call_metrics.cc
@@ -28,7 +28,10 @@
                                        "Calls that the local target runs")),
       one_time_records_(
           registry->GetGauge("dragonflytack_one_time_records",
-                             "One-time records that this node keeps")) {}
+                             "One-time records that this node keeps")),
+      invalid_load_reports_(registry->GetCounter(
+          "dragonflytack_invalid_load_reports_total",
+          "Load reports of the local target that were ignored")) {}
 
 CallMetrics::Service& CallMetrics::ForService(const std::string& service) {
   const auto [found, added] = services_.try_emplace(service);
--- a/src/calls/call_metrics.h
+++ b/src/calls/call_metrics.h
@@ -46,6 +46,8 @@
   Gauge* queue_length() { return queue_length_; }
   Gauge* slots_in_use() { return slots_in_use_; }
   Gauge* one_time_records() { return one_time_records_; }
+  // Load reports of the local target that were ignored.
+  Counter* invalid_load_reports() { return invalid_load_reports_; }
 
  private:
   MetricsRegistry* const registry_;
@@ -56,6 +58,7 @@
   Gauge* const queue_length_;
   Gauge* const slots_in_use_;
   Gauge* const one_time_records_;
+  Counter* const invalid_load_reports_;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/http_headers.h
+++ b/src/calls/http_headers.h
@@ -45,6 +45,8 @@
 inline constexpr char kMovedHeader[] = "x-moved-to";
 // AttemptId of a one-time call. The response to the attempt repeats it.
 inline constexpr char kAttemptIdHeader[] = "x-attempt-id";
+// Load that the target reports. From a target: its share of the capacity, or
+// the figures of TargetLoad. Between nodes: see TargetLoad::ToHeader().
 inline constexpr char kLoadHeader[] = "x-load";
 // Calls running and waiting at the node beside the target, in thousandths of
 // its slots.
--- a/src/calls/native_header_codec.cc
+++ b/src/calls/native_header_codec.cc
@@ -1,7 +1,5 @@
 #include "calls/native_header_codec.h"
 
-#include <charconv>
-
 #include <event2/http.h>
 #include <fmt/format.h>
 
@@ -56,17 +54,12 @@
   return TargetResponseKind::kResponse;
 }
 
-std::optional<double> NativeHeaderCodec::ReadReportedLoad(
+TargetLoadReport NativeHeaderCodec::ReadReportedLoad(
     const evkeyvalq* response_headers) const {
   const std::string_view text = FindHeader(response_headers, kLoadHeader);
-  double load = 0;
-  const char* const end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, load);
-  // The comparison also rejects NaN.
-  if (text.empty() || error != std::errc() || rest != end || !(load >= 0)) {
-    return std::nullopt;
-  }
-  return load;
+  return text.find(',') == std::string_view::npos
+             ? TargetLoadReport::ParseShare(text)
+             : TargetLoadReport::ParseFigures(text);
 }
 
 void NativeHeaderCodec::WriteRetryAfter(Milliseconds after,
--- a/src/calls/native_header_codec.h
+++ b/src/calls/native_header_codec.h
@@ -17,7 +17,7 @@
       const evkeyvalq* request_headers,
       int status,
       const evkeyvalq* response_headers) const override;
-  std::optional<double> ReadReportedLoad(
+  TargetLoadReport ReadReportedLoad(
       const evkeyvalq* response_headers) const override;
   void WriteRetryAfter(Milliseconds after, evkeyvalq* headers) const override;
 };
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -16,6 +16,7 @@
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/calls/call_header_codec.h"
+#include "dragonflytack/routing/target_load_report.h"
 #include "onetime/attempt_id_generator.h"
 
 namespace dragonflytack {
@@ -72,14 +73,6 @@
   }
 }
 
-// Reads the load, which the node beside the target sends in thousandths.
-std::optional<double> FindLoad(const evkeyvalq* headers) {
-  constexpr double kThousand = 1000;
-  const std::optional<int64_t> load = FindNumber(headers, kLoadHeader);
-  return load ? std::optional(static_cast<double>(*load) / kThousand)
-              : std::nullopt;
-}
-
 }  // namespace
 
 RoutedCall::RoutedCall(const CallContext* context,
@@ -390,7 +383,9 @@
                             {"silent_ms", int64_t{unresponsive_time.count()}},
                             {"in_flight", attempt.endpoint->in_flight()}});
   }
-  if (const std::optional<double> load = FindLoad(headers)) {
+  if (const std::optional<TargetLoad> load =
+          TargetLoadReport::ParseHeader(FindHeader(headers, kLoadHeader))
+              .load) {
     attempt.endpoint->OnLoadReport(*load, now);
   }
   if (const auto occupancy = FindNumber(headers, kOccupancyHeader)) {
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -62,6 +62,7 @@
                          std::function<void()> on_call_ended)
     : context_(context),
       leaving_time_(leaving_time),
+      load_reports_(context),
       on_call_ended_(std::move(on_call_ended)) {}
 
 TargetProxy::~TargetProxy() {
@@ -241,11 +242,7 @@
       const evkeyvalq* headers =
           evhttp_request_get_input_headers(response.get());
       evkeyvalq* out = call->inbound.response_headers();
-      if (const auto load = context_->header_codec->ReadReportedLoad(headers)) {
-        constexpr double kThousand = 1000;
-        AddHeader(out, kLoadHeader,
-                  static_cast<int64_t>(std::min(*load, 1.0) * kThousand));
-      }
+      load_reports_.Forward(target_, headers, out);
       const TargetResponseKind kind =
           GetResponseKind(call->inbound.request(), response.get());
       if (kind != TargetResponseKind::kResponse) {
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -14,6 +14,7 @@
 #include "calls/call_context.h"
 #include "calls/call_result.h"
 #include "calls/exchange.h"
+#include "calls/load_report_forwarder.h"
 #include "calls/rate_limiter.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/base/timer_service.h"
@@ -122,6 +123,7 @@
 
   const CallContext* const context_;
   const Milliseconds leaving_time_;
+  LoadReportForwarder load_reports_;
   const std::function<void()> on_call_ended_;
   LocalTarget target_;
   // The row and endpoints of the target's service, null if the table has no
--- a/src/routing/endpoint_state.cc
+++ b/src/routing/endpoint_state.cc
@@ -95,8 +95,8 @@
   latency_us_ += kLatencySmoothing * (sample_us - latency_us_);
 }
 
-void EndpointState::OnLoadReport(double load, TimePoint now) {
-  load_ = std::clamp(load, 0.0, 1.0);
+void EndpointState::OnLoadReport(const TargetLoad& load, TimePoint now) {
+  load_ = std::min(load.occupancy(), 1.0);
   load_until_ = now + kLoadReportLifetime;
 }
 
--- a/src/routing/endpoint_state.h
+++ b/src/routing/endpoint_state.h
@@ -7,6 +7,7 @@
 
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/routing/endpoint.h"
+#include "dragonflytack/routing/target_load.h"
 #include "routing/ejection.h"
 
 namespace dragonflytack {
@@ -57,8 +58,11 @@
   // unresponsive, returns how long it had sent no response, otherwise zero.
   Milliseconds OnResponse(TimePoint now);
   void OnAttemptEnded(AttemptOutcome outcome, std::chrono::nanoseconds latency);
-  // `load` is clamped to 0 to 1.
-  void OnLoadReport(double load, TimePoint now);
+  void OnLoadReport(const TargetLoad& load, TimePoint now);
+  // `share` is the load as a share of the capacity, clamped to 0 to 1.
+  void OnLoadReport(double share, TimePoint now) {
+    OnLoadReport(TargetLoad::FromShare(share), now);
+  }
   // `occupancy` is the number of calls running and queued beside the target,
   // divided by its slots. The node beside the target counts them itself, so
   // unlike a load report of the target it can be relied on.
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -307,10 +307,11 @@
   ExpectEqual(reply.body, "");
 }
 
-// Guards against load reports that do not reach the entry node: of two targets,
-// the one that reports full load must receive fewer calls.
+// Guards against load reports that do not reach the entry node, in both forms:
+// of two targets, the one that reports full load must receive fewer calls.
 Test(call_task, load_reports_reach_the_entry_node) {
-  CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+  const std::pair<const char*, const char*> reports[] = {
+      {"1.00", "0.00"}, {"8,3,8,100", "0,0,8,100"}};
   const auto response = [](const char* load) {
     return [load](int fd, const std::string& /*head*/, int /*n*/) {
       std::this_thread::sleep_for(Milliseconds(5));
@@ -320,17 +321,20 @@
       return true;
     };
   };
-  ScriptedTarget full(fixture.Address(1), CallFixture::kTargetPort,
-                      response("1.00"));
-  ScriptedTarget idle(fixture.Address(2), CallFixture::kTargetPort,
-                      response("0.00"));
-  for (int i = 0; i < 100; ++i) {
-    cr_assert_eq(fixture.Call("1", 1000).status, 200);
+  for (const auto& [full_load, idle_load] : reports) {
+    CallFixture fixture(2, Row(ServiceKind::kIdempotent));
+    ScriptedTarget full(fixture.Address(1), CallFixture::kTargetPort,
+                        response(full_load));
+    ScriptedTarget idle(fixture.Address(2), CallFixture::kTargetPort,
+                        response(idle_load));
+    for (int i = 0; i < 100; ++i) {
+      cr_assert_eq(fixture.Call("1", 1000).status, 200);
+    }
+    // Of 100 calls, 25 choose between the full target and itself; it receives
+    // few others.
+    cr_expect(full.requests() > 5 && full.requests() < idle.requests() * 3 / 4,
+              "%s: %d %d", full_load, full.requests(), idle.requests());
   }
-  // Of 100 calls, 25 choose between the full target and itself; it receives few
-  // others.
-  cr_expect(full.requests() > 5 && full.requests() < idle.requests() * 3 / 4,
-            "%d %d", full.requests(), idle.requests());
 }
 
 }  // namespace dragonflytack
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -276,10 +276,21 @@
   headers.WriteRetryAfter(Milliseconds(50), refusal.get());
   cr_expect(refusal.Find("Retry-After") == "0.050");
   Headers load(Items{{"Upstream-Load", "3,1,8"}});
-  cr_expect(headers.ReadReportedLoad(load.get()) == 0.5);
-  for (const char* text : {"", "3", "3,1", "3,1,0", "3,1,8,", "-1,0,8"}) {
+  cr_expect(headers.ReadReportedLoad(load.get()).load == TargetLoad(3, 1, 8));
+  for (const char* text : {"3,1,8,250", " 3, 1,8 ,249.6", "3,1,8,250,7,x"}) {
+    Headers longer(Items{{"Upstream-Load", text}});
+    cr_expect(
+        headers.ReadReportedLoad(longer.get()).load == TargetLoad(3, 1, 8, 250),
+        "%s", text);
+  }
+  for (const char* text :
+       {"", "3", "3,1", "3,1,0", "3,1,8,", "-1,0,8", "3,1,8,0", "3,1,8,x",
+        "3,1,8,nan", "3,1,8,-5", "3,1,9999999", "3,1,99999999999"}) {
     Headers bad(Items{{"Upstream-Load", text}});
-    cr_expect(!headers.ReadReportedLoad(bad.get()).has_value(), "%s", text);
+    const TargetLoadReport report = headers.ReadReportedLoad(bad.get());
+    cr_expect(
+        !report.load.has_value() && report.error.empty() == (*text == '\0'),
+        "%s", text);
   }
 }
 
