--- a/src/routing/service_pool.h
+++ b/src/routing/service_pool.h
@@ -28,10 +28,9 @@
   // receives some calls and can recover.
   static constexpr int kProbeOneIn = 16;
 
-  // Calls leave this node's region only when its endpoints have this many calls
-  // per slot, running and queued. Traffic between regions is billed by volume,
-  // and waiting for one call takes about as long as a round trip to another
-  // region.
+  // Endpoints of this node's region that have this many calls per slot, running
+  // and queued, are passed over for other regions. Below that the expected wait
+  // decides, because traffic between regions is billed by volume.
   static constexpr double kSpilloverOccupancy = 2;
 
   // `clock` and `random` must outlive the pool.
--- a/src/routing/target_load_model.cc
+++ b/src/routing/target_load_model.cc
@@ -11,6 +11,7 @@
 // Weight of the newest sample in the moving averages. With less smoothing the
 // heavy tail of the run times decides which target seems fast.
 constexpr double kSmoothing = 0.05;
+constexpr double kMeanSmoothing = 0.1;
 constexpr double kFailureSmoothing = 0.1;
 
 // Time in which a report loses two thirds of its weight: some run times.
@@ -70,8 +71,8 @@
     mean_calls_ = calls;
     mean_own_calls_ = own_calls;
   }
-  mean_calls_ += kFailureSmoothing * (calls - mean_calls_);
-  mean_own_calls_ += kFailureSmoothing * (own_calls - mean_own_calls_);
+  mean_calls_ += kMeanSmoothing * (calls - mean_calls_);
+  mean_own_calls_ += kMeanSmoothing * (own_calls - mean_own_calls_);
   reported_calls_ = calls;
   reported_at_ = now;
   sent_since_report_ = 0;
