Accounts: deltas carry them between versions, ranks stay apart; tests at the entry

Cause: the history of deltas left accounts out, so that each node refused every delta of a table with accounts and fetched the whole table. The node beside a target cut ranks at 1000, so that account ranks from 250 on counted as equal, and a call that went through the owner of its one-time key lost its rank. Change: DeltaHistory combines all three sheets with one template. CallRank() and kMaxCallRank define the rank of a call. x-rank goes to the owner of a key where the table has accounts. The faults were found by account_distribution/* (refused deltas in the log) and account_call/rank_of_the_account_precedes_that_of_the_route.

--- a/include/dragonflytack/accounts/account_index.h
+++ b/include/dragonflytack/accounts/account_index.h
@@ -22,6 +22,7 @@
   // does not depend on the number of keys. The row lives as long as the index.
   const AccountRow* Find(const KeyDigest& key) const;
 
+  size_t account_count() const;
   size_t key_count() const { return accounts_.size(); }
 
  private:
--- a/src/accounts/account_index.cc
+++ b/src/accounts/account_index.cc
@@ -9,6 +9,11 @@
 
 AccountIndex::AccountIndex(std::shared_ptr<const Table> table)
     : table_(std::move(table)) {
+  size_t keys = 0;
+  for (const auto& [name, account] : table_->accounts()) {
+    keys += account.keys.size();
+  }
+  accounts_.reserve(keys);
   for (const auto& [name, account] : table_->accounts()) {
     for (const KeyDigest& key : account.keys) {
       accounts_.emplace(key, &account);
@@ -16,6 +21,10 @@
   }
 }
 
+size_t AccountIndex::account_count() const {
+  return table_->accounts().size();
+}
+
 const AccountRow* AccountIndex::Find(const KeyDigest& key) const {
   const auto found = accounts_.find(key);
   return found == accounts_.end() ? nullptr : found->second;
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -22,6 +22,7 @@
 #include "calls/one_time.h"
 #include "calls/routed_call.h"
 #include "dragonflytack/accounts/account_index.h"
+#include "dragonflytack/accounts/call_rank.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/calls/call_header_codec.h"
@@ -36,10 +37,6 @@
 // change in the fleet reaches all nodes.
 constexpr Milliseconds kDefaultRetryAfter{100};
 
-// Ranks of routes that are distinguished within one account rank. The rank of
-// the account takes precedence, so higher ranks of routes count as the last.
-constexpr int kRouteRanks = 4;
-
 // Returns whether bytes of the request could be taken for the next one: two
 // HTTP parsers could derive different body lengths from the headers (RFC 9112
 // section 6.3), or evhttp has not read the body that they announce. It reads
@@ -227,8 +224,7 @@
     routed->account = account->account;
     account_rank = account->rank;
   }
-  routed->policy.rank = account_rank * kRouteRanks +
-                        std::min(routed->policy.rank, kRouteRanks - 1);
+  routed->policy.rank = CallRank(account_rank, routed->policy.rank);
   return std::nullopt;
 }
 
--- a/src/calls/forwarded_call_server.cc
+++ b/src/calls/forwarded_call_server.cc
@@ -1,5 +1,6 @@
 #include "calls/forwarded_call_server.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include "calls/http_headers.h"
 #include "calls/inbound_call.h"
 #include "calls/one_time_dispatcher.h"
+#include "dragonflytack/accounts/call_rank.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/observe/tracer.h"
 #include "routing/router.h"
@@ -91,6 +93,8 @@
   request.route = pool->route();
   request.pool = std::move(pool);
   request.account = FindHeader(headers, kAccountHeader);
+  request.policy.rank = static_cast<int>(std::clamp<int64_t>(
+      FindNumber(headers, kRankHeader).value_or(0), 0, kMaxCallRank));
   request.http = call->inbound.request();
   request.uri = evhttp_request_get_uri(request.http);
   request.start = context_->loop->clock().Now();
--- a/src/calls/keyed_call.cc
+++ b/src/calls/keyed_call.cc
@@ -237,6 +237,9 @@
         if (!request_.account.empty()) {
           evhttp_add_header(headers, kAccountHeader, request_.account.c_str());
         }
+        if (request_.uses_accounts && request_.policy.rank > 0) {
+          AddHeader(headers, kRankHeader, request_.policy.rank);
+        }
         evhttp_add_header(headers, kServiceHeader,
                           request_.route->row.service.c_str());
         evhttp_add_header(headers, kOneTimeKeyHeader, key_text.c_str());
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -17,6 +17,7 @@
 #include "calls/retry_share.h"
 #include "calls/service_share.h"
 #include "calls/target_proxy_call.h"
+#include "dragonflytack/accounts/call_rank.h"
 #include "dragonflytack/base/event_loop.h"
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/base/logger.h"
@@ -157,7 +158,7 @@
       now +
       Milliseconds(FindNumber(headers, kObjectiveHeader).value_or(time_left));
   call->terms.rank = static_cast<int>(std::clamp<int64_t>(
-      FindNumber(headers, kRankHeader).value_or(0), 0, RouteRow::kMaxRank));
+      FindNumber(headers, kRankHeader).value_or(0), 0, kMaxCallRank));
   call->trace = context_->tracer->Accept(FindHeader(headers, kTraceHeader));
   if (!rate_.TryTake(now)) {
     return CallResult::Refused(CallReason::kRateLimited,
--- a/src/distribution/delta_history.cc
+++ b/src/distribution/delta_history.cc
@@ -2,13 +2,43 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "dragonflytack/table/table.h"
 
 namespace dragonflytack {
 
+namespace {
+
+// Combines the changes of one sheet in consecutive deltas.
+template <typename Iterator, typename Row>
+void Combine(Iterator first,
+             Iterator last,
+             std::vector<Row> TableDelta::*changed,
+             std::set<std::string> TableDelta::*removed,
+             std::string Row::*name,
+             TableDelta* combined) {
+  std::map<std::string, const Row*> rows;
+  for (Iterator delta = first; delta != last; ++delta) {
+    for (const Row& row : (*delta).*changed) {
+      rows[row.*name] = &row;
+    }
+    for (const std::string& gone : (*delta).*removed) {
+      rows.erase(gone);
+      (combined->*removed).insert(gone);
+    }
+  }
+  for (const auto& [row_name, row] : rows) {
+    (combined->*removed).erase(row_name);
+    (combined->*changed).push_back(*row);
+  }
+}
+
+}  // namespace
+
 void DeltaHistory::Append(std::shared_ptr<const Table> table) {
   if (newest_ != nullptr) {
     deltas_.push_back(TableDelta::Between(*newest_, *table));
@@ -30,34 +60,12 @@
   combined.from = version;
   combined.to = newest_->version();
   combined.digest = newest_->digest();
-  std::map<std::string, const ServiceRow*> changed;
-  for (auto delta = first; delta != deltas_.end(); ++delta) {
-    for (const ServiceRow& row : delta->changed) {
-      changed[row.service] = &row;
-    }
-    for (const std::string& service : delta->removed) {
-      changed.erase(service);
-      combined.removed.insert(service);
-    }
-  }
-  std::map<std::string, const RouteRow*> changed_routes;
-  for (auto delta = first; delta != deltas_.end(); ++delta) {
-    for (const RouteRow& route : delta->changed_routes) {
-      changed_routes[route.name] = &route;
-    }
-    for (const std::string& name : delta->removed_routes) {
-      changed_routes.erase(name);
-      combined.removed_routes.insert(name);
-    }
-  }
-  for (const auto& [name, route] : changed_routes) {
-    combined.removed_routes.erase(name);
-    combined.changed_routes.push_back(*route);
-  }
-  for (const auto& [service, row] : changed) {
-    combined.removed.erase(service);
-    combined.changed.push_back(*row);
-  }
+  Combine(first, deltas_.end(), &TableDelta::changed, &TableDelta::removed,
+          &ServiceRow::service, &combined);
+  Combine(first, deltas_.end(), &TableDelta::changed_routes,
+          &TableDelta::removed_routes, &RouteRow::name, &combined);
+  Combine(first, deltas_.end(), &TableDelta::changed_accounts,
+          &TableDelta::removed_accounts, &AccountRow::account, &combined);
   return combined;
 }
 
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -338,7 +338,8 @@
 
 void CallFixture::Publish(const ServiceRow& row,
                           const Table::Routes& list,
-                          bool is_outdated) {
+                          bool is_outdated,
+                          const Table::Accounts& accounts) {
   auto route = std::make_shared<ServiceRoute>();
   route->row = row;
   for (size_t i = 1; i < nodes_.size(); ++i) {
@@ -357,12 +358,26 @@
   routes->version = ++version_;
   routes->newest_version = version_ + (is_outdated ? 1 : 0);
   routes->services[row.service] = route;
-  if (!list.empty()) {
+  if (!list.empty() || !accounts.empty()) {
     Failure reason;
-    const auto table =
-        Table::MakeAccepted(version_, {{row.service, row}}, list, &reason);
+    const auto table = Table::MakeAccepted(version_, {{row.service, row}}, list,
+                                           accounts, &reason);
     cr_assert_not_null(table.get(), "%s", reason.ToString().c_str());
-    routes->route_index = std::make_shared<RouteIndex>(table);
+    if (!list.empty()) {
+      routes->route_index = std::make_shared<RouteIndex>(table);
+    }
+    if (!accounts.empty()) {
+      routes->accounts = std::make_shared<AccountIndex>(table);
+      // Calls with a one-time key are sent to the owner of the key.
+      auto locations =
+          std::make_shared<std::unordered_map<NodeId, NodeLocation>>();
+      for (size_t i = 0; i < nodes_.size(); ++i) {
+        const NodeId id = fmt::format("n{}", i);
+        (*locations)[id] = {id, 1, Address(static_cast<int>(i)), kMeshPort,
+                            Liveness::kAlive};
+      }
+      routes->nodes = locations;
+    }
   }
   for (auto& node : nodes_) {
     if (node->task != nullptr) {
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -167,11 +167,13 @@
   // Stops a node without a drain, like a crash.
   void Kill(int node) { nodes_[node]->task.reset(); }
   bool WaitUntilStopped(int node, Milliseconds limit);
-  // Publishes a newer table version with the row and, if not empty, the routes.
-  // If `is_outdated` is true, the nodes know the version after it to exist.
+  // Publishes a newer table version with the row and, if not empty, the routes
+  // and accounts. If `is_outdated` is true, the nodes know the version after it
+  // to exist.
   void Publish(const ServiceRow& row,
                const Table::Routes& routes = {},
-               bool is_outdated = false);
+               bool is_outdated = false,
+               const Table::Accounts& accounts = {});
   // Sets the lowest level that the first node logs.
   void SetLogLevel(LogLevel level) { nodes_[0]->logger.set_minimum(level); }
   void SetTargetState(int node, TargetState state);
