Tool: the sheet of accounts in all verbs; no key in a message

Cause: the tool knew services and routes only, and messages of invalid cells repeated the text, which may be an API key. Subjects of failures shorten long names.

--- a/include/dragonflytack/table/cell_edit.h
+++ b/include/dragonflytack/table/cell_edit.h
@@ -8,10 +8,10 @@
 namespace dragonflytack {
 
 // A change of one cell, with the texts as in a CSV file. The addition or
-// removal of a row includes an edit of the first column, "service" or "name",
-// with an empty old or new text.
+// removal of a row includes an edit of the first column, "service", "name" or
+// "account", with an empty old or new text. Texts of API keys are digests.
 struct CellEdit final {
-  // Name of the service or route.
+  // Name of the service, route or account.
   std::string row;
   std::string column;
   std::string old_text;
--- a/src/cli/add_verb.cc
+++ b/src/cli/add_verb.cc
@@ -1,5 +1,7 @@
 #include <map>
 
+#include <fmt/format.h>
+
 #include "cli/edit_report.h"
 #include "cli/sheet_option.h"
 #include "cli/tool_context.h"
@@ -29,9 +31,12 @@
                .emplace(arguments[i].substr(0, equals),
                         arguments[i].substr(equals + 1))
                .second) {
-        return context->Fail(
-            Failure{FailureCode::kInvalidArgument, arguments[i],
-                    "it is not COLUMN=VALUE, or names a column twice"});
+        // Values are not printed, because they may be API keys.
+        return context->Fail(Failure{
+            FailureCode::kInvalidArgument,
+            equals == std::string::npos ? fmt::format("argument {}", i + 1)
+                                        : arguments[i].substr(0, equals),
+            "it is not COLUMN=VALUE, or names a column twice"});
       }
     }
     return EditAndReport(
--- a/src/cli/edit_report.cc
+++ b/src/cli/edit_report.cc
@@ -94,6 +94,8 @@
                                                           Failure*);
 template std::optional<SheetRows<RouteRow>> ReadCsvFile(const std::string&,
                                                         Failure*);
+template std::optional<SheetRows<AccountRow>> ReadCsvFile(const std::string&,
+                                                          Failure*);
 
 ExitCode EditAndReport(TableEditor::MakeCells make_cells,
                        bool replace_unreadable,
--- a/src/cli/explain_verb.cc
+++ b/src/cli/explain_verb.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
 #include "cli/fleet.h"
@@ -76,6 +77,17 @@
 
 class ExplainVerb final : public Verb {
  public:
+  void AddOptions(
+      boost::program_options::options_description* options) const override {
+    options->add_options()(
+        "account",
+        boost::program_options::value<std::string>()->value_name("NAME"),
+        "with HOST/PATH: show the rank of calls of this client account")(
+        "key", boost::program_options::value<std::string>()->value_name("TEXT"),
+        "with HOST/PATH: show the account of this API key, which stays in the "
+        "tool");
+  }
+
   std::string Notes() const override {
     return "Weights are those of the table, lowered while a target warms up. "
            "Calls stay near\ntheir caller as long as near targets can take "
@@ -85,15 +97,29 @@
   }
 
   ExitCode Run(const Arguments& arguments,
-               const boost::program_options::variables_map&,
+               const boost::program_options::variables_map& options,
                ToolContext* context) const override {
     Failure reason;
+    CallerOption caller;
+    if (options.contains("account")) {
+      caller.account = options["account"].as<std::string>();
+    }
+    if (options.contains("key")) {
+      caller.key = options["key"].as<std::string>();
+    }
+    const bool is_route = arguments[0].find('/') != std::string::npos;
+    if ((caller.account && caller.key) ||
+        ((caller.account || caller.key) && !is_route)) {
+      return context->Fail(
+          Failure{FailureCode::kInvalidArgument, "--account or --key",
+                  "expected one of them, together with HOST/PATH"});
+    }
     const std::optional<HostPort> node = context->Node(&reason);
     if (!node) {
       return context->Fail(reason);
     }
-    if (arguments[0].find('/') != std::string::npos) {
-      return ExplainRoute(arguments[0], *node, context);
+    if (is_route) {
+      return ExplainRoute(arguments[0], caller, *node, context);
     }
     // Invalid names cannot be in the table and would need escaping in the path.
     const ServiceRow named{.service = arguments[0]};
--- a/src/cli/fleet.cc
+++ b/src/cli/fleet.cc
@@ -82,6 +82,8 @@
     version.reason = "no table is in force";
   } else {
     version.in_force = NumberMember(value, "version");
+    version.accounts = NumberMember(value, "accounts");
+    version.account_keys = NumberMember(value, "account_keys");
   }
   if (value.is_object() && value.contains("refused") &&
       value["refused"].is_object()) {
--- a/src/cli/fleet.h
+++ b/src/cli/fleet.h
@@ -36,6 +36,9 @@
   std::string reason;
   // The version that the node has refused; 0 if none.
   TableVersion refused = 0;
+  // Numbers of client accounts and of their API keys; 0 without accounts.
+  uint64_t accounts = 0;
+  uint64_t account_keys = 0;
 };
 
 // Returns the member of an object, or the value itself if it is not an object
--- a/src/cli/sheet_option.cc
+++ b/src/cli/sheet_option.cc
@@ -25,16 +25,29 @@
 
 void AddSheetOption(boost::program_options::options_description* options) {
   options->add_options()("routes", boost::program_options::bool_switch(),
-                         "work on the sheet of routes");
+                         "work on the sheet of routes")(
+      "accounts", boost::program_options::bool_switch(),
+      "work on the sheet of client accounts");
 }
 
-bool IsRoutesSheet(const boost::program_options::variables_map& options) {
-  return options["routes"].as<bool>();
+std::optional<Sheet> ChosenSheet(
+    const boost::program_options::variables_map& options) {
+  const auto is_set = [&](const char* name) {
+    return options.contains(name) && options[name].as<bool>();
+  };
+  if (is_set("routes") && is_set("accounts")) {
+    return std::nullopt;
+  }
+  return is_set("routes")     ? Sheet::kRoutes
+         : is_set("accounts") ? Sheet::kAccounts
+                              : Sheet::kServices;
 }
 
 std::string ColumnNotes() {
   return "Columns of services:\n" + DescribeColumns<ServiceRow>() +
-         "\nColumns of routes (--routes):\n" + DescribeColumns<RouteRow>();
+         "\nColumns of routes (--routes):\n" + DescribeColumns<RouteRow>() +
+         "\nColumns of client accounts (--accounts):\n" +
+         DescribeColumns<AccountRow>();
 }
 
 }  // namespace dragonflytack
--- a/src/cli/show_verb.cc
+++ b/src/cli/show_verb.cc
@@ -63,8 +63,10 @@
           return item.first != arguments[0];
         });
         if (rows.empty()) {
-          return context->Fail(Failure{FailureCode::kNotFound, arguments[0],
-                                       "the sheet has no row of this name"});
+          return context->Fail(
+              Failure{FailureCode::kNotFound,
+                      std::string(SubjectName(kSheetOf<Row>, arguments[0])),
+                      "the sheet has no row of this name"});
         }
       }
       if (context->options().json) {
--- a/src/cli/status_verb.cc
+++ b/src/cli/status_verb.cc
@@ -30,6 +30,16 @@
   int dead_or_left = 0;
 };
 
+// Returns the reply of a node that has the newest version in force, or a reply
+// without accounts if there is none.
+NodeVersion FindNewest(const std::vector<NodeVersion>& versions,
+                       TableVersion newest) {
+  const auto found = std::find_if(
+      versions.begin(), versions.end(),
+      [newest](const NodeVersion& item) { return item.in_force == newest; });
+  return found == versions.end() ? NodeVersion{} : *found;
+}
+
 std::string VersionText(const NodeVersion& version) {
   return version.in_force ? std::to_string(*version.in_force) : "-";
 }
@@ -115,9 +125,14 @@
                         const std::optional<TableVersion>& stored,
                         TableVersion newest,
                         ToolContext* context) {
+    const NodeVersion& reference = FindNewest(versions, newest);
     context->out() << fmt::format(
-        "newest version {}{}\n\n", newest,
-        stored ? fmt::format(", stored version {}", *stored) : "");
+        "newest version {}{}\n{}\n", newest,
+        stored ? fmt::format(", stored version {}", *stored) : "",
+        reference.accounts == 0
+            ? ""
+            : fmt::format("{} client accounts with {} API keys\n",
+                          reference.accounts, reference.account_keys));
     TextTable table({"region", "data centre", "nodes", "newest", "older",
                      "no version", "dead or left"});
     for (const auto& [name, counts] : data_centres) {
@@ -170,8 +185,11 @@
             versions[i].in_force ? json(*versions[i].in_force) : json()},
            {"reason", versions[i].reason}});
     }
+    const NodeVersion& reference = FindNewest(versions, newest);
     context->PrintJson({{"newest_version", newest},
                         {"stored_version", stored ? json(*stored) : json()},
+                        {"accounts", reference.accounts},
+                        {"account_keys", reference.account_keys},
                         {"places", std::move(data_centre_list)},
                         {"nodes", std::move(node_list)}});
   }
--- a/src/cli/tool.cc
+++ b/src/cli/tool.cc
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <boost/program_options.hpp>
 
+#include "cli/sheet_option.h"
 #include "cli/text_table.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
@@ -138,6 +139,14 @@
   return {};
 }
 
+// Removes the value of an unknown option, which may be an API key, from an
+// error message of the parser: "unrecognised option '--name=value'".
+std::string WithoutValue(const std::string& message) {
+  const size_t equals = message.find('=');
+  return equals == std::string::npos ? message
+                                     : message.substr(0, equals) + "'";
+}
+
 }  // namespace
 
 Tool::Tool(EventLoop* loop,
@@ -220,7 +229,7 @@
               values);
     po::notify(values);
   } catch (const po::error& error) {
-    return UsageError(error.what(), entry->name);
+    return UsageError(WithoutValue(error.what()), entry->name);
   }
   const std::string usage =
       fmt::format("usage: dragonflytack {} {}", entry->name, entry->arguments);
@@ -240,11 +249,21 @@
         fmt::format("{} needs {}\n{}", entry->name, entry->arguments, usage),
         entry->name);
   }
-  if (verb_arguments.size() > entry->max_arguments) {
-    return UsageError(fmt::format("unexpected argument \"{}\"\n{}",
-                                  verb_arguments[entry->max_arguments], usage),
+  const std::optional<Sheet> sheet = ChosenSheet(values);
+  if (!sheet) {
+    return UsageError("--routes and --accounts exclude each other",
                       entry->name);
   }
+  if (verb_arguments.size() > entry->max_arguments) {
+    // The argument may be an API key.
+    return UsageError(
+        *sheet == Sheet::kAccounts
+            ? fmt::format("unexpected argument {}\n{}",
+                          entry->max_arguments + 1, usage)
+            : fmt::format("unexpected argument \"{}\"\n{}",
+                          verb_arguments[entry->max_arguments], usage),
+        entry->name);
+  }
   ToolOptions options;
   const std::string fault = ReadSharedOptions(values, environment_, &options);
   if (!fault.empty()) {
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -71,7 +71,8 @@
     return nullptr;
   }
   const std::string& subject = status.refusal.subject;
-  const size_t slash = subject.find('/');
+  // Names of accounts and routes may contain slashes, those of columns do not.
+  const size_t slash = subject.rfind('/');
   return {
       {"version", status.refused},
       {"row", subject.substr(0, slash)},
@@ -115,31 +116,36 @@
   }
   const NodeRecord& self = dependencies_.core->self();
   const Failure& failure = dependencies_.store->last_failure();
-  return {{"node", self.id},
-          {"record", RecordToJson(self)},
-          {"in_force", status.in_force},
-          {"version", status.version},
-          {"table_digest", status.table_digest},
-          {"held", status.held},
-          {"newest_known", status.newest_known},
-          {"refused", RefusalToJson(status)},
-          {"links", Links(status)},
-          {"speaker", status.designated_watcher},
-          {"substitute", status.standby_watcher},
-          {"store",
-           {{"contact", dependencies_.store->contact()},
-            {"calls", status.store_calls},
-            {"last_answer_ms", dependencies_.store->last_response_ms()},
-            {"last_failure", failure.code == FailureCode::kNone
-                                 ? json()
-                                 : json(failure.ToString())}}},
-          {"registry",
-           {{"nodes", status.nodes},
-            {"alive", status.alive_nodes},
-            {"suspect", status.suspect_nodes},
-            {"dead", status.dead_nodes}}},
-          {"snapshots_served", status.snapshots_served},
-          {"versions", std::move(versions)}};
+  json report = {{"node", self.id},
+                 {"record", RecordToJson(self)},
+                 {"in_force", status.in_force},
+                 {"version", status.version},
+                 {"table_digest", status.table_digest},
+                 {"held", status.held},
+                 {"newest_known", status.newest_known},
+                 {"refused", RefusalToJson(status)},
+                 {"links", Links(status)},
+                 {"speaker", status.designated_watcher},
+                 {"substitute", status.standby_watcher},
+                 {"store",
+                  {{"contact", dependencies_.store->contact()},
+                   {"calls", status.store_calls},
+                   {"last_answer_ms", dependencies_.store->last_response_ms()},
+                   {"last_failure", failure.code == FailureCode::kNone
+                                        ? json()
+                                        : json(failure.ToString())}}},
+                 {"registry",
+                  {{"nodes", status.nodes},
+                   {"alive", status.alive_nodes},
+                   {"suspect", status.suspect_nodes},
+                   {"dead", status.dead_nodes}}},
+                 {"snapshots_served", status.snapshots_served},
+                 {"versions", std::move(versions)}};
+  if (routes_ != nullptr && routes_->accounts != nullptr) {
+    report["accounts"] = routes_->accounts->account_count();
+    report["account_keys"] = routes_->accounts->key_count();
+  }
+  return report;
 }
 
 json FleetReport::Links(const DistributionStatus& status) const {
@@ -199,9 +205,13 @@
   if (table == nullptr) {
     return std::nullopt;
   }
-  return json{{"version", table->version()},
-              {"rows", RowsToJson(table->rows())},
-              {"routes", RowsToJson(table->routes())}};
+  json value = {{"version", table->version()},
+                {"rows", RowsToJson(table->rows())},
+                {"routes", RowsToJson(table->routes())}};
+  if (!table->accounts().empty()) {
+    value["accounts"] = RowsToJson(table->accounts());
+  }
+  return value;
 }
 
 std::vector<Span> FleetReport::Trace(const std::string& trace_id) {
--- a/src/table/account_column.cc
+++ b/src/table/account_column.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <array>
 
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "table/column_factory.h"
@@ -16,7 +15,6 @@
 // Names are sent in headers, which cannot contain control characters.
 constexpr size_t kMaxNameBytes = 63;
 constexpr size_t kMaxAcceptedNameBytes = 1024;
-constexpr char kPlainKeyPrefix[] = "key:";
 
 std::optional<std::string> ValidateNameUpTo(size_t maximum,
                                             const AccountColumn& column,
@@ -28,12 +26,15 @@
       !has_control_character) {
     return std::nullopt;
   }
-  return fmt::format("\"{}\" is invalid; expected {}", row.account,
-                     column.range);
+  return InvalidText(column, row.account);
 }
 
 std::optional<std::string> ValidateName(const AccountColumn& column,
                                         const AccountRow& row) {
+  // A name like this is a key in the wrong column.
+  if (row.account.starts_with(kPlainKeyPrefix)) {
+    return InvalidText(column, row.account);
+  }
   return ValidateNameUpTo(kMaxNameBytes, column, row);
 }
 
@@ -53,7 +54,7 @@
     const std::string_view item = text.substr(0, end);
     const std::optional<KeyDigest> key =
         item.starts_with(kPlainKeyPrefix)
-            ? KeyDigest::OfKey(item.substr(sizeof(kPlainKeyPrefix) - 1))
+            ? KeyDigest::OfKey(item.substr(kPlainKeyPrefix.size()))
             : KeyDigest::Parse(item);
     if (!key) {
       return false;
@@ -114,7 +115,8 @@
     Factory::TextColumn("account",
                         &AccountRow::account,
                         std::nullopt,
-                        "1-63 bytes without control characters",
+                        "1-63 bytes without control characters, not beginning "
+                        "with key:",
                         "name of the client account",
                         ValidateName,
                         ValidateAcceptedName),
--- a/src/table/column.h
+++ b/src/table/column.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include <fmt/format.h>
 #include <nlohmann/json_fwd.hpp>
 
 #include "dragonflytack/table/account_row.h"
@@ -101,15 +102,34 @@
   return names;
 }
 
+// Returns the error for a text that is not a value of the column. It contains
+// the text, except on the sheet of accounts: an operator may have entered an
+// API key without "key:" or in another column, and errors are printed and
+// logged.
+template <typename Row>
+std::string InvalidText(const BasicColumn<Row>& column, std::string_view text) {
+  return kSheetOf<Row> == Sheet::kAccounts
+             ? fmt::format("the text is invalid; expected {}", column.range)
+             : fmt::format("\"{}\" is invalid; expected {}", text,
+                           column.range);
+}
+
 // Returns what a row of the sheet stands for: "service", "route" or "account".
 const char* SheetRowName(Sheet sheet);
 
+// Prefix of an API key that an operator enters to be digested.
+inline constexpr std::string_view kPlainKeyPrefix = "key:";
+
+// Returns the name of a row for the subject of failures. Long names are
+// shortened, and an API key that was entered as a name is omitted.
+std::string_view SubjectName(Sheet sheet, std::string_view row);
+
 // Returns "name" for a service, "route name" for a route and "account name" for
 // an account.
 std::string RowLabel(Sheet sheet, std::string_view row);
 
 // Returns the name of a cell for the subject of failures: "service/column",
-// "route name/column" or "account name/column".
+// "route name/column" or "account name/column", with the SubjectName().
 std::string CellName(Sheet sheet,
                      std::string_view row,
                      std::string_view column);
--- a/src/table/column_factory.cc
+++ b/src/table/column_factory.cc
@@ -5,6 +5,14 @@
 
 namespace dragonflytack {
 
+namespace {
+
+// Subjects of failures are logged and reported by each node; another system's
+// store may accept names of any length.
+constexpr size_t kMaxSubjectNameBytes = 253;
+
+}  // namespace
+
 std::optional<int> ParseInteger(std::string_view text) {
   int value = 0;
   const auto [end, error] =
@@ -44,6 +52,24 @@
   return "row";
 }
 
+std::string_view SubjectName(Sheet sheet, std::string_view row) {
+  if (sheet == Sheet::kAccounts && row.starts_with(kPlainKeyPrefix)) {
+    return "without a valid name";
+  }
+  if (row.size() <= kMaxSubjectNameBytes) {
+    return row;
+  }
+  // Cuts between two characters of UTF-8.
+  constexpr int kTypeBits = 0xC0;
+  constexpr int kContinuation = 0x80;
+  size_t size = kMaxSubjectNameBytes;
+  while (size > 0 &&
+         (static_cast<unsigned char>(row[size]) & kTypeBits) == kContinuation) {
+    --size;
+  }
+  return row.substr(0, size);
+}
+
 std::string RowLabel(Sheet sheet, std::string_view row) {
   return sheet == Sheet::kServices
              ? std::string(row)
@@ -53,7 +79,7 @@
 std::string CellName(Sheet sheet,
                      std::string_view row,
                      std::string_view column) {
-  return fmt::format("{}/{}", RowLabel(sheet, row), column);
+  return fmt::format("{}/{}", RowLabel(sheet, SubjectName(sheet, row)), column);
 }
 
 }  // namespace dragonflytack
--- a/src/table/table_csv.cc
+++ b/src/table/table_csv.cc
@@ -102,12 +102,40 @@
   int line_ = 1;
 };
 
+// Returns how an error names an unknown column. Without a header, the first
+// line of a sheet of accounts may contain an API key.
+template <typename Row>
+std::string HeaderFieldName(const std::string& name, size_t index) {
+  return kSheetOf<Row> == Sheet::kAccounts
+             ? fmt::format("of the name in field {}", index + 1)
+             : fmt::format("\"{}\"", name);
+}
+
+// Returns the subject of a failure in a cell. For accounts it contains the name
+// of the row, because the message does not contain the text of the cell.
+template <typename Row>
+std::string CellSubject(const std::vector<const BasicColumn<Row>*>& columns,
+                        const CsvRecord& record,
+                        const BasicColumn<Row>& column) {
+  const auto name =
+      std::find(columns.begin(), columns.end(), &Columns<Row>().front());
+  if (kSheetOf<Row> != Sheet::kAccounts || *name == &column) {
+    return fmt::format("line {}, column {}", record.line, column.name);
+  }
+  return fmt::format(
+      "line {}, {}", record.line,
+      CellName(kSheetOf<Row>,
+               record.fields[static_cast<size_t>(name - columns.begin())],
+               column.name));
+}
+
 template <typename Row>
 std::optional<std::vector<const BasicColumn<Row>*>> ParseHeader(
     const CsvRecord& header,
     Failure* reason) {
   std::vector<const BasicColumn<Row>*> columns;
-  for (const std::string& name : header.fields) {
+  for (size_t i = 0; i < header.fields.size(); ++i) {
+    const std::string& name = header.fields[i];
     const BasicColumn<Row>* column = FindColumn<Row>(name);
     const bool is_duplicate =
         std::find(columns.begin(), columns.end(), column) != columns.end();
@@ -116,8 +144,8 @@
           header.line,
           is_duplicate
               ? fmt::format("the column \"{}\" is named twice", name)
-              : fmt::format("there is no column \"{}\"; the columns are {}",
-                            name, ColumnNames<Row>()));
+              : fmt::format("there is no column {}; the columns are {}",
+                            HeaderFieldName<Row>(name, i), ColumnNames<Row>()));
       return std::nullopt;
     }
     columns.push_back(column);
@@ -153,15 +181,14 @@
             : std::string_view(record.fields[i]);
     std::optional<std::string> error;
     if (!column.parse_text(column, text, &row)) {
-      error = fmt::format("\"{}\" is invalid; expected {}", text, column.range);
+      error = InvalidText(column, text);
     } else {
       error = column.validate(column, row);
     }
     if (error) {
       *reason =
           Failure{FailureCode::kInvalidCsv,
-                  fmt::format("line {}, column {}", record.line, column.name),
-                  *std::move(error)};
+                  CellSubject(columns, record, column), *std::move(error)};
       return std::nullopt;
     }
   }
@@ -250,7 +277,11 @@
 template std::optional<std::map<std::string, RouteRow>> ParseCsv(
     std::string_view,
     Failure*);
+template std::optional<std::map<std::string, AccountRow>> ParseCsv(
+    std::string_view,
+    Failure*);
 template std::string FormatCsv(const std::map<std::string, ServiceRow>&);
 template std::string FormatCsv(const std::map<std::string, RouteRow>&);
+template std::string FormatCsv(const std::map<std::string, AccountRow>&);
 
 }  // namespace dragonflytack
--- a/src/table/table_edit.cc
+++ b/src/table/table_edit.cc
@@ -57,7 +57,7 @@
     error = fmt::format("there is no such column; the columns are {}",
                         ColumnNames<Row>());
   } else if (!column->parse_text(*column, text, row)) {
-    error = fmt::format("\"{}\" is invalid; expected {}", text, column->range);
+    error = InvalidText(*column, text);
   } else {
     error = column->validate(*column, *row);
   }
@@ -72,7 +72,8 @@
 
 template <typename Row>
 Failure RowNotFound(const std::string& name) {
-  return Failure{FailureCode::kNotFound, name,
+  return Failure{FailureCode::kNotFound,
+                 std::string(SubjectName(kSheetOf<Row>, name)),
                  fmt::format("the table has no row of this {}",
                              SheetRowName(kSheetOf<Row>))};
 }
@@ -183,9 +184,16 @@
     const BasicColumn<Row>& edited = *FindColumn<Row>(column);
     // Converts the expected text to its canonical form if it can be parsed.
     Row expected = *old_row;
-    const std::string old_text = edited.parse_text(edited, *expect, &expected)
-                                     ? edited.format_text(edited, expected)
-                                     : *expect;
+    const bool is_valid = edited.parse_text(edited, *expect, &expected);
+    if (!is_valid && kSheetOf<Row> == Sheet::kAccounts) {
+      // A conflict would print the text, which may be an API key.
+      *reason = Failure{FailureCode::kInvalidArgument,
+                        CellName(kSheetOf<Row>, name, column),
+                        "the expected value: " + InvalidText(edited, *expect)};
+      return std::nullopt;
+    }
+    const std::string old_text =
+        is_valid ? edited.format_text(edited, expected) : *expect;
     if (old_text != edited.format_text(edited, *old_row)) {
       cells = {CellEdit{name, column, old_text, edited.format_text(edited, row),
                         kSheetOf<Row>}};
--- a/tests/account_test.cc
+++ b/tests/account_test.cc
@@ -3,8 +3,10 @@
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "distribution/delta_history.h"
 #include "distribution/message_codec.h"
 #include "dragonflytack/accounts/account_index.h"
 #include "dragonflytack/table/table.h"
@@ -129,6 +131,31 @@
   cr_assert(parsed && *parsed == document, "%s", reason.ToString().c_str());
 }
 
+// Guards against accounts that are missing in the difference between versions
+// that are not consecutive, or between any two on a link: nodes then refuse it
+// and fetch the whole table for each edit.
+Test(accounts, merged_deltas_include_accounts) {
+  const std::vector<std::shared_ptr<const Table>> versions = {
+      MakeTable(1, Accounts({Account("a", {Key("k1")}), Account("b", {})})),
+      MakeTable(2, Accounts({Account("a", {Key("k2")}), Account("b", {}),
+                             Account("c", {Key("k1")})})),
+      MakeTable(3, Accounts({Account("a", {Key("k2")}), Account("c", {})})),
+      MakeTable(5, Accounts({Account("a", {}), Account("b", {Key("k2")})})),
+      MakeTable(6, {}),
+  };
+  DeltaHistory history;
+  for (const auto& version : versions) {
+    history.Append(version);
+    for (const auto& base : versions) {
+      Failure reason;
+      const auto delta = history.DeltaFrom(base->version());
+      const auto result = delta ? delta->ApplyTo(*base, &reason) : version;
+      cr_assert(result != nullptr, "%s", reason.ToString().c_str());
+      cr_assert(*result == *version);
+    }
+  }
+}
+
 // Guards against a whole configuration that is kept out of force because of its
 // accounts or the kind "upload", and against routes that lose the public flag.
 Test(accounts, configuration_of_the_platform_has_accounts_and_public_routes) {
@@ -148,7 +175,7 @@
   cr_assert(document->routes.at("open").kind == ServiceKind::kOneTime);
   cr_assert_not(document->routes.at("closed").is_public);
   const std::pair<nlohmann::json, const char*> invalid[] = {
-      {{{"a", {"k1"}, 0, 0, 0}, {"a", {"k2"}, 0, 0, 0}}, "account a"},
+      {{{"a", {"k1"}, 0, 0, 0}, {"a", {"k2"}, 0, 0, 0}}, "account a/name"},
       {nlohmann::json::array({{"a", {""}, 0, 0, 0}}), "account a/api_keys"},
       {nlohmann::json::array({{"a", "k1", 0, 0, 0}}), "account a/api_keys"},
       {nlohmann::json::array({{"a", {"k1"}, 0, -1, 0}}),
@@ -163,4 +190,97 @@
   }
 }
 
+// Guards against lookups that miss keys, or find keys that are not there, in an
+// index of many keys, and against a message that cannot carry them.
+Test(accounts, ten_thousand_keys_are_all_found) {
+  constexpr int kAccounts = 500;
+  constexpr int kKeysOfEach = 20;
+  std::vector<AccountRow> rows;
+  for (int i = 0; i < kAccounts; ++i) {
+    std::vector<KeyDigest> keys;
+    for (int k = 0; k < kKeysOfEach; ++k) {
+      keys.push_back(Key(fmt::format("key {} of {}", k, i)));
+    }
+    rows.push_back(Account(fmt::format("account {}", i), std::move(keys)));
+  }
+  const auto made = MakeTable(1, Accounts(rows));
+  const TableMessage whole{made->version(), made->digest(), made->rows(),
+                           made->routes(), made->accounts()};
+  Failure reason;
+  const auto message =
+      MessageCodec::Decode(MessageCodec::Encode(whole), &reason);
+  cr_assert(message.has_value(), "%s", reason.ToString().c_str());
+  const AccountIndex index(
+      MakeTable(1, std::get<TableMessage>(*message).accounts));
+  cr_assert_eq(index.account_count(), kAccounts);
+  cr_assert_eq(index.key_count(), kAccounts * kKeysOfEach);
+  for (int i = 0; i < kAccounts; ++i) {
+    for (int k = 0; k < kKeysOfEach; ++k) {
+      const AccountRow* account =
+          index.Find(Key(fmt::format("key {} of {}", k, i)));
+      cr_assert(account != nullptr &&
+                    account->account == fmt::format("account {}", i),
+                "key %d of %d", k, i);
+      cr_assert_null(index.Find(Key(fmt::format("key {} of {}", i, k + 500))));
+    }
+  }
+}
+
+// Guards against an odd cell that ends the process, that costs more than its
+// version, or whose failure does not name the cell or is as long as the cell.
+Test(accounts, odd_entries_refuse_only_their_version) {
+  using nlohmann::json;
+  const std::string long_text(1'000'000, 'x');
+  json nested = json::array();
+  for (int i = 0; i < 100; ++i) {
+    nested = json::array({nested});
+  }
+  json twice = json::array({"k1", "k1"});
+  const struct {
+    json row;
+    const char* subject;
+  } odd[] = {
+      {{"a", {7}, 0, 0, 0}, "account a/api_keys"},
+      {{"a", {1e300}, 0, 0, 0}, "account a/api_keys"},
+      {{"a", {nullptr}, 0, 0, 0}, "account a/api_keys"},
+      {{"a", {true}, 0, 0, 0}, "account a/api_keys"},
+      {{"a", nested, 0, 0, 0}, "account a/api_keys"},
+      {{"a", {long_text}, 0, 0, 0}, "account a/api_keys"},
+      {{"a", long_text, 0, 0, 0}, "account a/api_keys"},
+      {{"a", json::object(), 0, 0, 0}, "account a/api_keys"},
+      {{"a", twice, 0, 0, 0}, "account a/keys"},
+      {{"a", {"k1"}, 0, nested, 0}, "account a/rate_per_s"},
+      {{"a", {"k1"}, 0, 0, "many"}, "account a/burst"},
+      {{nested, {"k1"}, 0, 0, 0}, "account without a name/name"},
+      {{"", {"k1"}, 0, 0, 0}, "account /account"},
+      {{"a\nb", {"k1"}, 0, 0, 0}, "account a\nb/account"},
+      {{long_text, {"k1"}, 0, 0, 0}, "/account"},
+      {{long_text, {7}, 0, 0, 0}, "/api_keys"},
+  };
+  const auto read = [](json row, Failure* reason) {
+    const auto document = platform::ReadConfiguration(
+        Configuration(json::array({std::move(row), {"b", {"k9"}, 0, 0, 0}})),
+        reason);
+    return document ? Table::MakeAccepted(1, document->rows, document->routes,
+                                          document->accounts, reason)
+                    : nullptr;
+  };
+  for (const auto& test : odd) {
+    Failure reason;
+    cr_expect_null(read(test.row, &reason).get(), "%s", test.subject);
+    cr_expect(reason.subject.starts_with("account ") &&
+                  reason.subject.ends_with(test.subject) &&
+                  reason.ToString().size() < 1'000,
+              "%s: %.200s", test.subject, reason.ToString().c_str());
+  }
+  Failure reason;
+  const json usual[] = {{"a", {"k1"}, 0, 0, 0},
+                        {"a", nullptr, nested, nullptr, nullptr},
+                        {"a", {"k1"}, -5, 1e300, 1e300}};
+  for (const json& row : usual) {
+    cr_expect(read(row, &reason) != nullptr, "%s: %s", row.dump().c_str(),
+              reason.ToString().c_str());
+  }
+}
+
 }  // namespace dragonflytack
--- a/tests/tool_test.cc
+++ b/tests/tool_test.cc
@@ -1,11 +1,7 @@
 #include "cli/tool.h"
 
-#include <unistd.h>
-
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -13,76 +9,12 @@
 
 #include "cli/span_tree.h"
 #include "dragonflytack/base/hash.h"
-#include "fake_node.h"
-#include "store_standin_fixture.h"
+#include "tool_fixture.h"
 
 namespace dragonflytack {
 
-namespace {
-
 using nlohmann::json;
 
-// Creates an empty file and returns its path.
-std::string MakeTemporaryFile() {
-  std::string path = "/tmp/dragonflytack_test_XXXXXX";
-  const int file = mkstemp(path.data());
-  cr_assert_geq(file, 0);
-  close(file);
-  return path;
-}
-
-struct ToolFixture final {
-  ToolFixture() {
-    Run({"add", "roster", "kind=idempotent", "--author", "ana"});
-    node.responses["/nodes"] =
-        json::array({node.Record("n1", "ready", "alive"),
-                     other.Record("n2", "warming", "suspect"),
-                     other.Record("n3", "ready", "dead"),
-                     other.Record("n4", "left", "alive")});
-    SetVersion(&node, 1);
-    SetVersion(&other, 1);
-  }
-
-  static void SetVersion(FakeNode* node, int version) {
-    node->responses["/status"] = {
-        {"node", "x"}, {"version", version}, {"refused", nullptr}};
-  }
-
-  // Runs a command and returns its exit code. Stores standard output and error
-  // in `out` and `err`.
-  int Run(std::vector<std::string> arguments) {
-    std::ostringstream out_stream;
-    std::ostringstream err_stream;
-    Tool tool(
-        store.loop.get(),
-        [&](const char* name) {
-          const std::string variable = name;
-          return variable == "DRAGONFLYTACK_STORE"
-                     ? store.standin->address().ToString()
-                 : variable == "DRAGONFLYTACK_NODE" ? node.address().ToString()
-                                                    : std::string();
-        },
-        &out_stream, &err_stream);
-    const int code = static_cast<int>(tool.Run(arguments));
-    out = out_stream.str();
-    err = err_stream.str();
-    return code;
-  }
-
-  bool OutputContains(const std::string& text) const {
-    return out.find(text) != std::string::npos ||
-           err.find(text) != std::string::npos;
-  }
-
-  StoreStandinFixture store;
-  FakeNode node{store.loop.get()};
-  FakeNode other{store.loop.get()};
-  std::string out;
-  std::string err;
-};
-
-}  // namespace
-
 // Guards against changed exit codes, on which scripts rely, and against changed
 // texts, on which operators rely.
 Test(tool, exit_codes_and_texts_are_stable) {
