Fuzz: accounts in messages, tables and CSV; the platform's configuration

Cause: the encodings of accounts were in no valid input, and the configuration of the users' platform had no entry point. Change: accounts in the seeds of message, table and history, and the entry points csv_accounts and platform_configuration.

--- a/fuzz/document_entry_points.cc
+++ b/fuzz/document_entry_points.cc
@@ -38,8 +38,26 @@
   return document;
 }
 
+// SmallDocument() with a public route, accounts and an edit of an account.
+TableDocument DocumentWithAccounts() {
+  TableDocument document = SmallDocument();
+  RouteRow& route = document.routes["r"];
+  route.name = "r";
+  route.host = "h.example";
+  route.prefix = "/";
+  route.shares = {{"roster", 1}};
+  route.is_public = true;
+  const KeyDigest key = *KeyDigest::OfKey("1");
+  document.accounts["a"] = {"a", {key, *KeyDigest::OfKey("2")}, 3, 300, 20};
+  document.accounts["b"] = {"b"};
+  document.recent.front().cells.push_back(
+      {"a", "keys", "", key.ToText(), Sheet::kAccounts});
+  return document;
+}
+
 std::vector<std::string> TableSeeds() {
-  return {SmallDocument().ToJson(), TableDocument{}.ToJson()};
+  return {SmallDocument().ToJson(), TableDocument{}.ToJson(),
+          DocumentWithAccounts().ToJson()};
 }
 
 std::string CheckTable(const std::string& input) {
@@ -50,7 +68,8 @@
 }
 
 std::vector<std::string> HistorySeeds() {
-  return {HistoryArchive{SmallDocument().recent}.ToJson()};
+  return {HistoryArchive{SmallDocument().recent}.ToJson(),
+          HistoryArchive{DocumentWithAccounts().recent}.ToJson()};
 }
 
 std::string CheckHistory(const std::string& input) {
@@ -79,6 +98,17 @@
       ParseCsv<ServiceRow>, FormatCsv<ServiceRow>);
 }
 
+std::vector<std::string> AccountCsvSeeds() {
+  return {FormatCsv(DocumentWithAccounts().accounts),
+          "keys,account\nkey:1;key:2,\"a, b\"\n,c\n"};
+}
+
+std::string CheckAccountCsv(const std::string& input) {
+  return CheckRoundTrip(
+      input, IsOneOf<FailureCode::kInvalidCsv, FailureCode::kTooLarge>,
+      ParseCsv<AccountRow>, FormatCsv<AccountRow>);
+}
+
 std::vector<std::string> SeedListSeeds() {
   SeedList list;
   list.data_centres["north1"] = {"north", {{"127.0.0.1", 80}, {"::1", 65535}}};
@@ -235,6 +265,7 @@
   return {{"table", TableSeeds, CheckTable},
           {"history", HistorySeeds, CheckHistory},
           {"csv", CsvSeeds, CheckCsv},
+          {"csv_accounts", AccountCsvSeeds, CheckAccountCsv},
           {"seed_list", SeedListSeeds, CheckSeedList},
           {"store_list", StoreListSeeds, CheckStoreList},
           {"settings", SettingsSeeds, CheckSettings},
--- a/fuzz/entry_point.cc
+++ b/fuzz/entry_point.cc
@@ -7,7 +7,8 @@
 std::span<const EntryPoint> EntryPoints() {
   static const std::vector<EntryPoint> entry_points = [] {
     std::vector<EntryPoint> all = FrameEntryPoints();
-    for (const auto& list : {DocumentEntryPoints(), TextEntryPoints()}) {
+    for (const auto& list :
+         {DocumentEntryPoints(), TextEntryPoints(), PlatformEntryPoints()}) {
       all.insert(all.end(), list.begin(), list.end());
     }
     return all;
--- a/fuzz/entry_point.h
+++ b/fuzz/entry_point.h
@@ -36,6 +36,7 @@
 std::vector<EntryPoint> FrameEntryPoints();
 std::vector<EntryPoint> DocumentEntryPoints();
 std::vector<EntryPoint> TextEntryPoints();
+std::vector<EntryPoint> PlatformEntryPoints();
 
 }  // namespace dragonflytack
 
--- a/fuzz/frame_entry_points.cc
+++ b/fuzz/frame_entry_points.cc
@@ -50,6 +50,20 @@
   ServiceRow row;
   row.service = "roster";
   row.weights = {{"north", 3}, {"south", 0}};
+  RouteRow route;
+  route.name = "r";
+  route.host = "h.example";
+  route.prefix = "/";
+  route.shares = {{"roster", 1}};
+  route.is_public = true;
+  AccountRow account{"a", {*KeyDigest::OfKey("1"), *KeyDigest::OfKey("2")}};
+  account.rank = 3;
+  account.rate_limit = 300;
+  account.burst = 20;
+  TableDelta delta{1, 2, {row}, {"gone"}, 99};
+  delta.changed_routes = {route};
+  delta.changed_accounts = {account, AccountRow{"b"}};
+  delta.removed_accounts = {"c"};
   BucketsMessage buckets;
   buckets.buckets[7] = UINT64_MAX;
   const std::vector<Message> messages = {
@@ -59,9 +73,15 @@
       SmallRecords(),
       SuspicionsMessage{{{"a", 1, 2}, {"b", 3, 4}}},
       DeltaMessage{{1, 2, {row}, {"gone"}, 99}},
+      DeltaMessage{delta},
       HeldVersionMessage{7},
       TableRequestMessage{true, 8},
       TableMessage{3, 4, {{"roster", row}}},
+      TableMessage{3,
+                   4,
+                   {{"roster", row}},
+                   {{"r", route}},
+                   {{"a", account}, {"b", AccountRow{"b"}}}},
       SnapshotRequestMessage{},
       SnapshotEndMessage{},
       SnapshotReceivedMessage{},
--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -144,6 +144,11 @@
   FuzzAll(DocumentEntryPoints(), 2'000);
 }
 
+// Guards against the same faults in configurations of the users' platform.
+Test(fuzz, platform_configurations_give_a_value_or_a_typed_failure) {
+  FuzzAll(PlatformEntryPoints(), 4'000);
+}
+
 // Guards against the same faults in headers, addresses, keys and admin
 // requests.
 Test(fuzz, texts_give_a_value_or_a_typed_failure) {
