--- a/tests/account_distribution_test.cc
+++ b/tests/account_distribution_test.cc
@@ -127,6 +127,34 @@
   }
 }
 
+// Guards against the same at a node that finds no peer at first, and takes the
+// copy from the store.
+Test(account_distribution, revoked_key_stays_refused_after_lonely_restart) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    CoreFleet fleet(seed);
+    Start(&fleet);
+    fleet.Run(5 * kSecond);
+    Revoke(&fleet);
+    const NodeId id = fleet.nodes.begin()->first;
+    const HostPort host = fleet.nodes[id].host;
+    fleet.Crash(id);
+    fleet.network.is_partitioned = [host](const HostPort& a,
+                                          const HostPort& b) {
+      return (a == host) != (b == host);
+    };
+    fleet.store.ReturnFromCopy(4 * kSecond);
+    fleet.Boot(id);
+    fleet.RunUntil(3 * kSecond, [&] {
+      cr_assert(!AnyAccepts(fleet, kRevoked), "seed %lu", seed);
+      return false;
+    });
+    fleet.network.is_partitioned = [](const HostPort&, const HostPort&) {
+      return false;
+    };
+    ExpectRevokedThroughout(&fleet, seed);
+  }
+}
+
 // Guards against a node that refuses valid keys because it reaches nobody, and
 // against one that keeps a revoked key after it is connected again.
 Test(account_distribution, node_that_reaches_nobody_keeps_its_accounts) {
