Soak: callers with API keys, and the revocation of one

Cause: no run with faults checked API keys. Calls without a key never run, and calls with the revoked key do not run when they were sent later than 5 s after the acknowledgement, or after the last pause of their entry's process.

--- a/tools/soak_driver/call_judge.cc
+++ b/tools/soak_driver/call_judge.cc
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds kEntryGrace{1000};
 constexpr std::chrono::milliseconds kGraceMargin{100};
 
+// Bound of the deployment from the acknowledgement of a version until all nodes
+// have it in force (docs/design/README.md, section 2).
+constexpr std::chrono::seconds kRevocationLimit{5};
+
 // The calls that presented one key.
 struct KeyCalls {
   int executions = 0;
@@ -32,12 +36,16 @@
                      const std::map<std::string, int>& executions,
                      SoakTime epoch,
                      bool stops_only,
+                     bool accounts,
+                     std::optional<SoakTime> revoked,
                      Report report)
     : records_(records),
       lives_(lives),
       executions_(executions),
       epoch_(epoch),
       stops_only_(stops_only),
+      accounts_(accounts),
+      revoked_(revoked),
       report_(std::move(report)) {
   for (const CallRecord& record : records_) {
     for (const NodeLife& life : lives_) {
@@ -58,6 +66,29 @@
   if (stops_only_) {
     JudgePlannedStops();
   }
+  if (accounts_) {
+    JudgeApiKeys();
+  }
+}
+
+void CallJudge::JudgeApiKeys() {
+  for (const CallRecord& record : records_) {
+    const bool ran = Executions(record.id) > 0;
+    if (record.api_key == ApiKey::kNone && ran) {
+      ReportCall("run without an API key: ", record);
+    }
+    if (record.api_key != ApiKey::kRevoked || !ran || !revoked_) {
+      continue;
+    }
+    // A process that was paused may read a call before the version.
+    const NodeLife* const life = LifeOf(record);
+    const SoakTime known = life != nullptr && life->resumed
+                               ? std::max(*revoked_, *life->resumed)
+                               : *revoked_;
+    if (record.sent > known + kRevocationLimit) {
+      ReportCall("run with a revoked API key: ", record, /*by_time=*/true);
+    }
+  }
 }
 
 void CallJudge::JudgeResponses() {
--- a/tools/soak_driver/call_judge.h
+++ b/tools/soak_driver/call_judge.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,13 +20,17 @@
   using Report = std::function<void(SoakFailure failure)>;
 
   // With `stops_only`, planned stops are the only faults, so that no outcome
-  // may be unknown. `epoch` is the time that the texts count from. `executions`
-  // maps request ids to how often targets ran them.
+  // may be unknown. With `accounts`, calls need an API key; `revoked` is when
+  // the store had accepted that kRevokedApiKey ends. `epoch` is the time that
+  // the texts count from. `executions` maps request ids to how often targets
+  // ran them.
   CallJudge(const std::vector<CallRecord>& records,
             const std::vector<NodeLife>& lives,
             const std::map<std::string, int>& executions,
             SoakTime epoch,
             bool stops_only,
+            bool accounts,
+            std::optional<SoakTime> revoked,
             Report report);
 
   void Judge();
@@ -34,6 +39,7 @@
   void JudgeResponses();
   void JudgeOneTimeCalls();
   void JudgePlannedStops();
+  void JudgeApiKeys();
   // Returns the process of the entry node that ran when the call was sent, or
   // null.
   const NodeLife* LifeOf(const CallRecord& record) const;
@@ -52,6 +58,8 @@
   const std::map<std::string, int>& executions_;
   const SoakTime epoch_;
   const bool stops_only_;
+  const bool accounts_;
+  const std::optional<SoakTime> revoked_;
   const Report report_;
   // When each life sent its first response.
   std::map<const NodeLife*, SoakTime> first_responses_;
--- a/tools/soak_driver/call_record.h
+++ b/tools/soak_driver/call_record.h
@@ -8,6 +8,14 @@
 
 using SoakTime = std::chrono::steady_clock::time_point;
 
+// What a caller presents where the table has client accounts.
+enum class ApiKey { kValid, kRevoked, kNone };
+
+// The keys of the soak's accounts; that of ApiKey::kRevoked is revoked during
+// the run.
+inline constexpr char kValidApiKey[] = "soak-api-key-1";
+inline constexpr char kRevokedApiKey[] = "soak-api-key-2";
+
 // A request of a caller and its response.
 struct CallRecord final {
   // Request id, which the target counts and echoes.
@@ -20,6 +28,7 @@
   // How often the key had been presented before.
   int presented = 0;
   int entry = 0;
+  ApiKey api_key = ApiKey::kValid;
   SoakTime sent;
   SoakTime ended;
   // 0 if the connection ended without a response.
@@ -31,7 +40,11 @@
   // Whether the response body names the request.
   bool own_response = false;
 
+  // A refusal for the API key counts as success if the key may be refused.
   bool Succeeded() const {
+    if (api_key != ApiKey::kValid && reason == "unknown_key") {
+      return status == 401;
+    }
     return status == 200 && (key_fetch || (outcome == "done" && own_response));
   }
 };
--- a/tools/soak_driver/caller_pool.cc
+++ b/tools/soak_driver/caller_pool.cc
@@ -35,6 +35,12 @@
                                CallKind::kIssuedKey,  CallKind::kIssuedKey,
                                CallKind::kNoKey,      CallKind::kOwnKey};
 
+// Shares of the API keys in tenths.
+constexpr ApiKey kApiKeys[] = {
+    ApiKey::kValid,   ApiKey::kValid, ApiKey::kValid, ApiKey::kValid,
+    ApiKey::kValid,   ApiKey::kValid, ApiKey::kValid, ApiKey::kRevoked,
+    ApiKey::kRevoked, ApiKey::kNone};
+
 std::string BodyOf(evhttp_request* request) {
   evbuffer* buffer = evhttp_request_get_input_buffer(request);
   std::string body(evbuffer_get_length(buffer), '\0');
@@ -126,6 +132,14 @@
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", server_.ToString().c_str());
     evhttp_add_header(headers, "x-request-id", record_.id.c_str());
+    if (pool_->accounts_) {
+      record_.api_key = kApiKeys[pool_->random_.Below(std::size(kApiKeys))];
+      if (record_.api_key != ApiKey::kNone) {
+        evhttp_add_header(
+            headers, "x-api-key",
+            record_.api_key == ApiKey::kValid ? kValidApiKey : kRevokedApiKey);
+      }
+    }
     if (!record_.key.empty()) {
       pool_->key_of_id_[record_.id] = record_.key;
       evhttp_add_header(headers, kKeyHeader, record_.key.c_str());
@@ -185,10 +199,12 @@
 CallerPool::CallerPool(const std::vector<HostPort>& entries,
                        int callers_per_entry,
                        uint64_t seed,
-                       bool issued_keys_only)
+                       bool issued_keys_only,
+                       bool accounts)
     : loop_(EventLoop::Make(&clock_)),
       random_(seed),
-      issued_keys_only_(issued_keys_only) {
+      issued_keys_only_(issued_keys_only),
+      accounts_(accounts) {
   for (size_t entry = 0; entry < entries.size(); ++entry) {
     for (int i = 0; i < callers_per_entry; ++i) {
       callers_.push_back(std::make_unique<Caller>(this, entries[entry],
--- a/tools/soak_driver/caller_pool.h
+++ b/tools/soak_driver/caller_pool.h
@@ -29,11 +29,12 @@
   static constexpr int kResponseTimeoutMs = 15'000;
 
   // With `issued_keys_only`, callers send a call without a key instead of one
-  // with a key that they chose.
+  // with a key that they chose. With `accounts`, they present API keys.
   CallerPool(const std::vector<HostPort>& entries,
              int callers_per_entry,
              uint64_t seed,
-             bool issued_keys_only);
+             bool issued_keys_only,
+             bool accounts);
   ~CallerPool();
   CallerPool(const CallerPool&) = delete;
   CallerPool& operator=(const CallerPool&) = delete;
@@ -73,6 +74,7 @@
   const std::unique_ptr<EventLoop> loop_;
   Random random_;
   const bool issued_keys_only_;
+  const bool accounts_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::deque<RepeatedKey> repeated_keys_;
   std::unordered_map<std::string, std::string> key_of_id_;
--- a/tools/soak_driver/daemon_group.cc
+++ b/tools/soak_driver/daemon_group.cc
@@ -138,8 +138,9 @@
 
 void DaemonGroup::Resume(int node) {
   Daemon& daemon = daemons_[node];
-  const NodeLife& life = LifeOf(node);
+  NodeLife& life = LifeOf(node);
   const SoakTime now = SteadyClock::now();
+  life.resumed = now;
   daemon.must_handle_by += now - *daemon.paused;
   if (life.terminated) {
     const auto paused = now - std::max(*daemon.paused, *life.terminated);
--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -179,6 +179,8 @@
       "add returns of the store from copies some seconds old")(
       "issued-keys-only", options::bool_switch(&soak.issued_keys_only),
       "callers choose no keys of their own")(
+      "accounts", options::bool_switch(&soak.accounts),
+      "callers present API keys, one of which is revoked")(
       "keep-logs", options::bool_switch(&arguments.keep_logs),
       "keep the logs of seeds that pass as well");
   try {
--- a/tools/soak_driver/node_life.h
+++ b/tools/soak_driver/node_life.h
@@ -15,6 +15,8 @@
   std::optional<SoakTime> terminated;
   std::optional<SoakTime> killed;
   std::optional<SoakTime> exited;
+  // When its latest pause ended.
+  std::optional<SoakTime> resumed;
 };
 
 }  // namespace dragonflytack
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -60,7 +60,8 @@
       callers_(Entries(),
                options.callers_per_node,
                options.seed,
-               options.issued_keys_only),
+               options.issued_keys_only,
+               options.accounts),
       daemons_(&fleet_, &log_) {
   log_.Write(fmt::format("seed {} nodes {} seconds {}{}", options.seed,
                          options.nodes, options.seconds,
@@ -148,8 +149,8 @@
 }
 
 bool SoakRun::StartProcesses() {
-  return fleet_.StartStore() && edits_.AddRows() && relay_.Start() &&
-         daemons_.StartAll() &&
+  return fleet_.StartStore() && edits_.AddRows(options_.accounts) &&
+         relay_.Start() && daemons_.StartAll() &&
          fleet_
              .WaitForMemberCount(fleet_.nodes().size(),
                                  static_cast<int>(kRestartSeconds * 1000))
@@ -159,6 +160,9 @@
 void SoakRun::InjectFaults() {
   epoch_ = SteadyClock::now();
   log_.SetEpoch(epoch_);
+  if (options_.accounts) {
+    At(options_.seconds / 2, [this] { edits_.StartRevocation(); });
+  }
   for (const SoakEvent& event : schedule_) {
     PollUntil(event.at - SecondsSince(epoch_), [] { return false; });
     Begin(event);
@@ -231,7 +235,7 @@
 
 void SoakRun::CheckLastEdit() {
   SoakTime start = SteadyClock::now();
-  if (!edits_.EditAll()) {
+  if (!edits_.EditAll() || (options_.accounts && !edits_.revoked())) {
     log_.ReportFailure({.text = "the store takes no edit after the faults",
                         .limited_since = start});
     return;
@@ -287,7 +291,7 @@
   }
   CallJudge(
       callers_.records(), daemons_.lives(), *executions, epoch_,
-      drawn_.stops_only(),
+      drawn_.stops_only(), options_.accounts, edits_.revoked(),
       [this](SoakFailure failure) { log_.ReportFailure(std::move(failure)); })
       .Judge();
 }
--- a/tools/soak_driver/table_edits.cc
+++ b/tools/soak_driver/table_edits.cc
@@ -45,16 +45,44 @@
   return ChildProcess::Start(arguments, log_path_);
 }
 
-bool TableEdits::AddRows() {
+bool TableEdits::AddRows(bool accounts) {
   for (size_t i = 0; i < kServices.size(); ++i) {
     std::optional<ChildProcess> process = Run({"add", kServices[i], kKinds[i]});
     if (!process || process->WaitExit(kWaitMs) != kDone) {
       return false;
     }
   }
+  const std::pair<const char*, const char*> rows[] = {{"stays", kValidApiKey},
+                                                      {"ends", kRevokedApiKey}};
+  for (const auto& [account, key] : rows) {
+    std::optional<ChildProcess> process =
+        accounts ? Run({"add", account, "--accounts",
+                        fmt::format("keys=key:{}", key)})
+                 : std::nullopt;
+    if (accounts && (!process || process->WaitExit(kWaitMs) != kDone)) {
+      return false;
+    }
+  }
   return true;
 }
 
+void TableEdits::StartRevocation() {
+  revocation_ = Run({"set", "ends", "keys", "", "--accounts"});
+}
+
+void TableEdits::PollRevocation(std::optional<int> exit_code) {
+  if (!exit_code) {
+    return;
+  }
+  log_->Write(fmt::format("revocation exit code {}", *exit_code));
+  revocation_.reset();
+  if (*exit_code == kDone) {
+    revoked_ = std::chrono::steady_clock::now();
+  } else {
+    StartRevocation();
+  }
+}
+
 void TableEdits::Start(int row) {
   const std::string service = kServices[row % kServices.size()];
   if (running_.contains(service)) {
@@ -69,6 +97,12 @@
 }
 
 void TableEdits::Poll() {
+  if (revocation_) {
+    const std::optional<int> status = revocation_->PollWaitStatus();
+    PollRevocation(
+        status ? std::optional(WIFEXITED(*status) ? WEXITSTATUS(*status) : -1)
+               : std::nullopt);
+  }
   for (auto edit = running_.begin(); edit != running_.end();) {
     const std::optional<int> status = edit->second.process.PollWaitStatus();
     if (!status) {
@@ -106,6 +140,13 @@
 }
 
 bool TableEdits::EditAll() {
+  if (revocation_) {
+    PollRevocation(revocation_->WaitExit(kWaitMs).value_or(-1));
+  }
+  if (revocation_) {
+    // The store accepts edits again.
+    PollRevocation(revocation_->WaitExit(kWaitMs).value_or(-1));
+  }
   for (auto& [service, edit] : running_) {
     OnExit(service, edit, edit.process.WaitExit(kWaitMs).value_or(-1));
   }
--- a/tools/soak_driver/table_edits.h
+++ b/tools/soak_driver/table_edits.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "soak_driver/call_record.h"
 #include "soak_driver/soak_log.h"
 #include "support/child_process.h"
 
@@ -21,8 +22,14 @@
              std::string log_path,
              SoakLog* log);
 
-  // Adds the rows of both services. Returns false on failure.
-  bool AddRows();
+  // Adds the rows of both services, and those of client accounts if
+  // `accounts`. Returns false on failure.
+  bool AddRows(bool accounts);
+  // Starts the edit that revokes kRevokedApiKey. It is repeated until the store
+  // accepts it.
+  void StartRevocation();
+  // Returns when the store had accepted that edit.
+  const std::optional<SoakTime>& revoked() const { return revoked_; }
   // Starts an edit of a row unless one is running.
   void Start(int row);
   // Records that the store has lost writes. An edit that is running may have
@@ -51,6 +58,8 @@
   };
 
   std::optional<ChildProcess> Run(std::vector<std::string> arguments) const;
+  // Handles the end of the revocation; std::nullopt while it runs.
+  void PollRevocation(std::optional<int> exit_code);
   void OnExit(const std::string& service, const Edit& edit, int exit_code);
 
   const std::string tool_;
@@ -58,6 +67,8 @@
   const std::string log_path_;
   SoakLog* const log_;
   std::map<std::string, Edit> running_;
+  std::optional<ChildProcess> revocation_;
+  std::optional<SoakTime> revoked_;
   // Values of the latest accepted edits.
   std::map<std::string, int> latest_;
   int next_value_;
