Soak: the API key is revoked in the first quarter of a run

Cause: with a revocation in the middle, few calls were sent later than the bound of 5 s after it. Change: it starts after a quarter of the time.

--- a/tools/soak_driver/soak_options.h
+++ b/tools/soak_driver/soak_options.h
@@ -29,7 +29,7 @@
   // Callers present no keys that they chose themselves, whose claims are
   // objects of the store.
   bool issued_keys_only = false;
-  // The table has client accounts, of which a key is revoked in the middle.
+  // The table has client accounts, of which a key is revoked during the run.
   bool accounts = false;
 };
 
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -161,7 +161,7 @@
   epoch_ = SteadyClock::now();
   log_.SetEpoch(epoch_);
   if (options_.accounts) {
-    At(options_.seconds / 2, [this] { edits_.StartRevocation(); });
+    At(options_.seconds / 4, [this] { edits_.StartRevocation(); });
   }
   for (const SoakEvent& event : schedule_) {
     PollUntil(event.at - SecondsSince(epoch_), [] { return false; });
