Roll-outs: releases of targets and published shares in records and routing

Cause: a roll-out moves a part of the calls of a service to a new release, and targets of that release start within milliseconds of the order.

Change: records have the optional last fields `release` and `rollout_shares`; without them they keep their bytes. The registry keeps the newest share of each service when the record that carried it is gone. ServicePool draws the release of each attempt. A release that is new to a service gets no calls for 3 s, in which the share of its order arrives, unless the service has no other one. Handshakes omit the shares, which can exceed their limit of 4,096 bytes, and present an earlier revision instead. Settings [rollout].

--- a/bench/distribution_bench.cc
+++ b/bench/distribution_bench.cc
@@ -170,12 +170,12 @@
         }));
 
   const size_t heap_routes = HeapBytes();
-  RouteBuilder routes(&registry);
+  RouteBuilder routes(&registry, /*holds_new_releases=*/false);
   auto snapshot = routes.Build(table, table->version());
   Print(nodes, "route_snapshot_memory", "bytes",
         static_cast<double>(HeapBytes() - heap_routes));
   Print(nodes, "routes_whole", "cpu_us", Measure(20, [&](int) {
-          RouteBuilder fresh(&registry);
+          RouteBuilder fresh(&registry, /*holds_new_releases=*/false);
           fresh.Build(table, table->version());
         }));
   Print(nodes, "routes_one_service", "cpu_us", Measure(500, [&](int round) {
@@ -192,7 +192,7 @@
         }));
   // Cost of the daemon's periodic malloc_trim() after a rebuild of all routes.
   Print(nodes, "trim_after_routes_whole", "cpu_us", Measure(20, [&](int) {
-          RouteBuilder fresh(&registry);
+          RouteBuilder fresh(&registry, /*holds_new_releases=*/false);
           fresh.Build(table, table->version());
           malloc_trim(0);
         }));
--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -58,6 +58,16 @@
   double retry_ratio = 0.1;      // ratio
   int retry_window_ms = 10'000;  // window
   int retry_slack = 30;          // slack
+  // [rollout]: a bad release gets at most exposure times the calls of its
+  // service, plus exposure_slack, and none later than rollback after its 50th
+  // bad response. Without exposure or rollback there are no roll-outs.
+  double rollout_exposure = 0;     // exposure
+  int rollout_exposure_slack = 0;  // exposure_slack
+  int rollout_rollback_ms = 0;     // rollback
+
+  bool has_rollouts() const {
+    return rollout_exposure > 0 && rollout_rollback_ms > 0;
+  }
 
   // Loads an INI file. Returns std::nullopt if a setting is missing, unknown or
   // invalid; `reason` then names the file and the line.
--- a/include/dragonflytack/calls/local_target.h
+++ b/include/dragonflytack/calls/local_target.h
@@ -25,6 +25,8 @@
   // Increases with each announcement of one process; 0 if they are not
   // numbered.
   int64_t sequence = 0;
+  // Version of the target's software; empty if it does not report it.
+  std::string release;
 
   friend bool operator==(const LocalTarget&, const LocalTarget&) = default;
 };
--- a/include/dragonflytack/distribution/distribution_core.h
+++ b/include/dragonflytack/distribution/distribution_core.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,7 @@
 class LinkLayer;
 class Logger;
 class StoreClient;
+class RolloutShares;
 class Table;
 class TimerService;
 struct Endpoint;
@@ -65,7 +67,21 @@
 
   // Sets the local target's service, state and slots as the target announced
   // them. If `slots` is 0, the table's value applies.
-  void SetTarget(const std::string& service, TargetState state, int slots);
+  // `release` is the version of its software, empty if unknown.
+  void SetTarget(const std::string& service,
+                 TargetState state,
+                 int slots,
+                 const std::string& release = {});
+
+  // Sets whether this node publishes the roll-out shares that it knows.
+  void SetRolloutRole(bool is_controller);
+
+  // Puts a share in force on this node, and in the fleet if this node is a
+  // roll-out controller, unless a newer one is known.
+  void PublishShare(const RolloutShare& share);
+
+  // The newest share of each service that this node knows.
+  const RolloutShares& rollout_shares() const;
 
   // Announces the state `draining` on all links immediately. The caller
   // performs the other steps of a planned stop.
@@ -91,6 +107,9 @@
   // Frames and bytes on the links since the start.
   const TrafficCounters& traffic() const;
 
+  // Returns the record of a node, std::nullopt if it is unknown.
+  std::optional<NodeRecord> FindRecord(const NodeId& id) const;
+
   // Returns all records in the registry, sorted by id, with the liveness of
   // each node.
   std::vector<Endpoint> KnownNodes() const;
--- a/include/dragonflytack/registry/node_record.h
+++ b/include/dragonflytack/registry/node_record.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "dragonflytack/registry/liveness.h"
 #include "dragonflytack/registry/node_id.h"
+#include "dragonflytack/registry/rollout_share.h"
 #include "dragonflytack/registry/target_state.h"
 
 namespace dragonflytack {
@@ -46,6 +48,10 @@
   // Node that serves the one-time records of this incarnation after its planned
   // stop; empty otherwise.
   NodeId successor;
+  // Version of the target's software; empty if the target does not report it.
+  std::string release;
+  // The shares that a roll-out controller publishes.
+  std::vector<RolloutShare> rollout_shares;
 
   // Compares the revisions, (incarnation, sequence), of two records of a node.
   std::strong_ordering CompareRevision(const NodeRecord& other) const {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -172,6 +172,12 @@
   return ratio.has_value();
 }
 
+bool ApplyExposure(const std::string& text, Settings* settings) {
+  const std::optional<double> exposure = ParseNumber(text, 0.0, 1.0);
+  settings->rollout_exposure = exposure.value_or(0);
+  return exposure.has_value();
+}
+
 bool ApplyStoreAddress(const std::string& text, Settings* settings) {
   if (const std::optional<HostPort> address = HostPort::Parse(text)) {
     settings->store = *address;
@@ -294,6 +300,13 @@
      &ApplyDuration<&Settings::retry_window_ms, 1000, kMaxDrainTimeoutMs>},
     {"retry.slack", false, "a number from 0 to 1000000",
      &ApplyInteger<&Settings::retry_slack, 0, 1'000'000>},
+    {"rollout.exposure", false, "a number from 0 to 1, or nothing",
+     &ApplyExposure, true},
+    {"rollout.exposure_slack", false, "a number from 0 to 1000000, or nothing",
+     &ApplyInteger<&Settings::rollout_exposure_slack, 0, 1'000'000>, true},
+    {"rollout.rollback", false, "a time from 1s to 600s, or nothing",
+     &ApplyDuration<&Settings::rollout_rollback_ms, 1000, kMaxDrainTimeoutMs>,
+     true},
 };
 
 struct LocatedOption {
--- a/src/daemon/announcement.cc
+++ b/src/daemon/announcement.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "dragonflytack/registry/node_record.h"
 #include "net/loopback.h"
 #include "net/record_json.h"
 
@@ -80,6 +81,12 @@
     target->state = state.value_or(TargetState::kStarting);
     return state ? "" : "must be starting, warming, ready, draining or left";
   }
+  if (name == "release") {
+    target->release = text;
+    return value.is_string() && text.size() <= NodeRecord::kMaxTextBytes
+               ? ""
+               : "must be a text of at most 63 bytes";
+  }
   return "is unknown";
 }
 
--- a/src/daemon/announcement.h
+++ b/src/daemon/announcement.h
@@ -10,11 +10,11 @@
 namespace dragonflytack {
 
 // Parses the body of a target's announcement, a JSON object with "service",
-// "port", "state" and optionally "slots" and "address". The address defaults to
-// `remote_address`, from which the request came; it must be a loopback address
-// or `own_address`, the address of the node. Returns std::nullopt, with
-// kInvalidArgument and the name of the field in `reason`, if a field is
-// missing, unknown or out of range.
+// "port", "state" and optionally "slots", "address" and "release". The address
+// defaults to `remote_address`, from which the request came; it must be a
+// loopback address or `own_address`, the address of the node. Returns
+// std::nullopt, with kInvalidArgument and the name of the field in `reason`, if
+// a field is missing, unknown or out of range.
 std::optional<LocalTarget> ParseAnnouncement(const std::string& body,
                                              const std::string& remote_address,
                                              const std::string& own_address,
--- a/src/distribution/distribution_core.cc
+++ b/src/distribution/distribution_core.cc
@@ -46,8 +46,21 @@
 
 void DistributionCore::SetTarget(const std::string& service,
                                  TargetState state,
-                                 int slots) {
-  impl_->SetTarget(service, state, slots);
+                                 int slots,
+                                 const std::string& release) {
+  impl_->SetTarget(service, state, slots, release);
+}
+
+void DistributionCore::SetRolloutRole(bool is_controller) {
+  impl_->SetRolloutRole(is_controller);
+}
+
+void DistributionCore::PublishShare(const RolloutShare& share) {
+  impl_->PublishShare(share);
+}
+
+const RolloutShares& DistributionCore::rollout_shares() const {
+  return impl_->rollout_shares();
 }
 
 void DistributionCore::BeginDrain() {
@@ -79,6 +92,10 @@
   return impl_->traffic();
 }
 
+std::optional<NodeRecord> DistributionCore::FindRecord(const NodeId& id) const {
+  return impl_->FindRecord(id);
+}
+
 std::vector<Endpoint> DistributionCore::KnownNodes() const {
   return impl_->KnownNodes();
 }
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -115,7 +115,7 @@
                 seeds, [this](const HostPort& peer) { return IsLive(peer); });
             EvaluateTable();
           }),
-      route_builder_(&registry_) {
+      route_builder_(&registry_, settings.has_rollouts()) {
   links_.set_on_removed([this](LinkId link) {
     bootstrapper_.OnLinkRemoved(link);
     snapshot_server_.Release(link);
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,7 +58,15 @@
   void OnLinkUp(LinkId id, const NodeRecord& peer, bool outgoing);
   void OnFrame(LinkId id, std::string_view frame);
   void OnLinkDown(LinkId id, const Failure& reason);
-  void SetTarget(const std::string& service, TargetState state, int slots);
+  void SetTarget(const std::string& service,
+                 TargetState state,
+                 int slots,
+                 const std::string& release);
+  void SetRolloutRole(bool is_controller);
+  void PublishShare(const RolloutShare& share);
+  const RolloutShares& rollout_shares() const {
+    return registry_.rollout_shares();
+  }
   void BeginDrain();
   void AnnounceSuccessor(const NodeId& successor);
   void AnnounceTakeover(const NodeId& owner, uint64_t incarnation);
@@ -65,6 +74,7 @@
   std::shared_ptr<const Table> table() const { return table_sync_.in_force(); }
   DistributionStatus Status() const;
   const TrafficCounters& traffic() const { return links_.traffic(); }
+  std::optional<NodeRecord> FindRecord(const NodeId& id) const;
   std::vector<Endpoint> KnownNodes() const;
 
  private:
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -189,10 +189,12 @@
 
 void DistributionCore::Impl::SetTarget(const std::string& service,
                                        TargetState state,
-                                       int slots) {
+                                       int slots,
+                                       const std::string& release) {
   NodeRecord changed = registry_sync_.self();
   changed.service = service;
   changed.slots = slots;
+  changed.release = release;
   // A planned stop is not undone by a later announcement of the target.
   if (!draining_) {
     if (state == TargetState::kWarming &&
@@ -211,6 +213,25 @@
   }
 }
 
+void DistributionCore::Impl::SetRolloutRole(bool is_controller) {
+  NodeRecord changed = registry_sync_.self();
+  changed.rollout_shares = is_controller ? registry_.rollout_shares().All()
+                                         : std::vector<RolloutShare>();
+  if (changed != registry_sync_.self()) {
+    registry_sync_.UpdateSelf(std::move(changed));
+    FlushBatch();
+  }
+}
+
+void DistributionCore::Impl::PublishShare(const RolloutShare& share) {
+  registry_.MergeShare(share);
+  SetRolloutRole(true);
+  // A rollback must not wait for the interval between snapshots.
+  if (started_ && joined()) {
+    PublishRoutes();
+  }
+}
+
 void DistributionCore::Impl::BeginDrain() {
   draining_ = true;
   NodeRecord changed = registry_sync_.self();
@@ -278,6 +299,12 @@
   return status;
 }
 
+std::optional<NodeRecord> DistributionCore::Impl::FindRecord(
+    const NodeId& id) const {
+  const RegistryEntry* const entry = registry_.Find(id);
+  return entry == nullptr ? std::nullopt : std::optional(entry->ToRecord());
+}
+
 std::vector<Endpoint> DistributionCore::Impl::KnownNodes() const {
   std::vector<Endpoint> nodes;
   nodes.reserve(registry_.entries().size());
--- a/src/distribution/record_codec.cc
+++ b/src/distribution/record_codec.cc
@@ -32,6 +32,38 @@
 // default values are omitted.
 constexpr size_t kRequiredFields = 10;
 
+json WriteShares(const std::vector<RolloutShare>& shares) {
+  json list = json::array();
+  for (const RolloutShare& share : shares) {
+    list.push_back({share.service, share.release,
+                    static_cast<unsigned>(share.share), share.epoch});
+  }
+  return list;
+}
+
+std::vector<RolloutShare> ReadShares(CborReader* reader) {
+  std::vector<RolloutShare> shares;
+  const json& list = reader->Array();
+  if (list.size() > RolloutShare::kMaxShares) {
+    reader->Fail();
+    return shares;
+  }
+  for (const json& value : list) {
+    CborReader fields(value);
+    RolloutShare share;
+    share.service = fields.Text(NodeRecord::kMaxTextBytes);
+    share.release = fields.Text(NodeRecord::kMaxTextBytes);
+    share.share = static_cast<int>(fields.Unsigned(RolloutShare::kFull));
+    share.epoch = fields.Unsigned();
+    if (!fields.Finished() || share.service.empty()) {
+      reader->Fail();
+      return shares;
+    }
+    shares.push_back(std::move(share));
+  }
+  return shares;
+}
+
 json WriteRecord(const RecordUpdate& update, StringTable* texts) {
   const NodeRecord& record = update.record;
   // A warm-up starts soon after the incarnation, so the difference has a short
@@ -56,9 +88,12 @@
                  record.slots,
                  record.successor,
                  static_cast<unsigned>(update.liveness),
-                 update.ended_ago_s};
+                 update.ended_ago_s,
+                 record.release,
+                 WriteShares(record.rollout_shares)};
   while (fields.size() > kRequiredFields &&
-         (fields.back() == json(0) || fields.back() == json(""))) {
+         (fields.back() == json(0) || fields.back() == json("") ||
+          fields.back() == json::array())) {
     fields.erase(fields.size() - 1);
   }
   return fields;
@@ -119,6 +154,12 @@
   if (reader.ok() && !reader.AtEnd()) {
     update.ended_ago_s = reader.Unsigned(kMaxTime / 1000);
   }
+  if (reader.ok() && !reader.AtEnd()) {
+    record.release = reader.Text(NodeRecord::kMaxTextBytes);
+  }
+  if (reader.ok() && !reader.AtEnd()) {
+    record.rollout_shares = ReadShares(&reader);
+  }
   if (!reader.Finished() || record.id.empty() || record.address.empty() ||
       record.data_centre.empty() || record.region.empty()) {
     outer->Fail();
--- a/src/distribution/route_builder.cc
+++ b/src/distribution/route_builder.cc
@@ -73,7 +73,8 @@
     auto route = std::make_shared<ServiceRoute>();
     route->row = row;
     if (same_endpoints) {
-      route->endpoints = old_route->endpoints;
+      *route = *old_route;
+      route->row = row;
     } else {
       rebuilt.emplace(row.service, route.get());
     }
@@ -98,6 +99,9 @@
       }
     }
   }
+  for (const auto& [service, route] : rebuilt) {
+    SetReleases(std::string(service), route);
+  }
   if (locations_changed) {
     FillNodes(*registry_, snapshot.get());
   } else {
@@ -112,4 +116,46 @@
   return previous_;
 }
 
+void RouteBuilder::SetReleases(const std::string& service,
+                               ServiceRoute* route) {
+  if (const RolloutShare* share = registry_->rollout_shares().Find(service)) {
+    route->rollout = *share;
+  }
+  if (!holds_new_releases_) {
+    return;
+  }
+  const TimePoint now = registry_->clock().Now();
+  std::map<std::string, TimePoint>& known = first_seen_[service];
+  std::map<std::string, TimePoint> present;
+  for (const Endpoint& endpoint : route->endpoints) {
+    const TargetState state = endpoint.record.state;
+    if (endpoint.liveness == Liveness::kDead ||
+        (state != TargetState::kWarming && state != TargetState::kReady) ||
+        endpoint.record.release.empty()) {
+      continue;
+    }
+    const auto found = known.find(endpoint.record.release);
+    // The first releases of a service have no others that could get the calls.
+    present.emplace(endpoint.record.release, found != known.end()
+                                                 ? found->second
+                                             : known.empty() ? TimePoint::min()
+                                                             : now);
+  }
+  known = std::move(present);
+  const bool has_others =
+      std::any_of(known.begin(), known.end(), [&](const auto& item) {
+        return item.second == TimePoint::min() ||
+               now - item.second >= kHoldTime;
+      });
+  if (!has_others) {
+    return;
+  }
+  for (const auto& [release, since] : known) {
+    if (since != TimePoint::min() && now - since < kHoldTime &&
+        release != route->rollout.release) {
+      route->held_releases.emplace(release, since + kHoldTime);
+    }
+  }
+}
+
 }  // namespace dragonflytack
--- a/src/net/link_handshake.cc
+++ b/src/net/link_handshake.cc
@@ -35,10 +35,18 @@
 
 std::string LinkHandshake::MakeHello(const NodeRecord& self) {
   own_id_ = self.id;
+  NodeRecord presented = self;
+  if (!self.rollout_shares.empty()) {
+    // The shares of many services exceed kMaxMessageBytes. Without them the
+    // record has an earlier revision, so that the peer still takes the complete
+    // one from the link.
+    presented.rollout_shares.clear();
+    --presented.sequence;
+  }
   own_hello_ = EncodeCbor({{"protocol", kProtocol},
                            {"role", RoleName(is_client_)},
                            {"nonce", RandomHex(kNonceBytes)},
-                           {"record", RecordToJson(self)}});
+                           {"record", RecordToJson(presented)}});
   return own_hello_;
 }
 
--- a/src/net/record_json.cc
+++ b/src/net/record_json.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <utility>
+#include <vector>
 
 namespace dragonflytack {
 
@@ -59,6 +60,31 @@
   std::string invalid_field_;
 };
 
+std::vector<RolloutShare> SharesFromJson(const json& list,
+                                         FieldReader* record) {
+  std::vector<RolloutShare> shares;
+  if (!list.is_array() || list.size() > RolloutShare::kMaxShares) {
+    record->MarkInvalid("rollout_shares");
+    return shares;
+  }
+  for (const json& item : list) {
+    RolloutShare share;
+    FieldReader reader(item);
+    if (item.is_object()) {
+      reader.Read("service", &share.service);
+      reader.Read("release", &share.release);
+      reader.Read("share", &share.share, RolloutShare::kFull);
+      reader.Read("epoch", &share.epoch, UINT64_MAX);
+    }
+    if (!reader.invalid_field().empty() || share.service.empty()) {
+      record->MarkInvalid("rollout_shares");
+      return shares;
+    }
+    shares.push_back(std::move(share));
+  }
+  return shares;
+}
+
 }  // namespace
 
 std::string_view TargetStateName(TargetState state) {
@@ -75,20 +101,32 @@
 }
 
 json RecordToJson(const NodeRecord& record) {
-  return {{"id", record.id},
-          {"incarnation", record.incarnation},
-          {"sequence", record.sequence},
-          {"region", record.region},
-          {"data_centre", record.data_centre},
-          {"address", record.address},
-          {"peer_port", record.peer_port},
-          {"mesh_port", record.mesh_port},
-          {"admin_port", record.admin_port},
-          {"service", record.service},
-          {"state", TargetStateName(record.state)},
-          {"warming_since_ms", record.warming_since_ms},
-          {"slots", record.slots},
-          {"successor", record.successor}};
+  json object = {{"id", record.id},
+                 {"incarnation", record.incarnation},
+                 {"sequence", record.sequence},
+                 {"region", record.region},
+                 {"data_centre", record.data_centre},
+                 {"address", record.address},
+                 {"peer_port", record.peer_port},
+                 {"mesh_port", record.mesh_port},
+                 {"admin_port", record.admin_port},
+                 {"service", record.service},
+                 {"state", TargetStateName(record.state)},
+                 {"warming_since_ms", record.warming_since_ms},
+                 {"slots", record.slots},
+                 {"successor", record.successor}};
+  // Records without the optional fields keep the form that peers of earlier
+  // versions sign.
+  if (!record.release.empty()) {
+    object["release"] = record.release;
+  }
+  for (const RolloutShare& share : record.rollout_shares) {
+    object["rollout_shares"].push_back({{"service", share.service},
+                                        {"release", share.release},
+                                        {"share", share.share},
+                                        {"epoch", share.epoch}});
+  }
+  return object;
 }
 
 std::optional<NodeRecord> RecordFromJson(const json& object, Failure* reason) {
@@ -110,6 +148,12 @@
               NodeRecord::kMaxNumber);
   reader.Read("slots", &record.slots, NodeRecord::kMaxSlots);
   reader.Read("successor", &record.successor);
+  if (object.contains("release")) {
+    reader.Read("release", &record.release);
+  }
+  if (const auto list = object.find("rollout_shares"); list != object.end()) {
+    record.rollout_shares = SharesFromJson(*list, &reader);
+  }
   const std::optional<TargetState> parsed_state = ParseTargetState(state);
   if (!parsed_state) {
     reader.MarkInvalid("state");
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -27,10 +27,23 @@
 }  // namespace
 
 NodeRecord RegistryEntry::ToRecord() const {
-  return NodeRecord{id,           incarnation, sequence,  *region,
-                    *data_centre, address,     peer_port, mesh_port,
-                    admin_port,   *service,    state,     warming_since_ms,
-                    slots,        *successor};
+  return NodeRecord{id,
+                    incarnation,
+                    sequence,
+                    *region,
+                    *data_centre,
+                    address,
+                    peer_port,
+                    mesh_port,
+                    admin_port,
+                    *service,
+                    state,
+                    warming_since_ms,
+                    slots,
+                    *successor,
+                    *release,
+                    rollout_shares == nullptr ? std::vector<RolloutShare>()
+                                              : *rollout_shares};
 }
 
 Registry::Registry(const Clock* clock) : clock_(clock) {}
@@ -204,6 +217,21 @@
   entry->mesh_port = record.mesh_port;
   entry->admin_port = record.admin_port;
   entry->state = record.state;
+  entry->release = pool_.Intern(record.release);
+  entry->rollout_shares =
+      record.rollout_shares.empty()
+          ? nullptr
+          : std::make_shared<const std::vector<RolloutShare>>(
+                record.rollout_shares);
+  for (const RolloutShare& share : record.rollout_shares) {
+    MergeShare(share);
+  }
+}
+
+void Registry::MergeShare(const RolloutShare& share) {
+  if (rollout_shares_.Merge(share)) {
+    changed_services_.insert(share.service);
+  }
 }
 
 void Registry::Rehash(RegistryEntry* entry, int64_t ended_ago_ms) {
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -14,6 +14,7 @@
 #include "dragonflytack/registry/node_record.h"
 #include "registry/bucket_digests.h"
 #include "registry/registry_entry.h"
+#include "registry/rollout_shares.h"
 #include "registry/string_pool.h"
 #include "registry/succession.h"
 
@@ -68,6 +69,10 @@
   const Entries& entries() const { return entries_; }
   const Successions& successions() const { return successions_; }
   const BucketDigests& digests() const { return digests_; }
+  const Clock& clock() const { return *clock_; }
+  const RolloutShares& rollout_shares() const { return rollout_shares_; }
+  // Adds a share that no record carries yet.
+  void MergeShare(const RolloutShare& share);
 
   static uint64_t HashOf(const Succession& succession);
   static uint8_t BucketOf(std::string_view id);
@@ -92,6 +97,7 @@
   // The keys refer to the ids in the entries.
   Entries entries_;
   Successions successions_;
+  RolloutShares rollout_shares_;
   BucketDigests digests_;
   std::set<std::string> changed_services_;
   bool locations_changed_ = true;
--- a/src/registry/registry_entry.h
+++ b/src/registry/registry_entry.h
@@ -2,7 +2,9 @@
 #define DRAGONFLYTACK_SRC_REGISTRY_REGISTRY_ENTRY_H_
 
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "dragonflytack/registry/liveness.h"
 #include "dragonflytack/registry/node_record.h"
@@ -20,6 +22,9 @@
   const std::string* data_centre = nullptr;
   const std::string* service = nullptr;
   const std::string* successor = nullptr;
+  const std::string* release = nullptr;
+  // Null if the node publishes none, as all but the roll-out controllers.
+  std::shared_ptr<const std::vector<RolloutShare>> rollout_shares;
   int64_t warming_since_ms = 0;
   // Wall time in milliseconds at which the node left or was declared dead; 0
   // while IsLive().
--- a/src/routing/service_pool.cc
+++ b/src/routing/service_pool.cc
@@ -51,13 +51,18 @@
   const TimePoint now = clock_->Now();
   const int64_t wall_ms = clock_->WallMillis();
   std::unordered_map<NodeId, EndpointPtr> kept;
-  for (Candidates& tier : tiers_) {
-    tier.clear();
+  sides_ = {};
+  route_ = std::move(route);
+  hold_end_ = TimePoint::max();
+  for (const auto& [release, until] : route_->held_releases) {
+    if (until > now) {
+      hold_end_ = std::min(hold_end_, until);
+    }
   }
-  const ServiceRow& row = route->row;
+  const ServiceRow& row = route_->row;
   int own_region_weight = 0;
   int max_other_weight = 0;
-  for (const Endpoint& endpoint : route->endpoints) {
+  for (const Endpoint& endpoint : route_->endpoints) {
     const int weight = WeightOf(row, endpoint.record.region);
     if (!IsEligible(endpoint) || weight == 0) {
       continue;
@@ -72,19 +77,26 @@
       state->Update(endpoint, row.slots, now, wall_ms);
     }
     kept.emplace(endpoint.record.id, state);
+    const std::optional<Side> side = SideOf(endpoint.record.release, now);
+    if (!side) {
+      continue;
+    }
     const Tier tier = TierOf(endpoint.record);
     int& max_weight =
         tier == kOtherRegions ? max_other_weight : own_region_weight;
     max_weight = std::max(max_weight, weight);
-    tiers_[tier].push_back({std::move(state), static_cast<double>(weight)});
+    sides_[*side][tier].push_back(
+        {std::move(state), static_cast<double>(weight)});
   }
-  for (Candidates& tier : tiers_) {
-    double max_weight = 0;
-    for (const Candidate& candidate : tier) {
-      max_weight = std::max(max_weight, candidate.weight);
-    }
-    for (Candidate& candidate : tier) {
-      candidate.weight /= max_weight;
+  for (Tiers& tiers : sides_) {
+    for (Candidates& tier : tiers) {
+      double max_weight = 0;
+      for (const Candidate& candidate : tier) {
+        max_weight = std::max(max_weight, candidate.weight);
+      }
+      for (Candidate& candidate : tier) {
+        candidate.weight /= max_weight;
+      }
     }
   }
   // With equal weights all calls stay in this node's region. A region with half
@@ -94,7 +106,36 @@
           ? 1
           : static_cast<double>(own_region_weight) / max_other_weight;
   states_ = std::move(kept);
-  route_ = std::move(route);
+}
+
+std::optional<ServicePool::Side> ServicePool::SideOf(const std::string& release,
+                                                     TimePoint now) const {
+  const RolloutShare& rollout = route_->rollout;
+  if (!rollout.release.empty() && release == rollout.release) {
+    return kNewRelease;
+  }
+  const auto held = route_->held_releases.find(release);
+  return held != route_->held_releases.end() && held->second > now
+             ? std::nullopt
+             : std::optional(kOldRelease);
+}
+
+void ServicePool::EndHolds() {
+  if (clock_->Now() >= hold_end_) {
+    Update(route_);
+  }
+}
+
+ServicePool::Side ServicePool::DrawSide() {
+  const RolloutShare& rollout = route_->rollout;
+  if (rollout.release.empty() || rollout.share == 0) {
+    return kOldRelease;
+  }
+  return rollout.share >= RolloutShare::kFull ||
+                 random_->Below(RolloutShare::kFull) <
+                     static_cast<uint64_t>(rollout.share)
+             ? kNewRelease
+             : kOldRelease;
 }
 
 ServicePool::Tier ServicePool::TierOf(const NodeRecord& record) const {
@@ -106,6 +147,25 @@
 
 ServicePool::EndpointPtr ServicePool::Choose(
     const std::vector<EndpointPtr>& excluded) {
+  EndHolds();
+  const TimePoint now = clock_->Now();
+  Side side = DrawSide();
+  const Candidate* found = ChooseUsable(side, excluded, now);
+  if (found == nullptr && side == kNewRelease &&
+      route_->rollout.share < RolloutShare::kFull) {
+    side = kOldRelease;
+    found = ChooseUsable(side, excluded, now);
+  }
+  if (found == nullptr) {
+    found = ChooseLastResort(sides_[side], excluded, now, false);
+  }
+  return found == nullptr ? nullptr : found->state;
+}
+
+const ServicePool::Candidate* ServicePool::ChooseUsable(
+    Side side,
+    const std::vector<EndpointPtr>& excluded,
+    TimePoint now) {
   struct Step {
     Tier tier;
     double occupancy_limit;
@@ -118,45 +178,54 @@
       {kOtherRegions, 1}};
   static constexpr Step kOtherRegionsFirst[] = {
       {kOtherRegions, 1}, {kOwnDataCentre, 1}, {kOwnRegion, 1}};
-  const TimePoint now = clock_->Now();
+  const Tiers& tiers = sides_[side];
   const bool other_regions_first =
       own_region_share_ < 1 && random_->Unit() >= own_region_share_;
   for (const Step& step : other_regions_first
                               ? std::span<const Step>(kOtherRegionsFirst)
                               : std::span<const Step>(kNearestFirst)) {
     if (const Candidate* found =
-            ChooseIn(tiers_[step.tier], excluded, step.occupancy_limit, now)) {
-      return found->state;
+            ChooseIn(tiers[step.tier], excluded, step.occupancy_limit, now)) {
+      return found;
     }
   }
-  const Candidate* found = ChooseLastResort(excluded, now);
-  return found == nullptr ? nullptr : found->state;
+  return side == kNewRelease ? ChooseLastResort(tiers, excluded, now, true)
+                             : nullptr;
 }
 
 bool ServicePool::HasRoom(const std::vector<EndpointPtr>& excluded,
                           double occupancy) const {
   const TimePoint now = clock_->Now();
+  const int share = route_->rollout.share;
   return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
-    return IsUsable(*item.second, occupancy, now) &&
+    const std::optional<Side> side = SideOf(item.second->record().release, now);
+    return side &&
+           (*side == kNewRelease ? share > 0 : share < RolloutShare::kFull) &&
+           IsUsable(*item.second, occupancy, now) &&
            !Contains(excluded, item.second);
   });
 }
 
 ServicePool::EndpointPtr ServicePool::ChooseForHedge(
     const std::vector<EndpointPtr>& excluded) {
+  EndHolds();
   const TimePoint now = clock_->Now();
+  // A second copy of a call goes to the old release, as long as it gets calls.
+  const Tiers& tiers =
+      sides_[route_->rollout.share >= RolloutShare::kFull ? kNewRelease
+                                                          : kOldRelease];
   bool region_has_others = false;
   for (const Tier tier : {kOwnDataCentre, kOwnRegion}) {
-    if (const Candidate* found = ChooseIn(tiers_[tier], excluded, 1, now)) {
+    if (const Candidate* found = ChooseIn(tiers[tier], excluded, 1, now)) {
       return found->state;
     }
-    for (const Candidate& candidate : tiers_[tier]) {
+    for (const Candidate& candidate : tiers[tier]) {
       region_has_others |= !Contains(excluded, candidate.state);
     }
   }
   const Candidate* found =
       region_has_others ? nullptr
-                        : ChooseIn(tiers_[kOtherRegions], excluded, 1, now);
+                        : ChooseIn(tiers[kOtherRegions], excluded, 1, now);
   return found == nullptr ? nullptr : found->state;
 }
 
@@ -220,8 +289,10 @@
 }
 
 const ServicePool::Candidate* ServicePool::ChooseLastResort(
+    const Tiers& tiers,
     const std::vector<EndpointPtr>& excluded,
-    TimePoint now) {
+    TimePoint now,
+    bool must_be_usable) {
   // Order of preference: cold, full, ejected or unresponsive, draining. A cold
   // candidate is taken from the nearest tier that has one; in the other ranks
   // the lowest score of all tiers wins, and the nearer tier if scores are
@@ -230,7 +301,7 @@
   int best_rank = 0;
   double best_score = 0;
   uint64_t usable = 1;
-  for (const Candidates& tier : tiers_) {
+  for (const Candidates& tier : tiers) {
     for (const Candidate& candidate : tier) {
       const EndpointState& state = *candidate.state;
       if (Contains(excluded, candidate.state)) {
@@ -244,6 +315,9 @@
       } else if (state.IsFull(now)) {
         rank = 1;
       }
+      if (must_be_usable && rank != 0) {
+        continue;
+      }
       const double score = state.Score(now);
       // The usable candidates that are left are cold. Each of them is chosen
       // with the same probability.
--- a/src/routing/service_pool.h
+++ b/src/routing/service_pool.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -80,8 +81,22 @@
     double weight;
   };
   using Candidates = std::vector<Candidate>;
+  using Tiers = std::array<Candidates, kTierCount>;
+  // Groups of endpoints by release. Without a roll-out all are in kOldRelease.
+  enum Side { kOldRelease, kNewRelease, kSideCount };
 
   Tier TierOf(const NodeRecord& record) const;
+  // Returns the side of a release, or std::nullopt if it is held.
+  std::optional<Side> SideOf(const std::string& release, TimePoint now) const;
+  // Adds the endpoints of a release whose hold has ended.
+  void EndHolds();
+  // Draws the side of an attempt by the share of the roll-out.
+  Side DrawSide();
+  // Returns a usable endpoint of a side, or null if it has none. Cold endpoints
+  // are usable for the new release, which has no others at first.
+  const Candidate* ChooseUsable(Side side,
+                                const std::vector<EndpointPtr>& excluded,
+                                TimePoint now);
   // Draws a usable candidate at random by weight. Returns null if kMaxDraws
   // draws found none.
   const Candidate* DrawCandidate(const Candidates& tier,
@@ -100,16 +115,21 @@
                             const Candidate* b,
                             TimePoint now);
   // Returns the best candidate of all tiers, usable or not, or null if all are
-  // excluded.
-  const Candidate* ChooseLastResort(const std::vector<EndpointPtr>& excluded,
-                                    TimePoint now);
+  // excluded. With `must_be_usable` a candidate that is not usable is not
+  // returned.
+  const Candidate* ChooseLastResort(const Tiers& tiers,
+                                    const std::vector<EndpointPtr>& excluded,
+                                    TimePoint now,
+                                    bool must_be_usable);
 
   const Clock* const clock_;
   Random* const random_;
   const std::string region_;
   const std::string data_centre_;
   std::shared_ptr<const ServiceRoute> route_;
-  std::array<Candidates, kTierCount> tiers_;
+  std::array<Tiers, kSideCount> sides_;
+  // When the first hold of a release ends.
+  TimePoint hold_end_ = TimePoint::max();
   // Share of the calls that are first offered to this node's region.
   double own_region_share_ = 1;
   std::unordered_map<NodeId, EndpointPtr> states_;
