Roll-outs: orders, evidence and controllers

Cause: a roll-out order has to be completed or rolled back by its deadline, also if a controller or the store fails.

Change: the node beside a target counts responses, failures and run times by route, and shows them on the admin port.

--- a/fuzz/text_entry_points.cc
+++ b/fuzz/text_entry_points.cc
@@ -121,6 +121,8 @@
     return nlohmann::json{{"service", service}};
   }
   std::optional<nlohmann::json> Table() override { return std::nullopt; }
+  nlohmann::json Evidence() override { return {{"service", "roster"}}; }
+  nlohmann::json Rollouts() override { return {{"controller", false}}; }
   std::vector<Span> Trace(const std::string& trace_id) override {
     Span span;
     span.trace_id = trace_id;
@@ -136,6 +138,8 @@
           "GET /routes?service=roster\n",
           "GET /table\n",
           "GET /trace?id=0af7651916cd43dd8448eb211c80319c\n",
+          "GET /evidence\n",
+          "GET /rollouts\n",
           "GET /metrics\n",
           "GET /healthz\n",
           "POST /announce\n{\"service\":\"a\",\"port\":1,\"state\":\"ready\"}"};
--- a/include/dragonflytack/calls/call_task.h
+++ b/include/dragonflytack/calls/call_task.h
@@ -17,6 +17,7 @@
 class Logger;
 class MetricsRegistry;
 class Tracer;
+struct ReleaseEvidence;
 struct RouteSnapshot;
 struct Settings;
 
@@ -64,6 +65,9 @@
     // The local target accepts no connection, or another target uses its
     // address.
     std::function<void()> on_target_lost;
+    // The evidence about the local target's release changed; reported at most
+    // every 250 ms. Empty if there are no roll-outs.
+    std::function<void(const ReleaseEvidence&)> on_evidence;
   };
 
   // Binds the ports and starts the thread. Returns null if a port cannot be
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -47,6 +47,9 @@
 
 constexpr Milliseconds kGaugePeriod{1000};
 
+// The controllers read the evidence up to four times a second.
+constexpr Milliseconds kEvidencePeriod{250};
+
 // The last responses are written in the next iterations of the event loop.
 constexpr Milliseconds kTimeToWrite{50};
 
@@ -170,6 +173,13 @@
     loop_->timers().SubscribeEvery(kGaugePeriod, [this] {
       metrics_.buffered_bytes()->Set(static_cast<int64_t>(budget_.held()));
     });
+    if (events_.on_evidence) {
+      loop_->timers().SubscribeEvery(kEvidencePeriod, [this] {
+        if (target_proxy_->evidence().TakeChanged()) {
+          events_.on_evidence(target_proxy_->evidence().evidence());
+        }
+      });
+    }
     thread_ = std::thread([this] {
       const SignalStack signal_stack;
       loop_->Run();
--- a/src/calls/target_proxy.cc
+++ b/src/calls/target_proxy.cc
@@ -37,6 +37,8 @@
 // does not schedule this process for a while.
 constexpr Milliseconds kSendMargin{250};
 
+constexpr int kFirstFailureStatus = 500;
+
 bool IsLeaving(const LocalTarget& target) {
   return target.state == TargetState::kDraining ||
          target.state == TargetState::kLeft;
@@ -234,7 +236,8 @@
                                      ExchangeOutcome outcome,
                                      HttpRequestPtr response) {
   context_->deleter->Add(std::move(call->exchange));
-  const auto run_time = context_->loop->clock().Now() - call->sent_at;
+  const TimePoint now = context_->loop->clock().Now();
+  const auto run_time = now - call->sent_at;
   CallResult result;
   switch (outcome) {
     case ExchangeOutcome::kCompleted: {
@@ -257,6 +260,10 @@
                     .count());
       result.outcome = CallOutcome::kDone;
       result.retried = !FindHeader(headers, kRetriedHeader).empty();
+      evidence_.Record(call->terms.route,
+                       evhttp_request_get_response_code(response.get()) >=
+                           kFirstFailureStatus,
+                       run_time, now);
       result.response = std::move(response);
       queue_.RecordRunTime(call->terms.route, run_time);
       break;
@@ -275,6 +282,7 @@
           "the call was sent");
       break;
     case ExchangeOutcome::kTimeout:
+      evidence_.Record(call->terms.route, false, run_time, now);
       queue_.RecordRunTime(call->terms.route, run_time);
       result = CallResult::Unknown(CallReason::kDeadline,
                                    "no answer within the deadline");
@@ -365,6 +373,7 @@
     target_end_ = context_->loop->clock().Now() + leaving_time_ - kSendMargin;
   }
   target_ = target;
+  evidence_.SetTarget(target, context_->loop->clock().Now());
   if (!same_service) {
     route_ = nullptr;
     RefuseQueued(CallReason::kWrongService,
--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -13,6 +13,7 @@
 #include "calls/admission_queue.h"
 #include "calls/call_context.h"
 #include "calls/call_result.h"
+#include "calls/evidence_recorder.h"
 #include "calls/exchange.h"
 #include "calls/rate_limiter.h"
 #include "dragonflytack/base/clock.h"
@@ -67,6 +68,7 @@
   void CutOff();
 
   size_t calls_in_progress() const { return calls_.size(); }
+  EvidenceRecorder& evidence() { return evidence_; }
 
  private:
   class Call;
@@ -124,6 +126,7 @@
   const Milliseconds leaving_time_;
   const std::function<void()> on_call_ended_;
   LocalTarget target_;
+  EvidenceRecorder evidence_;
   // The row and endpoints of the target's service, null if the table has no
   // such service.
   std::shared_ptr<const ServiceRoute> route_;
--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -78,6 +78,8 @@
     {"GET", "/nodes", true, &AdminApi::GetNodes},
     {"GET", "/routes", true, &AdminApi::GetRoutes},
     {"GET", "/table", true, &AdminApi::GetTable},
+    {"GET", "/evidence", true, &AdminApi::GetEvidence},
+    {"GET", "/rollouts", true, &AdminApi::GetRollouts},
     {"GET", "/trace", true, &AdminApi::GetTrace},
     {"GET", "/metrics", true, &AdminApi::GetMetrics},
     {"GET", "/healthz", false, &AdminApi::GetHealth},
@@ -146,6 +148,14 @@
                                       "no table is in force yet"});
 }
 
+AdminResponse AdminApi::GetEvidence(const AdminRequest& /*request*/) const {
+  return Ok(source_->Evidence());
+}
+
+AdminResponse AdminApi::GetRollouts(const AdminRequest& /*request*/) const {
+  return Ok(source_->Rollouts());
+}
+
 AdminResponse AdminApi::GetTrace(const AdminRequest& request) const {
   const std::optional<std::string> id = QueryValue(request, "id");
   if (!id || !IsTraceId(*id)) {
--- a/src/daemon/admin_api.h
+++ b/src/daemon/admin_api.h
@@ -40,6 +40,8 @@
   AdminResponse GetNodes(const AdminRequest& request) const;
   AdminResponse GetRoutes(const AdminRequest& request) const;
   AdminResponse GetTable(const AdminRequest& request) const;
+  AdminResponse GetEvidence(const AdminRequest& request) const;
+  AdminResponse GetRollouts(const AdminRequest& request) const;
   AdminResponse GetTrace(const AdminRequest& request) const;
   AdminResponse GetMetrics(const AdminRequest& request) const;
   AdminResponse GetHealth(const AdminRequest& request) const;
--- a/src/daemon/admin_source.h
+++ b/src/daemon/admin_source.h
@@ -25,6 +25,10 @@
   virtual std::optional<nlohmann::json> Routes(const std::string& service) = 0;
   // Returns std::nullopt if no table is in force.
   virtual std::optional<nlohmann::json> Table() = 0;
+  // The evidence about the local target's release.
+  virtual nlohmann::json Evidence() = 0;
+  // The roll-out shares in force and the roll-outs that this node controls.
+  virtual nlohmann::json Rollouts() = 0;
   virtual std::vector<Span> Trace(const std::string& trace_id) = 0;
   virtual std::string Metrics() = 0;
   // Returns a failure other than kNone if the announcement is refused.
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -121,6 +121,13 @@
       FleetReport::Dependencies{core, links_.get(), store_.get(), &metrics_,
                                 &tracer_, clock_},
       [this](const LocalTarget& target) { return OnAnnouncement(target); });
+  if (settings_.has_rollouts() && environment_.make_rollout_orders) {
+    rollout_controller_ = std::make_unique<RolloutController>(
+        settings_, loop_.get(), store_.get(), core,
+        environment_.make_rollout_orders(settings_, loop_.get(), store_.get()),
+        logger_);
+    fleet_report_->SetRolloutController(rollout_controller_.get());
+  }
   exporter_ =
       OtlpExporter::Make(settings_, loop_.get(), &tracer_, &metrics_, logger_);
   admin_api_ = std::make_unique<AdminApi>(
@@ -175,6 +182,11 @@
   events.on_target_lost = [this] {
     mailbox_.Post([this] { target_life_cycle_->OnUnreachable(); });
   };
+  if (settings_.has_rollouts()) {
+    events.on_evidence = [this](const ReleaseEvidence& evidence) {
+      mailbox_.Post([this, evidence] { fleet_report_->SetEvidence(evidence); });
+    };
+  }
   call_task_ =
       CallTask::Make(settings_, environment_.make_call_interface(settings_),
                      core_->self().incarnation, clock_, logger_, &metrics_,
@@ -226,6 +238,9 @@
 
 void ControlTask::OnRoutes(std::shared_ptr<const RouteSnapshot> routes) {
   fleet_report_->SetRoutes(routes);
+  if (rollout_controller_ != nullptr) {
+    rollout_controller_->OnRoutes(routes);
+  }
   // Without a version of the table every call would be refused.
   readiness_handler_.set_ready(!stopping_ && routes->version != 0);
   if (call_task_ != nullptr) {
@@ -253,7 +268,7 @@
 void ControlTask::PublishTarget() {
   call_task_->PostTarget(*last_target_);
   core_->SetTarget(last_target_->service, last_target_->state,
-                   last_target_->slots);
+                   last_target_->slots, last_target_->release);
 }
 
 void ControlTask::OnTargetChanged(const LocalTarget& target) {
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -22,6 +22,7 @@
 #include "dragonflytack/observe/otlp_exporter.h"
 #include "dragonflytack/observe/tracer.h"
 #include "net/websocket_link_layer.h"
+#include "rollout/rollout_controller.h"
 
 struct event;
 
@@ -104,6 +105,8 @@
   std::unique_ptr<WebSocketLinkLayer> links_;
   std::unique_ptr<ObservedStore> store_;
   std::unique_ptr<DistributionCore> core_;
+  // Null if the settings enable no roll-outs.
+  std::unique_ptr<RolloutController> rollout_controller_;
   std::unique_ptr<TargetLifeCycle> target_life_cycle_;
   std::unique_ptr<FleetReport> fleet_report_;
   std::unique_ptr<AdminApi> admin_api_;
--- a/src/daemon/environment.h
+++ b/src/daemon/environment.h
@@ -10,6 +10,7 @@
 #include "dragonflytack/base/settings.h"
 #include "dragonflytack/calls/call_interface.h"
 #include "dragonflytack/calls/local_target.h"
+#include "dragonflytack/store/rollout_orders.h"
 #include "dragonflytack/store/store_client.h"
 
 namespace dragonflytack {
@@ -29,6 +30,11 @@
   std::function<
       std::unique_ptr<StoreClient>(const Settings&, EventLoop*, Logger*)>
       make_store;
+  // Creates the roll-out orders, which may use the store client; called only if
+  // the settings enable roll-outs.
+  std::function<
+      std::unique_ptr<RolloutOrders>(const Settings&, EventLoop*, StoreClient*)>
+      make_rollout_orders;
   std::function<CallInterface(const Settings&)> make_call_interface;
   // Creates the handler of the configured announcement port; empty if targets
   // send announcements to the admin port only.
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -14,6 +14,8 @@
 #include "dragonflytack/table/table.h"
 #include "net/record_json.h"
 #include "net/websocket_link_layer.h"
+#include "rollout/evidence_json.h"
+#include "rollout/rollout_controller.h"
 #include "table/table_json.h"
 
 namespace dragonflytack {
@@ -204,6 +206,15 @@
               {"routes", RowsToJson(table->routes())}};
 }
 
+json FleetReport::Evidence() {
+  return EvidenceToJson(evidence_);
+}
+
+json FleetReport::Rollouts() {
+  return rollout_controller_ == nullptr ? json::object()
+                                        : rollout_controller_->Status();
+}
+
 std::vector<Span> FleetReport::Trace(const std::string& trace_id) {
   return dependencies_.tracer->Find(trace_id);
 }
--- a/src/daemon/fleet_report.h
+++ b/src/daemon/fleet_report.h
@@ -5,16 +5,19 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "daemon/admin_source.h"
 #include "daemon/ejected_endpoints.h"
+#include "dragonflytack/rollout/release_evidence.h"
 
 namespace dragonflytack {
 
 class DistributionCore;
 class MetricsRegistry;
 class ObservedStore;
+class RolloutController;
 class Tracer;
 class WebSocketLinkLayer;
 struct DistributionStatus;
@@ -44,12 +47,23 @@
   // records the time from the edit to now.
   void SetRoutes(std::shared_ptr<const RouteSnapshot> routes);
 
+  // Sets the latest evidence about the local target's release.
+  void SetEvidence(ReleaseEvidence evidence) {
+    evidence_ = std::move(evidence);
+  }
+  // Sets the controller whose roll-outs are shown.
+  void SetRolloutController(const RolloutController* controller) {
+    rollout_controller_ = controller;
+  }
+
   EjectedEndpoints& ejected() { return ejected_; }
 
   nlohmann::json Status() override;
   nlohmann::json Nodes() override;
   std::optional<nlohmann::json> Routes(const std::string& service) override;
   std::optional<nlohmann::json> Table() override;
+  nlohmann::json Evidence() override;
+  nlohmann::json Rollouts() override;
   std::vector<Span> Trace(const std::string& trace_id) override;
   std::string Metrics() override;
   Failure HandleAnnouncement(const LocalTarget& target) override;
@@ -64,6 +78,9 @@
   const AnnouncementCallback on_announcement_;
   std::shared_ptr<const RouteSnapshot> routes_;
   EjectedEndpoints ejected_;
+  ReleaseEvidence evidence_;
+  // Null if there are no roll-outs.
+  const RolloutController* rollout_controller_ = nullptr;
 };
 
 }  // namespace dragonflytack
--- a/tests/admin_api_test.cc
+++ b/tests/admin_api_test.cc
@@ -20,6 +20,8 @@
                                : std::nullopt;
   }
   std::optional<nlohmann::json> Table() override { return std::nullopt; }
+  nlohmann::json Evidence() override { return {{"service", "roster"}}; }
+  nlohmann::json Rollouts() override { return {{"controller", false}}; }
   std::vector<Span> Trace(const std::string& trace_id) override {
     Span span;
     span.trace_id = trace_id;
