Roll-outs: more evidence before the full share

Cause: the small steps left out the whole time from the last step to the deadline, so that at 400 calls/s the first step was one in 1,000 calls and nearly all evidence came at full share.

Change: the time until a step is in force is not left out; 0.9 of the permitted exposure is used. The final tests use an error probability of 2e-5.

--- a/src/rollout/rollout_judge.cc
+++ b/src/rollout/rollout_judge.cc
@@ -14,7 +14,7 @@
 constexpr double kFaultLevel = 1e-5;
 // Error probability of the last tests, at full share, where a bad release has
 // shown itself on some hundred calls.
-constexpr double kFinalFaultLevel = 1e-4;
+constexpr double kFinalFaultLevel = 2e-5;
 // A bad share below this multiple of the old release's is no fault, however
 // certain it is: hosts of one service differ by up to that.
 constexpr double kMinFaultRatio = 1.5;
@@ -41,9 +41,10 @@
 constexpr double kLeadExposure = 0.6;
 // Part of a short roll-out that the last step may take.
 constexpr double kMaxLeadPart = 0.4;
-// The calls of a second vary by this much, and steps take effect at different
-// times on the nodes.
-constexpr double kBudgetMargin = 0.85;
+// Part of the permitted exposure that is used; the calls of a second vary.
+constexpr double kBudgetMargin = 0.9;
+// Time until a step is in force on most nodes.
+constexpr Milliseconds kPropagationTime{200};
 // Part of the small steps' budget for the first step.
 constexpr double kFirstStepPart = 0.7;
 // A second small step follows only if it is this much larger.
@@ -269,7 +270,8 @@
   const double duration =
       std::chrono::duration<double>(limits_.duration).count();
   const double full =
-      std::chrono::duration<double>(limits_.duration - FullShareStart())
+      std::chrono::duration<double>(limits_.duration - FullShareStart() -
+                                    kPropagationTime)
           .count();
   return kBudgetMargin *
              (limits_.exposure * rate * duration + limits_.exposure_slack) -
