Roll-outs: completed is reported without waiting for the next tick

Cause: with six daemons on one host, a good release was shown as completed 12.06 s after an order of 12 s. The order was found up to 1 s late by the list of the project's store, and two steps waited for a tick of 100 ms.

Change: the end is reported with the write of the state, the age of a share counts from its write, and the list is read twice a second and with at most 1,000 objects, the limit of the store's protocol.

--- a/src/rollout/rollout_judge.cc
+++ b/src/rollout/rollout_judge.cc
@@ -47,7 +47,7 @@
 constexpr Milliseconds kPropagationTime{200};
 // Part of the small steps' budget for the first step.
 constexpr double kFirstStepPart = 0.7;
-// A second small step follows only if it is this much larger.
+// A further small step follows only if it is this much larger.
 constexpr double kMinStepRatio = 1.3;
 constexpr int kMaxSmallShare = 300;
 // Evidence that shows the rate of a service.
--- a/src/rollout/rollout_judge.h
+++ b/src/rollout/rollout_judge.h
@@ -15,7 +15,7 @@
 // Decides the steps of one roll-out from the evidence of the targets. Performs
 // no I/O; times are those since the order.
 //
-// The share of the new release rises in two small steps and then to kFullShare
+// The share of the new release rises in small steps and then to kFullShare
 // shortly before the deadline. A release that turns bad only after the last
 // step can get all calls until the deadline, so the small steps are limited to
 // what this leaves of the permitted exposure.
--- a/src/rollout/rollout_session.cc
+++ b/src/rollout/rollout_session.cc
@@ -109,9 +109,7 @@
       break;
     }
     case Phase::kReport:
-      Report(state_.progress, state_.progress == RolloutProgress::kCompleted
-                                  ? Phase::kHold
-                                  : Phase::kDone);
+      ReportEnd();
       break;
     case Phase::kHold:
       if (now - share_since_ > kLiftDelay) {
@@ -274,6 +272,12 @@
   }
   phase_ = next;
   Publish();
+  share_ = dependencies_.share_of(order_.service);
+  share_since_ = dependencies_.clock->Now();
+  if (next == Phase::kReport) {
+    // `completed` must not wait for the next tick, close to the deadline.
+    ReportEnd();
+  }
 }
 
 void RolloutSession::OnWriteFailed(const Failure& reason) {
@@ -288,6 +292,12 @@
   phase_ = Phase::kLoad;
 }
 
+void RolloutSession::ReportEnd() {
+  Report(state_.progress, state_.progress == RolloutProgress::kCompleted
+                              ? Phase::kHold
+                              : Phase::kDone);
+}
+
 void RolloutSession::Report(RolloutProgress progress, Phase next) {
   busy_ = true;
   dependencies_.orders->WriteProgress(
--- a/src/rollout/rollout_session.h
+++ b/src/rollout/rollout_session.h
@@ -89,6 +89,8 @@
   void Write(const RolloutState& state, Phase next);
   void OnWritten(const RolloutState& state, Phase next, StoreVersion version);
   void OnWriteFailed(const Failure& reason);
+  // Writes the end of the roll-out to its order.
+  void ReportEnd();
   void Report(RolloutProgress progress, Phase next);
   void Publish();
   Milliseconds Elapsed() const;
--- a/src/store/store_rollout_orders.cc
+++ b/src/store/store_rollout_orders.cc
@@ -16,8 +16,8 @@
 using nlohmann::json;
 
 constexpr std::string_view kPrefix = "rollout/";
-// More than a table may have services.
-constexpr int kMaxOrders = 1024;
+// The most that the store lists at once, and that a table may have rows.
+constexpr int kMaxOrders = 1000;
 constexpr int64_t kMaxDurationMs = 24LL * 3600 * 1000;
 // By RolloutProgress.
 constexpr std::array<const char*, 4> kProgressNames = {
--- a/src/store/store_rollout_orders.h
+++ b/src/store/store_rollout_orders.h
@@ -12,10 +12,10 @@
 
 // The orders in the project's own store, one object "rollout/SERVICE" for each.
 // The interface of the store has no watch over several objects, so they are
-// listed once a second.
+// listed twice a second.
 class StoreRolloutOrders final : public RolloutOrders {
  public:
-  static constexpr Milliseconds kListPeriod{1'000};
+  static constexpr Milliseconds kListPeriod{500};
 
   // The pointers must outlive the object.
   StoreRolloutOrders(StoreClient* store, TimerService* timers)
