Roll-outs: time for evidence between small steps

Cause: in a trial with a killed controller, five small steps followed each other within 2.7 s before the full share, each one a write of the store.

Change: small steps and the last one are at least 1.5 s apart.

--- a/src/rollout/rollout_judge.cc
+++ b/src/rollout/rollout_judge.cc
@@ -50,6 +50,10 @@
 // A further small step follows only if it is this much larger.
 constexpr double kMinStepRatio = 1.3;
 constexpr int kMaxSmallShare = 300;
+// Time between small steps and before the last one, in which the evidence of a
+// share arrives. Without it, five steps followed each other within a second
+// when little time was left.
+constexpr Milliseconds kMinStepTime{1'500};
 // Evidence that shows the rate of a service.
 constexpr Milliseconds kMinRateTime{400};
 
@@ -320,6 +324,8 @@
                  static_cast<double>(kMaxSmallShare)));
   const bool may_step =
       state.share == 0 || (state.elapsed >= limits_.duration / 2 &&
+                           state.share_age >= kMinStepTime &&
+                           FullShareStart() - state.elapsed >= kMinStepTime &&
                            share >= kMinStepRatio * state.share);
   return may_step ? Verdict{Decision::kStep, share, ""} : Verdict{};
 }
