--- a/platform/store_era_tracker.cc
+++ b/src/store/store_era_tracker.cc
@@ -1,6 +1,6 @@
-#include "platform/store_era_tracker.h"
+#include "store/store_era_tracker.h"
 
-namespace dragonflytack::platform {
+namespace dragonflytack {
 
 StoreEraTracker::Result StoreEraTracker::Record(uint64_t era,
                                                 TimePoint sent_at,
@@ -40,4 +40,4 @@
   contradictions_ = 0;
 }
 
-}  // namespace dragonflytack::platform
+}  // namespace dragonflytack
--- a/platform/store_era_tracker.h
+++ b/src/store/store_era_tracker.h
@@ -1,12 +1,12 @@
-#ifndef DRAGONFLYTACK_PLATFORM_STORE_ERA_TRACKER_H_
-#define DRAGONFLYTACK_PLATFORM_STORE_ERA_TRACKER_H_
+#ifndef DRAGONFLYTACK_SRC_STORE_STORE_ERA_TRACKER_H_
+#define DRAGONFLYTACK_SRC_STORE_STORE_ERA_TRACKER_H_
 
 #include <cstdint>
 #include <optional>
 
 #include "dragonflytack/base/clock.h"
 
-namespace dragonflytack::platform {
+namespace dragonflytack {
 
 // The era of the platform's store, from the eras that its responses name. It
 // rises by one with each return of the store from an older copy, so a lower era
@@ -61,6 +61,6 @@
   uint64_t contradicting_era_ = 0;
 };
 
-}  // namespace dragonflytack::platform
+}  // namespace dragonflytack
 
-#endif  // DRAGONFLYTACK_PLATFORM_STORE_ERA_TRACKER_H_
+#endif  // DRAGONFLYTACK_SRC_STORE_STORE_ERA_TRACKER_H_
--- a/tests/object_store_history_test.cc
+++ b/tests/object_store_history_test.cc
@@ -8,7 +8,7 @@
 #include "dragonflytack/table/table_document.h"
 #include "log_reader.h"
 #include "object_store_fixture.h"
-#include "platform/store_era_tracker.h"
+#include "store/store_era_tracker.h"
 
 namespace dragonflytack::platform {
 
--- a/tests/store_era_tracker_test.cc
+++ b/tests/store_era_tracker_test.cc
@@ -1,10 +1,10 @@
-#include "platform/store_era_tracker.h"
+#include "store/store_era_tracker.h"
 
 #include <vector>
 
 #include <criterion/criterion.h>
 
-namespace dragonflytack::platform {
+namespace dragonflytack {
 
 namespace {
 
@@ -98,4 +98,4 @@
   cr_expect(tracker.Record(2, At(2'006), At(2'007)) == Result::kRaised);
 }
 
-}  // namespace dragonflytack::platform
+}  // namespace dragonflytack
