--- a/src/calls/target_proxy.h
+++ b/src/calls/target_proxy.h
@@ -14,6 +14,7 @@
 #include "calls/admission_queue.h"
 #include "calls/call_context.h"
 #include "calls/call_result.h"
+#include "calls/evidence_recorder.h"
 #include "calls/exchange.h"
 #include "calls/load_report_forwarder.h"
 #include "calls/rate_limiter.h"
@@ -69,6 +70,7 @@
   void CutOff();
 
   size_t calls_in_progress() const { return calls_.size(); }
+  EvidenceRecorder& evidence() { return evidence_; }
 
  private:
   class Call;
@@ -130,6 +132,7 @@
   LoadReportForwarder load_reports_;
   const std::function<void()> on_call_ended_;
   LocalTarget target_;
+  EvidenceRecorder evidence_;
   // The row and endpoints of the target's service, null if the table has no
   // such service.
   std::shared_ptr<const ServiceRoute> route_;
--- a/src/routing/service_pool.cc
+++ b/src/routing/service_pool.cc
@@ -14,8 +14,9 @@
 
 // What a call to another data centre and to another region costs beside its
 // wait: the longer way there and back, and 200 ms for the billed traffic, about
-// the run time of a call. With 50 ms, 0.073 GB in place of 0.027 GB went between
-// regions on a day of 58 hosts, which cost as much as the shorter waits gained.
+// the run time of a call. With 50 ms, 0.073 GB in place of 0.027 GB went
+// between regions on a day of 58 hosts, which cost as much as the shorter waits
+// gained.
 constexpr TargetLoadModel::Microseconds kOwnRegionCost{2'500};
 constexpr TargetLoadModel::Microseconds kOtherRegionsCost{216'000};
 
@@ -62,13 +63,18 @@
   const TimePoint now = clock_->Now();
   const int64_t wall_ms = clock_->WallMillis();
   std::unordered_map<NodeId, EndpointPtr> kept;
-  for (Candidates& tier : tiers_) {
-    tier.clear();
+  sides_ = {};
+  route_ = std::move(route);
+  hold_end_ = TimePoint::max();
+  for (const auto& [release, until] : route_->held_releases) {
+    if (until > now) {
+      hold_end_ = std::min(hold_end_, until);
+    }
   }
-  const ServiceRow& row = route->row;
+  const ServiceRow& row = route_->row;
   int own_region_weight = 0;
   int max_other_weight = 0;
-  for (const Endpoint& endpoint : route->endpoints) {
+  for (const Endpoint& endpoint : route_->endpoints) {
     const int weight = WeightOf(row, endpoint.record.region);
     if (!IsEligible(endpoint) || weight == 0) {
       continue;
@@ -83,19 +89,26 @@
       state->Update(endpoint, row.slots, now, wall_ms);
     }
     kept.emplace(endpoint.record.id, state);
+    const std::optional<Side> side = SideOf(endpoint.record.release, now);
+    if (!side) {
+      continue;
+    }
     const Tier tier = TierOf(endpoint.record);
     int& max_weight =
         tier == kOtherRegions ? max_other_weight : own_region_weight;
     max_weight = std::max(max_weight, weight);
-    tiers_[tier].push_back({std::move(state), static_cast<double>(weight)});
+    sides_[*side][tier].push_back(
+        {std::move(state), static_cast<double>(weight)});
   }
-  for (Candidates& tier : tiers_) {
-    double max_weight = 0;
-    for (const Candidate& candidate : tier) {
-      max_weight = std::max(max_weight, candidate.weight);
-    }
-    for (Candidate& candidate : tier) {
-      candidate.weight /= max_weight;
+  for (Tiers& tiers : sides_) {
+    for (Candidates& tier : tiers) {
+      double max_weight = 0;
+      for (const Candidate& candidate : tier) {
+        max_weight = std::max(max_weight, candidate.weight);
+      }
+      for (Candidate& candidate : tier) {
+        candidate.weight /= max_weight;
+      }
     }
   }
   // With equal weights all calls stay in this node's region. A region with half
@@ -105,7 +118,36 @@
           ? 1
           : static_cast<double>(own_region_weight) / max_other_weight;
   states_ = std::move(kept);
-  route_ = std::move(route);
+}
+
+std::optional<ServicePool::Side> ServicePool::SideOf(const std::string& release,
+                                                     TimePoint now) const {
+  const RolloutShare& rollout = route_->rollout;
+  if (!rollout.release.empty() && release == rollout.release) {
+    return kNewRelease;
+  }
+  const auto held = route_->held_releases.find(release);
+  return held != route_->held_releases.end() && held->second > now
+             ? std::nullopt
+             : std::optional(kOldRelease);
+}
+
+void ServicePool::EndHolds() {
+  if (clock_->Now() >= hold_end_) {
+    Update(route_);
+  }
+}
+
+ServicePool::Side ServicePool::DrawSide() {
+  const RolloutShare& rollout = route_->rollout;
+  if (rollout.release.empty() || rollout.share == 0) {
+    return kOldRelease;
+  }
+  return rollout.share >= RolloutShare::kFull ||
+                 random_->Below(RolloutShare::kFull) <
+                     static_cast<uint64_t>(rollout.share)
+             ? kNewRelease
+             : kOldRelease;
 }
 
 ServicePool::Tier ServicePool::TierOf(const NodeRecord& record) const {
@@ -117,50 +159,77 @@
 
 ServicePool::EndpointPtr ServicePool::Choose(
     const std::vector<EndpointPtr>& excluded) {
+  EndHolds();
+  const TimePoint now = clock_->Now();
+  Side side = DrawSide();
+  const Candidate* found = ChooseUsable(side, excluded, now);
+  if (found == nullptr && side == kNewRelease &&
+      route_->rollout.share < RolloutShare::kFull) {
+    side = kOldRelease;
+    found = ChooseUsable(side, excluded, now);
+  }
+  if (found == nullptr) {
+    found = ChooseLastResort(sides_[side], excluded, now, false);
+  }
+  return found == nullptr ? nullptr : found->state;
+}
+
+const ServicePool::Candidate* ServicePool::ChooseUsable(
+    Side side,
+    const std::vector<EndpointPtr>& excluded,
+    TimePoint now) {
   static constexpr Tier kNearestFirst[] = {kOwnDataCentre, kOwnRegion};
   static constexpr Tier kOtherRegionsFirst[] = {kOtherRegions, kOwnDataCentre,
                                                 kOwnRegion};
-  const TimePoint now = clock_->Now();
+  const Tiers& tiers = sides_[side];
   const bool other_regions_first =
       own_region_share_ < 1 && random_->Unit() >= own_region_share_;
   for (const Tier tier : other_regions_first
                              ? std::span<const Tier>(kOtherRegionsFirst)
                              : std::span<const Tier>(kNearestFirst)) {
-    if (const Candidate* found = ChooseIn(tiers_[tier], excluded, 1, now)) {
-      return found->state;
+    if (const Candidate* found = ChooseIn(tiers[tier], excluded, 1, now)) {
+      return found;
     }
   }
-  const Candidate* found = ChooseLeastWait(excluded, now);
-  if (found == nullptr) {
-    found = ChooseLastResort(excluded, now);
-  }
-  return found == nullptr ? nullptr : found->state;
+  const Candidate* found = ChooseLeastWait(tiers, excluded, now);
+  return found == nullptr && side == kNewRelease
+             ? ChooseLastResort(tiers, excluded, now, true)
+             : found;
 }
 
 bool ServicePool::HasRoom(const std::vector<EndpointPtr>& excluded,
                           double occupancy) const {
   const TimePoint now = clock_->Now();
+  const int share = route_->rollout.share;
   return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
-    return IsUsable(*item.second, occupancy, now) &&
+    const std::optional<Side> side = SideOf(item.second->record().release, now);
+    return side &&
+           (*side == kNewRelease ? share > 0 : share < RolloutShare::kFull) &&
+           IsUsable(*item.second, occupancy, now) &&
            !Contains(excluded, item.second);
   });
 }
 
 ServicePool::EndpointPtr ServicePool::ChooseForHedge(
     const std::vector<EndpointPtr>& excluded) {
+  EndHolds();
   const TimePoint now = clock_->Now();
+  // A second copy of a call goes to the old release, as long as it gets calls.
+  const Tiers& tiers =
+      sides_[route_->rollout.share >= RolloutShare::kFull ? kNewRelease
+                                                          : kOldRelease];
   bool region_has_others = false;
   for (const Tier tier : {kOwnDataCentre, kOwnRegion}) {
-    if (const Candidate* found = ChooseIn(tiers_[tier], excluded, 1, now)) {
+    if (const Candidate* found = ChooseIn(tiers[tier], excluded, 1, now)) {
       return found->state;
     }
-    for (const Candidate& candidate : tiers_[tier]) {
+    for (const Candidate& candidate : tiers[tier]) {
       region_has_others |= !Contains(excluded, candidate.state);
     }
   }
   const Candidate* found =
       region_has_others ? nullptr
-                        : ChooseIn(tiers_[kOtherRegions], excluded, 1, now);
+                        : ChooseIn(tiers[kOtherRegions], excluded, 1, now);
   return found == nullptr ? nullptr : found->state;
 }
 
@@ -222,6 +291,7 @@
 }
 
 const ServicePool::Candidate* ServicePool::ChooseLeastWait(
+    const Tiers& tiers,
     const std::vector<EndpointPtr>& excluded,
     TimePoint now) {
   using Microseconds = TargetLoadModel::Microseconds;
@@ -230,7 +300,7 @@
   const Candidate* best = nullptr;
   Microseconds best_cost{0};
   for (const Tier tier : {kOwnDataCentre, kOwnRegion, kOtherRegions}) {
-    const Candidates& candidates = tiers_[tier];
+    const Candidates& candidates = tiers[tier];
     const double occupancy_limit =
         tier == kOtherRegions ? 1 : kSpilloverOccupancy;
     const size_t compared = std::min(candidates.size(), kMaxCompared);
@@ -256,8 +326,10 @@
 }
 
 const ServicePool::Candidate* ServicePool::ChooseLastResort(
+    const Tiers& tiers,
     const std::vector<EndpointPtr>& excluded,
-    TimePoint now) {
+    TimePoint now,
+    bool must_be_usable) {
   // Order of preference: cold, full, ejected or unresponsive, draining. A cold
   // candidate is taken from the nearest tier that has one; in the other ranks
   // the lowest cost of all tiers wins, and the nearer tier if costs are equal.
@@ -265,7 +337,7 @@
   int best_rank = 0;
   TargetLoadModel::Microseconds best_cost{0};
   uint64_t usable = 1;
-  for (const Candidates& tier : tiers_) {
+  for (const Candidates& tier : tiers) {
     for (const Candidate& candidate : tier) {
       const EndpointState& state = *candidate.state;
       if (Contains(excluded, candidate.state)) {
@@ -279,6 +351,9 @@
       } else if (state.IsFull(now)) {
         rank = 1;
       }
+      if (must_be_usable && rank != 0) {
+        continue;
+      }
       const TargetLoadModel::Microseconds cost =
           state.Cost(now, usual_run_time_);
       // The usable candidates that are left are cold. Each of them is chosen
