Accounts: home nodes and permits for fleet-wide rate limits, without I/O

Cause: the limit of an account holds for the sum of all nodes, also during partitions, and nodes only know their own calls. The shares of lost entry nodes are reserved, and another home node grants no more.

--- /dev/null
+++ b/src/accounts/allowance_timing.h
@@ -0,0 +1,47 @@
+#ifndef DRAGONFLYTACK_SRC_ACCOUNTS_ALLOWANCE_TIMING_H_
+#define DRAGONFLYTACK_SRC_ACCOUNTS_ALLOWANCE_TIMING_H_
+
+#include "dragonflytack/base/clock.h"
+
+namespace dragonflytack {
+
+// Times that the home nodes and the entry nodes of allowances agree on.
+
+// Period of the reports of an account with calls. With 250 ms, a home node of
+// 74 nodes would process up to 296 messages/s, too many for a tenth of a core.
+inline constexpr Milliseconds kAllowanceReportPeriod{500};
+
+// Permits that were not used within this time after the request are void. It
+// covers four reports.
+inline constexpr Milliseconds kAllowanceLease{2'000};
+
+// An entry node with calls that has not reported for this time is lost: the
+// home node reserves its share.
+inline constexpr Milliseconds kAllowanceLossTime{700};
+
+// An entry node brings its share to another home node after this time without
+// the first one. It exceeds kAllowanceLossTime, so that the share is reserved
+// before it is used elsewhere.
+inline constexpr Milliseconds kAllowanceShareDelay{800};
+
+// Time until all entry nodes have returned to a home node that responds again:
+// the period of the probes and one response.
+inline constexpr Milliseconds kAllowanceReturnTime{350};
+
+// Shares of lost nodes are kept for this time, in which most partitions end.
+inline constexpr Milliseconds kAllowanceShareTime{20'000};
+// A first home node that has lost most of the shares for this time grants no
+// more. One window later the side that has them takes over the account, which
+// with a window of 5 s is before the shares end.
+inline constexpr Milliseconds kAllowanceMinorityTime{12'000};
+inline constexpr Milliseconds kAllowanceTakeOverMargin{1'000};
+
+// Time in which a home node has to respond. A round trip between regions takes
+// 16 ms, with a new connection 32 ms; the rest of the 100 ms for which a call
+// may wait is left to the next home node.
+inline constexpr Milliseconds kAllowanceResponseTime{60};
+inline constexpr Milliseconds kAllowanceMaxWait{100};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_ACCOUNTS_ALLOWANCE_TIMING_H_
