Calls: limits of accounts over the whole fleet

Cause: rate_limit and burst of an account had no effect. Change: AllowanceExchange asks the home nodes by POST /-/allowances on the mesh port and answers as one. CallEntry asks it once per call; a call waits at most 100 ms, and a refused one gets 429, allowance_exceeded and Retry-After. A refused connection is the proof that a silent home or entry node has ended. Settings [allowance] window, over and slack; without a window nothing is sent. NodeLocation gets the data centre, from which home nodes are chosen.

--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -59,6 +59,12 @@
   int retry_window_ms = 10'000;  // window
   int retry_slack = 30;          // slack
 
+  // [allowance]: bound of the calls of an account in each window, in the whole
+  // fleet; see AllowanceBounds
+  int allowance_window_ms = 0;  // window; 0 if no limit is to be enforced
+  double allowance_over = 0;    // over
+  int allowance_slack = 0;      // slack
+
   // Loads an INI file. Returns std::nullopt if a setting is missing, unknown or
   // invalid; `reason` then names the file and the line.
   static std::optional<Settings> Load(const std::string& path, Failure* reason);
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -172,6 +172,12 @@
   return ratio.has_value();
 }
 
+bool ApplyAllowanceOver(const std::string& text, Settings* settings) {
+  const std::optional<double> over = ParseNumber(text, 0.0, 1.0);
+  settings->allowance_over = over.value_or(0);
+  return over.has_value();
+}
+
 bool ApplyStoreAddress(const std::string& text, Settings* settings) {
   if (const std::optional<HostPort> address = HostPort::Parse(text)) {
     settings->store = *address;
@@ -294,6 +300,13 @@
      &ApplyDuration<&Settings::retry_window_ms, 1000, kMaxDrainTimeoutMs>},
     {"retry.slack", false, "a number from 0 to 1000000",
      &ApplyInteger<&Settings::retry_slack, 0, 1'000'000>},
+    {"allowance.window", false, "a time from 1s to 600s, or nothing",
+     &ApplyDuration<&Settings::allowance_window_ms, 1000, kMaxDrainTimeoutMs>,
+     true},
+    {"allowance.over", false, "a number from 0 to 1, or nothing",
+     &ApplyAllowanceOver, true},
+    {"allowance.slack", false, "a number from 0 to 1000000, or nothing",
+     &ApplyInteger<&Settings::allowance_slack, 0, 1'000'000>, true},
 };
 
 struct LocatedOption {
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -9,6 +9,7 @@
 
 namespace dragonflytack {
 
+class AllowanceExchange;
 class AttemptGuard;
 class AttemptIdGenerator;
 class CallAddressing;
@@ -41,6 +42,8 @@
   // Whether the call port offers the interface of one-time keys.
   bool has_one_time_keys = false;
   RetryShare* retry_share = nullptr;
+  // Limits of accounts over the whole fleet; null if they are not enforced.
+  AllowanceExchange* allowances = nullptr;
   // The responses to callers and nodes that are being written.
   ResponseWrites* response_writes = nullptr;
   // For the attempts of one-time calls: the ids of those that this node
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -12,6 +12,7 @@
 #include <event2/util.h>
 #include <fmt/format.h>
 
+#include "calls/allowance_exchange.h"
 #include "calls/call_addressing.h"
 #include "calls/call_metrics.h"
 #include "calls/call_span.h"
@@ -92,6 +93,8 @@
   std::unique_ptr<CallSpan> span;
   // Destroyed before the request that it reads.
   std::unique_ptr<RoutedCall> routed;
+  // Set while the call waits for the allowance of its account.
+  uint64_t allowance_ticket = 0;
   // Set instead of `routed` for a one-time call with a key.
   std::unique_ptr<KeyedCall> keyed;
 
@@ -178,7 +181,38 @@
     Remove(call);
     return;
   }
-  if (call->keyed != nullptr) {
+  Admit(call);
+}
+
+void CallEntry::Admit(Call* call) {
+  const CallRequest& request = call->request();
+  if (context_->allowances == nullptr || request.allowance.rate == 0) {
+    OnAllowance(call, {});
+    return;
+  }
+  const AllowanceGate::Answer answer = context_->allowances->Ask(
+      request.account, request.allowance, &call->allowance_ticket,
+      [this, call](const AllowanceGate::Answer& later) {
+        call->allowance_ticket = 0;
+        OnAllowance(call, later);
+      });
+  if (answer.decision != AllowanceGate::Decision::kWaits) {
+    OnAllowance(call, answer);
+  }
+}
+
+void CallEntry::OnAllowance(Call* call, const AllowanceGate::Answer& answer) {
+  if (answer.decision == AllowanceGate::Decision::kRefused) {
+    CallResult refusal =
+        CallResult::Refused(CallReason::kAllowanceExceeded,
+                            "the account has exceeded its allowance");
+    refusal.retry_after = answer.retry_after;
+    if (call->keyed != nullptr) {
+      // The records of the key were not checked.
+      refusal.scope = NotRunScope::kRequest;
+    }
+    OnResult(call, std::move(refusal));
+  } else if (call->keyed != nullptr) {
     call->keyed->Start();
   } else {
     call->routed->Start();
@@ -225,6 +259,7 @@
               : "the call has no valid API key");
     }
     routed->account = account->account;
+    routed->allowance = {routes.version, account->rate_limit, account->burst};
     account_rank = account->rank;
   }
   routed->policy.rank = account_rank * kRouteRanks +
@@ -392,6 +427,9 @@
 }
 
 void CallEntry::Remove(Call* call) {
+  if (call->allowance_ticket != 0) {
+    context_->allowances->Cancel(std::exchange(call->allowance_ticket, 0));
+  }
   const auto found = calls_.find(call);
   context_->deleter->Add(std::shared_ptr<void>(std::move(found->second)));
   calls_.erase(found);
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "accounts/allowance_gate.h"
 #include "calls/attempt_age.h"
 #include "calls/call_context.h"
 #include "calls/call_result.h"
@@ -67,6 +68,9 @@
   // known.
   std::optional<CallResult> IdentifyAccount(std::string_view api_key,
                                             CallRequest* routed) const;
+  // Starts a call if the allowance of its account has room.
+  void Admit(Call* call);
+  void OnAllowance(Call* call, const AllowanceGate::Answer& answer);
   // Returns the key of a one-time call, empty if it has none.
   std::string_view KeyOf(const evkeyvalq* headers) const;
   void SendResponse(Call* call, const CallResult& result);
--- a/src/calls/call_request.h
+++ b/src/calls/call_request.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "accounts/allowance_limit.h"
 #include "dragonflytack/base/clock.h"
 #include "dragonflytack/observe/trace_context.h"
 #include "dragonflytack/routing/service_route.h"
@@ -59,6 +60,8 @@
   std::string caller_service;
   // Client account of the caller; empty if the call needs no API key.
   std::string account;
+  // Limit of the account over the whole fleet; a rate of 0 is no limit.
+  AllowanceLimit allowance;
   // Whether the table has accounts, so that the caller's headers for the API
   // key and the account are not forwarded.
   bool uses_accounts = false;
--- a/src/calls/call_result.cc
+++ b/src/calls/call_result.cc
@@ -18,13 +18,14 @@
   int status;
 };
 
-constexpr std::array<ReasonEntry, 30> kReasons = {{
+constexpr std::array<ReasonEntry, 31> kReasons = {{
     {"none", 200},
     {"bad_request", 400},
     {"no_service", 404},
     {"no_target", 503},
     {"table_outdated", 503},
     {"unknown_key", 401},
+    {"allowance_exceeded", 429},
     {"wrong_service", 503},
     {"overloaded", 503},
     {"rate_limited", 429},
--- a/src/calls/call_result.h
+++ b/src/calls/call_result.h
@@ -32,6 +32,8 @@
   kTableOutdated,
   // No account of the table in force holds the API key of the call.
   kUnknownKey,
+  // The account of the call has exceeded its allowance.
+  kAllowanceExceeded,
   kWrongService,
   kOverloaded,
   kRateLimited,
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -11,6 +11,7 @@
 #include <event2/http.h>
 
 #include "base/buffer_budget.h"
+#include "calls/allowance_exchange.h"
 #include "calls/call_context.h"
 #include "calls/call_entry.h"
 #include "calls/call_metrics.h"
@@ -108,6 +109,14 @@
     router_.set_fleet_retry_limits({settings.retry_ratio,
                                     Milliseconds(settings.retry_window_ms),
                                     settings.retry_slack});
+    const AllowanceBounds bounds{Milliseconds(settings.allowance_window_ms),
+                                 settings.allowance_over,
+                                 static_cast<double>(settings.allowance_slack)};
+    if (bounds.is_enabled()) {
+      allowances_ = std::make_unique<AllowanceExchange>(
+          &context_, bounds, settings.shared_key, incarnation, metrics);
+      context_.allowances = allowances_.get();
+    }
     one_time_ = std::make_unique<OneTime>(
         settings_, incarnation, &context_, logger_,
         OneTime::Events{[this](const OwnerIncarnation& owner) {
@@ -139,6 +148,7 @@
     // `one_time_` owns.
     target_proxy_.reset();
     one_time_.reset();
+    allowances_.reset();
     call_server_.reset();
     mesh_server_.reset();
   }
@@ -159,7 +169,9 @@
     mesh_server_ = HttpServer::Make(
         loop_->base(), {settings_.address, settings_.mesh_port},
         [this](evhttp_request* request) {
-          if (!one_time_->OnMeshRequest(request)) {
+          if (!one_time_->OnMeshRequest(request) &&
+              (allowances_ == nullptr ||
+               !allowances_->OnMeshRequest(request))) {
             target_proxy_->OnRequest(request);
           }
         },
@@ -200,6 +212,9 @@
     router_.SetRoutes(std::move(routes));
     target_proxy_->OnRoutes();
     one_time_->OnRoutes();
+    if (allowances_ != nullptr) {
+      allowances_->OnRoutes();
+    }
   }
 
   void Handle(LocalTarget target) { target_proxy_->SetTarget(target); }
@@ -341,6 +356,7 @@
   ResponseWrites response_writes_;
   RetryShare retry_share_;
   CallContext context_;
+  std::unique_ptr<AllowanceExchange> allowances_;
   std::unique_ptr<OneTime> one_time_;
   std::unique_ptr<CallEntry> entry_;
   std::unique_ptr<TargetProxy> target_proxy_;
--- a/src/calls/routed_call.cc
+++ b/src/calls/routed_call.cc
@@ -48,6 +48,7 @@
     case CallReason::kNoService:
     case CallReason::kTooLarge:
     case CallReason::kUnknownKey:
+    case CallReason::kAllowanceExceeded:
       return false;
     default:
       return true;
--- a/src/distribution/route_builder.cc
+++ b/src/distribution/route_builder.cc
@@ -23,7 +23,8 @@
     if (entry->state != TargetState::kLeft) {
       nodes->emplace(entry->id,
                      NodeLocation{entry->id, entry->incarnation, entry->address,
-                                  entry->mesh_port, entry->liveness});
+                                  entry->mesh_port, entry->liveness,
+                                  *entry->data_centre});
     }
   }
   auto successors =
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -76,6 +76,10 @@
 level = error  # comment
 [calls]
 drain_timeout_ms = 600000
+[allowance]
+window = 5s
+over = 0.1
+slack = 20
 )",
                       &reason);
   cr_assert(settings.has_value(), "%s", reason.ToString().c_str());
@@ -87,9 +91,23 @@
   expected.trace_collector = HostPort{"127.0.0.1", 4318};
   expected.log_level = LogLevel::kError;
   expected.drain_timeout_ms = 600'000;
+  expected.allowance_window_ms = 5'000;
+  expected.allowance_over = 0.1;
+  expected.allowance_slack = 20;
   cr_assert(*settings == expected);
 }
 
+// Guards against a node that does not start, or limits accounts, where the
+// platform fills in no value.
+Test(settings, allowance_without_values_is_off) {
+  Failure reason;
+  const std::optional<Settings> settings = LoadText(
+      std::string(kComplete) + "[allowance]\nwindow =\nover =\nslack =\n",
+      &reason);
+  cr_assert(settings.has_value(), "%s", reason.ToString().c_str());
+  cr_assert_eq(settings->allowance_window_ms, 0);
+}
+
 // Guards against a node that does not start beside a target whose service has a
 // name that only the platform's operators may choose.
 Test(settings, service_may_have_a_name_of_another_system) {
