--- a/src/accounts/usage_window.cc
+++ b/src/accounts/usage_window.cc
@@ -6,13 +6,20 @@
 
 namespace dragonflytack {
 
+namespace {
+
+// Keeps the numbers of slots positive for times shortly after the start of the
+// clock.
+constexpr int64_t kFirstSlot = 1'000;
+
+}  // namespace
+
 UsageWindow::UsageWindow(Milliseconds window)
     : slot_(std::max<TimePoint::duration>(window, Milliseconds(kSlots)) /
             kSlots) {}
 
 int64_t UsageWindow::SlotOf(TimePoint time) const {
-  // Keeps numbers positive for times shortly after the start of the clock.
-  return time.time_since_epoch() / slot_ + 2 * kSize;
+  return time.time_since_epoch() / slot_ + kFirstSlot;
 }
 
 void UsageWindow::Advance(TimePoint now) {
@@ -43,7 +50,7 @@
   while (oldest < newest_ && Slot(oldest) == 0) {
     ++oldest;
   }
-  const TimePoint leaves((oldest + kSize - 2 * kSize) * slot_);
+  const TimePoint leaves((oldest + kSize - kFirstSlot) * slot_);
   return std::chrono::ceil<Milliseconds>(
       std::max<TimePoint::duration>(leaves - now, Milliseconds(1)));
 }
--- a/src/distribution/route_builder.cc
+++ b/src/distribution/route_builder.cc
@@ -21,10 +21,10 @@
   nodes->reserve(registry.entries().size());
   for (const auto& [id, entry] : registry.entries()) {
     if (entry->state != TargetState::kLeft) {
-      nodes->emplace(entry->id,
-                     NodeLocation{entry->id, entry->incarnation, entry->address,
-                                  entry->mesh_port, entry->liveness,
-                                  *entry->data_centre});
+      nodes->emplace(
+          entry->id,
+          NodeLocation{entry->id, entry->incarnation, entry->address,
+                       entry->mesh_port, entry->liveness, *entry->data_centre});
     }
   }
   auto successors =
--- a/src/onetime/key_location.cc
+++ b/src/onetime/key_location.cc
@@ -88,11 +88,11 @@
         continue;
       }
       const uint64_t rank = Hash64(record.id, seed);
-      found.emplace_back(
-          record.data_centre != data_centre, rank > own_rank, UINT64_MAX - rank,
-          NodeLocation{record.id, record.incarnation, record.address,
-                       record.mesh_port, endpoint.liveness,
-                       record.data_centre});
+      found.emplace_back(record.data_centre != data_centre, rank > own_rank,
+                         UINT64_MAX - rank,
+                         NodeLocation{record.id, record.incarnation,
+                                      record.address, record.mesh_port,
+                                      endpoint.liveness, record.data_centre});
     }
   }
   std::sort(found.begin(), found.end(), [](const auto& a, const auto& b) {
