Input: tests of clients that send more than the limits allow

Cause: evhttp reads whole requests before any code of the daemon is called, so nothing bounds the memory and the descriptors that callers take.

--- /dev/null
+++ b/tests/hostile_input_test.cc
@@ -0,0 +1,213 @@
+// Clients that send more than the limits allow, each against the processes of
+// the system. The crowds and the bounds were fixed on the code without limits
+// on input. The tests run one at a time, apart from other load.
+
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include "hostile_fixture.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr size_t kLimitedBody = 4 << 20;
+// Just short of the largest body.
+constexpr size_t kAlmostBody = kLimitedBody - (100 << 10);
+constexpr size_t kFarOverBody = 16 << 20;
+
+const std::string kPost = "POST /roster/a HTTP/1.1\r\nHost: h\r\n";
+const std::string kChunked = kPost + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string Chunk(size_t size) {
+  return fmt::format("{:x}\r\n{}\r\n", size, std::string(size, 'x'));
+}
+
+std::string Announced(size_t size) {
+  return fmt::format("{}Content-Length: {}\r\n\r\n", kPost, size);
+}
+
+// Ordinary requests.
+const std::string kCall = "GET /roster/a HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string kForwarded =
+    "GET /a HTTP/1.1\r\nHost: h\r\nx-service: roster\r\n"
+    "x-deadline-ms: 5000\r\n\r\n";
+const std::string kStatus = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::vector<HostileInput> Heads() {
+  return {
+      {.connections = 30,
+       .prefix = "GET / HTTP/1.1\r\nA: ",
+       .unit = "aaaaaaaaaaaaaaaa",
+       .bytes = 4 << 20},
+      {.connections = 30,
+       .prefix = "GET / HTTP/1.1\r\n",
+       .unit = "A: aaaaaaaaaaa\r\n",
+       .bytes = 4 << 20},
+      {.connections = 60, .prefix = "GET / HTTP/1.1\r\nHost: h\r\nA: a"},
+  };
+}
+
+std::vector<HostileInput> EmptyLines() {
+  return {{.connections = 30, .unit = "\r\n", .bytes = 4 << 20},
+          {.connections = 30, .unit = "\n", .bytes = 4 << 20}};
+}
+
+std::vector<HostileInput> LargeChunks() {
+  return {
+      {.prefix = kChunked, .unit = Chunk(64 << 10), .bytes = kAlmostBody},
+      {.connections = 8,
+       .prefix = kChunked + "3e0000\r\n",
+       .unit = "x",
+       .bytes = kAlmostBody},
+  };
+}
+
+std::vector<HostileInput> SmallChunks() {
+  return {{.connections = 24,
+           .prefix = kChunked,
+           .unit = Chunk(8),
+           .bytes = kAlmostBody / 8 * Chunk(8).size()}};
+}
+
+std::vector<HostileInput> SmallSegments() {
+  return {{.connections = 50,
+           .prefix = Announced(kAlmostBody),
+           .unit = "x",
+           .bytes = 3'000,
+           .separate_segments = true}};
+}
+
+std::vector<HostileInput> AnnouncedBodies() {
+  return {{.prefix = Announced(kAlmostBody),
+           .unit = "x",
+           .bytes = kAlmostBody - 100}};
+}
+
+std::vector<HostileInput> BodiesOverTheLimit() {
+  return {{.connections = 30,
+           .prefix = Announced(size_t{4} << 30),
+           .unit = "x",
+           .bytes = kFarOverBody},
+          {.connections = 30,
+           .prefix = kChunked,
+           .unit = Chunk(16 << 10),
+           .bytes = kFarOverBody}};
+}
+
+std::vector<HostileInput> Pipelined(const std::string& request) {
+  return {{.connections = 40,
+           .prefix = request + kChunked,
+           .unit = Chunk(16 << 10),
+           .bytes = kAlmostBody},
+          {.connections = 20,
+           .prefix = request + request + Announced(kAlmostBody),
+           .unit = "x",
+           .bytes = kAlmostBody - 100},
+          // Requests without end whose responses are not read.
+          {.connections = 20, .unit = request, .bytes = kLimitedBody}};
+}
+
+std::vector<HostileInput> IdleConnections() {
+  return {{.connections = 300},
+          {.connections = 300, .prefix = "GET / HTTP/1.1\r\n"}};
+}
+
+void Check(uint16_t port,
+           const std::vector<HostileInput>& inputs,
+           const std::string& request) {
+  HostileFixture().Check(port, inputs, request);
+}
+
+}  // namespace
+
+// Each test guards against a process that runs out of memory or descriptors, or
+// stops to serve others, because of the input that its name states.
+#define HOSTILE_TESTS(suite, port, request)     \
+  Test(suite, heads_over_the_limit) {           \
+    Check(port, Heads(), request);              \
+  }                                             \
+  Test(suite, empty_lines) {                    \
+    Check(port, EmptyLines(), request);         \
+  }                                             \
+  Test(suite, large_chunks) {                   \
+    Check(port, LargeChunks(), request);        \
+  }                                             \
+  Test(suite, small_chunks) {                   \
+    Check(port, SmallChunks(), request);        \
+  }                                             \
+  Test(suite, small_segments) {                 \
+    Check(port, SmallSegments(), request);      \
+  }                                             \
+  Test(suite, announced_bodies) {               \
+    Check(port, AnnouncedBodies(), request);    \
+  }                                             \
+  Test(suite, bodies_over_the_limit) {          \
+    Check(port, BodiesOverTheLimit(), request); \
+  }                                             \
+  Test(suite, pipelined) {                      \
+    Check(port, Pipelined(request), request);   \
+  }                                             \
+  Test(suite, idle_connections) {               \
+    Check(port, IdleConnections(), request);    \
+  }
+
+HOSTILE_TESTS(hostile_call, HostileFixture::kCallPort, kCall)
+HOSTILE_TESTS(hostile_mesh, HostileFixture::kMeshPort, kForwarded)
+
+// Each test guards against the same on a port of the control task, with all
+// kinds of input one after the other.
+Test(hostile_control, admin_port) {
+  HostileFixture fixture;
+  for (const auto& inputs :
+       {Heads(), EmptyLines(), LargeChunks(), SmallSegments(),
+        BodiesOverTheLimit(), Pipelined(kStatus)}) {
+    fixture.Check(HostileFixture::kAdminPort, inputs, kStatus);
+  }
+}
+
+Test(hostile_control, admin_port_idle_connections) {
+  Check(HostileFixture::kAdminPort, IdleConnections(), kStatus);
+}
+
+Test(hostile_control, ready_port) {
+  HostileFixture fixture;
+  for (const auto& inputs :
+       {Heads(), EmptyLines(), LargeChunks(), SmallSegments(),
+        BodiesOverTheLimit(), Pipelined(kStatus)}) {
+    fixture.Check(HostileFixture::kReadyPort, inputs, kStatus);
+  }
+}
+
+Test(hostile_control, ready_port_idle_connections) {
+  Check(HostileFixture::kReadyPort, IdleConnections(), kStatus);
+}
+
+Test(hostile_control, target_port) {
+  HostileFixture fixture("dragonflytackd-platform");
+  for (const auto& inputs :
+       {Heads(), EmptyLines(), LargeChunks(), SmallSegments(),
+        BodiesOverTheLimit(), Pipelined(kStatus)}) {
+    fixture.Check(HostileFixture::kTargetPort, inputs, kStatus);
+  }
+}
+
+Test(hostile_control, target_port_idle_connections) {
+  HostileFixture("dragonflytackd-platform")
+      .Check(HostileFixture::kTargetPort, IdleConnections(), kStatus);
+}
+
+// Guards against handshakes without end, and connections that never
+// authenticate, which take memory or the descriptors of the process.
+Test(hostile_peer, handshakes_without_end) {
+  HostileFixture fixture;
+  for (const auto& inputs : {Heads(), EmptyLines(), IdleConnections()}) {
+    fixture.Check(HostileFixture::kPeerPort, inputs,
+                  "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+}
+
+}  // namespace dragonflytack
