Input: limit what the connections of all ports hold

Cause: evhttp reads a whole request before any code of the daemon is called, and nothing limited the number of connections, so that hostile clients took the memory or the descriptors of a process.

Change: InputGuard makes the bufferevents of accepted connections and counts bytes before evhttp reads them; InputLedger decides which connection is dropped (budget, time of a head, pause of a body, connections of a port). The call task and the control task have a budget each. Dropped connections get 503 or 408 as not run where evhttp has written nothing. The inbound links of the peer port are limited by the descriptors too. calls.max_buffered_mb now includes requests and defaults to at most 64 MB. New settings [input], dragonflytack_dropped_connections_total, log line input_dropped.

--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -49,6 +49,15 @@
       30'000;  // drain_timeout_ms: maximum wait for calls in flight at a stop
   int max_buffered_mb = 0;    // max_buffered_mb; 0 for a quarter of the memory
   bool routes_calls = false;  // addressing: "routes" instead of "services"
+  // [input]
+  int head_timeout_ms = 5'000;      // head_timeout: from its first byte on
+  int body_timeout_ms = 10'000;     // body_timeout: without a byte of it
+  int max_connections = 0;          // max_connections: of the call port and of
+                                    // the mesh port; 0 for a part of the
+                                    // descriptors
+  int control_max_connections = 0;  // control_max_connections: of each other
+                                    // HTTP port; 0 as above
+  int control_buffered_mb = 8;      // control_buffered_mb: of these ports
   // [target]
   std::optional<HostPort> target_address;    // address: only this is accepted
   int target_heartbeat_timeout_ms = 15'000;  // heartbeat: four times its value
--- a/src/base/buffer_budget.cc
+++ b/src/base/buffer_budget.cc
@@ -17,6 +17,13 @@
   return bytes_ <= kGuaranteedBytes || bytes_ <= free;
 }
 
+void BufferBudget::Share::Remove(size_t bytes) {
+  bytes_ -= bytes;
+  if (budget_ != nullptr) {
+    budget_->held_ -= bytes;
+  }
+}
+
 void BufferBudget::Share::Release() {
   const size_t bytes = std::exchange(bytes_, 0);
   if (budget_ != nullptr) {
@@ -26,12 +33,12 @@
 
 size_t BufferBudget::DefaultLimit() {
   constexpr size_t kPart = 4;
-  constexpr size_t kFallback = 64 << 20;
   struct sysinfo info {};
   if (sysinfo(&info) != 0) {
-    return kFallback;
+    return kMaxDefaultLimit;
   }
-  return static_cast<size_t>(info.totalram) * info.mem_unit / kPart;
+  return std::min(static_cast<size_t>(info.totalram) * info.mem_unit / kPart,
+                  kMaxDefaultLimit);
 }
 
 }  // namespace dragonflytack
--- a/src/base/buffer_budget.h
+++ b/src/base/buffer_budget.h
@@ -5,17 +5,21 @@
 
 namespace dragonflytack {
 
-// The bytes that the connections of a process hold for messages that are not
-// complete. Each connection may hold as much as is left of the budget (dynamic
-// thresholds, Choudhury and Hahne 1998): a few connections may hold large
-// messages, many share the budget, and a part of it always stays free for those
-// that hold little. Must be used on one thread.
+// The bytes that the connections of a thread hold for messages that have
+// arrived and are not passed on. Each connection may hold as much as is left of
+// the budget (dynamic thresholds, Choudhury and Hahne 1998): a few connections
+// may hold large messages, many share the budget, and a part of it always stays
+// free for those that hold little. Must be used on one thread.
 class BufferBudget final {
  public:
   // A connection may always hold this much, so that a head or a short message
   // is never refused.
   static constexpr size_t kGuaranteedBytes = 64 << 10;
 
+  // The smallest hosts have 160 MB, which the daemon shares with its target.
+  // The memory of the host may not show such a limit of the process.
+  static constexpr size_t kMaxDefaultLimit = 64 << 20;
+
   // The bytes held by one connection.
   class Share final {
    public:
@@ -28,6 +32,8 @@
     // Adds bytes that have arrived. Returns false if the connection may not
     // hold that many; they are counted nevertheless until Release().
     bool Add(size_t bytes);
+    // Removes bytes that are no longer held. `bytes` must not exceed bytes().
+    void Remove(size_t bytes);
     void Release();
     size_t bytes() const { return bytes_; }
 
@@ -44,8 +50,8 @@
   size_t limit() const { return limit_; }
   size_t held() const { return held_; }
 
-  // Returns a quarter of the memory of the host. The rest is for the state of
-  // the daemon, for complete messages and for the target.
+  // Returns a quarter of the memory of the host, at most kMaxDefaultLimit. The
+  // rest is for the state of the daemon, for the parser and for the target.
   static size_t DefaultLimit();
 
  private:
--- /dev/null
+++ b/src/base/input_guard.h
@@ -0,0 +1,108 @@
+#ifndef DRAGONFLYTACK_SRC_BASE_INPUT_GUARD_H_
+#define DRAGONFLYTACK_SRC_BASE_INPUT_GUARD_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/input_ledger.h"
+#include "dragonflytack/base/timer_service.h"
+
+struct bufferevent;
+struct event;
+struct event_base;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace dragonflytack {
+
+class EventLoop;
+
+// Limits what the connections of one evhttp server hold and how many there are.
+// It creates the bufferevents of accepted connections, so it sees each byte
+// before evhttp does. A connection is dropped by shutting its socket down;
+// evhttp then ends it as after a close by the peer. Freeing it here would crash
+// evhttp, which may be reading from it.
+class InputGuard final {
+ public:
+  struct Options {
+    size_t max_connections = 0;
+    // Bytes from the first byte of a head to its end, including empty lines
+    // before it. Above the limit of evhttp, which sends a response.
+    size_t max_head_bytes = 0;
+    // Bytes that are read ahead while a request is being handled. Also applies
+    // before, if `bounds_requests` is set; complete requests must then fit.
+    size_t read_ahead_bytes = 64 << 10;
+    bool bounds_requests = false;
+    // Headers of a refusal, each with its line end. Empty if the port has no
+    // refusals.
+    std::string refusal_headers;
+  };
+
+  struct Dropped {
+    DropCause cause;
+    std::string peer;
+    size_t bytes;
+  };
+
+  // `ledger` must outlive the guard. `on_dropped` may be called from within
+  // callbacks of libevent.
+  InputGuard(EventLoop* loop,
+             InputLedger* ledger,
+             Options options,
+             std::function<void(const Dropped&)> on_dropped);
+  // The server must have been freed.
+  ~InputGuard();
+  InputGuard(const InputGuard&) = delete;
+  InputGuard& operator=(const InputGuard&) = delete;
+
+  // Must be called once, before the first connection. `socket` is the socket on
+  // which the server listens.
+  void Attach(evhttp* http, evhttp_bound_socket* socket);
+
+  // Must be called before the socket is closed.
+  void OnStopListening() { socket_ = nullptr; }
+
+  // Must be called when evhttp delivers a request. Returns false if the
+  // connection was dropped, so that the request must not be handled.
+  bool OnRequest(evhttp_request* request);
+
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+
+  static bufferevent* OnAccept(event_base* base, void* self);
+  // Drops the connection that is least in use if there are too many.
+  void LimitConnections();
+  // Forgets ended connections and drops those that exceed a time limit.
+  void Sweep();
+  void ForgetEnded();
+  // Has the event loop check, after evhttp has handled the end of a response,
+  // whether it has ended the connection.
+  void CheckLater(bufferevent* bufev);
+  static void OnCheck(int fd, short what, void* self);
+  TimePoint Now() const;
+
+  EventLoop* const loop_;
+  InputLedger* const ledger_;
+  const Options options_;
+  const std::function<void(const Dropped&)> on_dropped_;
+  evhttp_bound_socket* socket_ = nullptr;
+  std::unordered_map<bufferevent*, std::unique_ptr<Connection>> connections_;
+  event* const check_event_;
+  std::vector<bufferevent*> to_check_;
+  TimerId sweep_timer_;
+  TimerId listen_timer_ = 0;
+  TimePoint last_sweep_;
+};
+
+}  // namespace dragonflytack
+
+#endif  // DRAGONFLYTACK_SRC_BASE_INPUT_GUARD_H_
--- a/src/calls/call_metrics.cc
+++ b/src/calls/call_metrics.cc
@@ -18,7 +18,7 @@
     : registry_(registry),
       buffered_bytes_(registry->GetGauge(
           "dragonflytack_buffered_bytes",
-          "Responses that are being received on all connections")),
+          "Requests and responses that have arrived and are not passed on")),
       entry_calls_(GetCallsInProgress(registry, "entry")),
       target_calls_(GetCallsInProgress(registry, "target")),
       queue_length_(
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -11,11 +11,15 @@
 #include <event2/http.h>
 
 #include "base/buffer_budget.h"
+#include "base/connection_limits.h"
+#include "base/input_ledger.h"
 #include "calls/call_context.h"
 #include "calls/call_entry.h"
 #include "calls/call_metrics.h"
 #include "calls/connection_pool.h"
 #include "calls/deferred_deleter.h"
+#include "calls/guarded_port.h"
+#include "calls/http_headers.h"
 #include "calls/http_server.h"
 #include "calls/one_time.h"
 #include "calls/response_writes.h"
@@ -82,9 +86,11 @@
                 settings.region,
                 settings.data_centre,
                 incarnation ^ std::hash<std::string>()(settings.node_id)),
+        registry_(metrics),
         budget_(settings.max_buffered_mb == 0
                     ? BufferBudget::DefaultLimit()
                     : static_cast<size_t>(settings.max_buffered_mb) << 20),
+        input_ledger_(&budget_, InputLimits(settings)),
         connections_(loop_.get(), &deleter_, &budget_),
         response_writes_([this] { ReportStoppedIfDone(); }),
         mailbox_(loop_.get(),
@@ -151,8 +157,8 @@
         [this] { AdvanceStop(); });
     call_server_ = HttpServer::Make(
         loop_->base(), {settings_.address, settings_.call_port},
-        [this](evhttp_request* request) { entry_->OnRequest(request); },
-        reason);
+        [this](evhttp_request* request) { entry_->OnRequest(request); }, reason,
+        MakeGuard("call"));
     if (call_server_ == nullptr) {
       return false;
     }
@@ -163,7 +169,7 @@
             target_proxy_->OnRequest(request);
           }
         },
-        reason);
+        reason, MakeGuard("mesh"));
     if (mesh_server_ == nullptr) {
       return false;
     }
@@ -192,6 +198,17 @@
   void Post(Message message) { mailbox_.Post(std::move(message)); }
 
  private:
+  std::unique_ptr<InputGuard> MakeGuard(const char* port) {
+    // evhttp responds to heads over its own limit.
+    constexpr size_t kHeadMargin = 16 << 10;
+    return MakeInputGuard(
+        loop_.get(), &input_ledger_,
+        {.max_connections = ConnectionLimits::FromSettings(settings_).calls,
+         .max_head_bytes = kMaxHeaderBytes + kHeadMargin,
+         .refusal_headers = RefusalHeaders(*context_.header_codec)},
+        port, logger_, registry_);
+  }
+
   void OnMessage(Message message) {
     std::visit([this](auto& typed) { Handle(std::move(typed)); }, message);
   }
@@ -336,7 +353,9 @@
   DeferredDeleter deleter_;
   CallMetrics metrics_;
   Router router_;
+  MetricsRegistry* const registry_;
   BufferBudget budget_;
+  InputLedger input_ledger_;
   ConnectionPool connections_;
   ResponseWrites response_writes_;
   RetryShare retry_share_;
--- a/src/calls/http_server.cc
+++ b/src/calls/http_server.cc
@@ -26,10 +26,12 @@
 
 }  // namespace
 
-std::unique_ptr<HttpServer> HttpServer::Make(event_base* base,
-                                             const HostPort& address,
-                                             Handler handler,
-                                             Failure* reason) {
+std::unique_ptr<HttpServer> HttpServer::Make(
+    event_base* base,
+    const HostPort& address,
+    Handler handler,
+    Failure* reason,
+    std::unique_ptr<InputGuard> guard) {
   sockaddr_storage storage{};
   int length = sizeof(storage);
   if (evutil_parse_sockaddr_port(address.ToString().c_str(),
@@ -55,13 +57,20 @@
   evhttp* http = evhttp_new(base);
   evhttp_bound_socket* socket = evhttp_bind_listener(http, listener);
   return std::unique_ptr<HttpServer>(
-      new HttpServer(http, socket, std::move(handler)));
+      new HttpServer(http, socket, std::move(handler), std::move(guard)));
 }
 
 HttpServer::HttpServer(evhttp* http,
                        evhttp_bound_socket* socket,
-                       Handler handler)
-    : http_(http), socket_(socket), handler_(std::move(handler)) {
+                       Handler handler,
+                       std::unique_ptr<InputGuard> guard)
+    : http_(http),
+      socket_(socket),
+      handler_(std::move(handler)),
+      guard_(std::move(guard)) {
+  if (guard_ != nullptr) {
+    guard_->Attach(http_, socket_);
+  }
   evhttp_set_max_body_size(http_, 2 * kMaxBodyBytes);
   evhttp_set_max_headers_size(http_, kMaxHeaderBytes);
   evhttp_set_timeout(http_, kInactivityTimeoutSeconds);
@@ -79,12 +88,19 @@
 
 void HttpServer::StopListening() {
   if (socket_ != nullptr) {
+    if (guard_ != nullptr) {
+      guard_->OnStopListening();
+    }
     evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
   }
 }
 
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
   auto* server = static_cast<HttpServer*>(self);
+  if (server->guard_ != nullptr && !server->guard_->OnRequest(request)) {
+    evhttp_send_reply(request, HTTP_SERVUNAVAIL, nullptr, nullptr);
+    return;
+  }
   if (server->close_after_responses_) {
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
                       "close");
--- a/src/calls/http_server.h
+++ b/src/calls/http_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "base/input_guard.h"
 #include "dragonflytack/base/failure.h"
 #include "dragonflytack/base/host_port.h"
 
@@ -25,11 +26,14 @@
   // StopListening() but must not destroy the server.
   using Handler = std::function<void(evhttp_request*)>;
 
-  // Returns null if the address cannot be bound.
-  static std::unique_ptr<HttpServer> Make(event_base* base,
-                                          const HostPort& address,
-                                          Handler handler,
-                                          Failure* reason);
+  // Returns null if the address cannot be bound. Without a guard the input is
+  // limited for each request only.
+  static std::unique_ptr<HttpServer> Make(
+      event_base* base,
+      const HostPort& address,
+      Handler handler,
+      Failure* reason,
+      std::unique_ptr<InputGuard> guard = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -43,12 +47,17 @@
   void StopListening();
 
  private:
-  HttpServer(evhttp* http, evhttp_bound_socket* socket, Handler handler);
+  HttpServer(evhttp* http,
+             evhttp_bound_socket* socket,
+             Handler handler,
+             std::unique_ptr<InputGuard> guard);
   static void OnRequest(evhttp_request* request, void* self);
 
   evhttp* const http_;
   evhttp_bound_socket* socket_;
   const Handler handler_;
+  // Null if the server has none.
+  const std::unique_ptr<InputGuard> guard_;
   bool close_after_responses_ = false;
 };
 
--- a/src/calls/inbound_call.cc
+++ b/src/calls/inbound_call.cc
@@ -52,10 +52,9 @@
   // the peer closed the connection.
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
   // Limits the bytes that a caller can send in the meantime. evhttp collects
-  // complete bodies in this buffer, so a smaller limit would block large
-  // requests.
-  bufferevent_setwatermark(bufev, EV_READ, 0,
-                           2 * (kMaxBodyBytes + kMaxHeaderBytes));
+  // complete chunks in this buffer, so the limit has to end with the response;
+  // InputGuard removes it.
+  bufferevent_setwatermark(bufev, EV_READ, 0, kMaxHeaderBytes);
   // evhttp ends the process if its read callback is called while a response is
   // pending. It sets its callbacks again when the response is sent, and then
   // reads the bytes that arrived in the meantime.
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -2,6 +2,7 @@
 
 #include <cstring>
 #include <string>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -17,9 +18,6 @@
 
 namespace {
 
-constexpr size_t kMaxHeaderBytes = 16'384;
-// Announcements and requests of operators are far smaller.
-constexpr size_t kMaxBodyBytes = 4096;
 // Idle connections of operators and metrics collectors are closed.
 constexpr int kIdleTimeoutSeconds = 20;
 // All methods are passed to the handler, so that it can respond to the wrong
@@ -70,35 +68,49 @@
 
 }  // namespace
 
-std::unique_ptr<AdminServer> AdminServer::Make(EventLoop* loop,
-                                               const HostPort& address,
-                                               const AdminHandler* handler,
-                                               Failure* reason) {
+std::unique_ptr<AdminServer> AdminServer::Make(
+    EventLoop* loop,
+    const HostPort& address,
+    const AdminHandler* handler,
+    Failure* reason,
+    std::unique_ptr<InputGuard> guard) {
   evhttp* const server = evhttp_new(loop->base());
   evhttp_set_max_headers_size(server, kMaxHeaderBytes);
   evhttp_set_max_body_size(server, kMaxBodyBytes);
   evhttp_set_allowed_methods(server, kAllMethods);
   evhttp_set_timeout(server, kIdleTimeoutSeconds);
-  std::unique_ptr<AdminServer> admin(new AdminServer(server, handler));
+  std::unique_ptr<AdminServer> admin(
+      new AdminServer(server, handler, std::move(guard)));
   evhttp_set_gencb(server, &AdminServer::OnRequest, admin.get());
-  if (evhttp_bind_socket(server, address.address.c_str(), address.port) != 0) {
+  evhttp_bound_socket* const socket = evhttp_bind_socket_with_handle(
+      server, address.address.c_str(), address.port);
+  if (socket == nullptr) {
     *reason = {FailureCode::kAddressInUse, address.ToString(),
                evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
     return nullptr;
   }
+  if (admin->guard_ != nullptr) {
+    admin->guard_->Attach(server, socket);
+  }
   return admin;
 }
 
-AdminServer::AdminServer(evhttp* server, const AdminHandler* handler)
-    : server_(server), handler_(handler) {}
+AdminServer::AdminServer(evhttp* server,
+                         const AdminHandler* handler,
+                         std::unique_ptr<InputGuard> guard)
+    : server_(server), handler_(handler), guard_(std::move(guard)) {}
 
 AdminServer::~AdminServer() {
   evhttp_free(server_);
 }
 
 void AdminServer::OnRequest(evhttp_request* request, void* self) {
-  const AdminResponse response =
-      static_cast<AdminServer*>(self)->handler_->Handle(FromHttp(request));
+  auto* const server = static_cast<AdminServer*>(self);
+  if (server->guard_ != nullptr && !server->guard_->OnRequest(request)) {
+    evhttp_send_reply(request, HTTP_SERVUNAVAIL, nullptr, nullptr);
+    return;
+  }
+  const AdminResponse response = server->handler_->Handle(FromHttp(request));
   evhttp_add_header(evhttp_request_get_output_headers(request), "content-type",
                     response.content_type.c_str());
   evbuffer* const body = evbuffer_new();
--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "base/input_guard.h"
 #include "dragonflytack/base/failure.h"
 #include "dragonflytack/base/host_port.h"
 
@@ -18,22 +19,33 @@
 // Requests are handled on the loop's thread.
 class AdminServer final {
  public:
+  static constexpr size_t kMaxHeaderBytes = 16'384;
+  // Announcements and requests of operators are far smaller.
+  static constexpr size_t kMaxBodyBytes = 4096;
+
   // Returns null, with kAddressInUse in `reason`, if the port cannot be bound.
-  // `loop` and `handler` must outlive the server.
-  static std::unique_ptr<AdminServer> Make(EventLoop* loop,
-                                           const HostPort& address,
-                                           const AdminHandler* handler,
-                                           Failure* reason);
+  // `loop` and `handler` must outlive the server. Without a guard the input is
+  // limited for each request only.
+  static std::unique_ptr<AdminServer> Make(
+      EventLoop* loop,
+      const HostPort& address,
+      const AdminHandler* handler,
+      Failure* reason,
+      std::unique_ptr<InputGuard> guard = nullptr);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
 
  private:
-  AdminServer(evhttp* server, const AdminHandler* handler);
+  AdminServer(evhttp* server,
+              const AdminHandler* handler,
+              std::unique_ptr<InputGuard> guard);
   static void OnRequest(evhttp_request* request, void* self);
 
   evhttp* const server_;
   const AdminHandler* const handler_;
+  // Null if the server has none.
+  const std::unique_ptr<InputGuard> guard_;
 };
 
 }  // namespace dragonflytack
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -7,6 +7,8 @@
 #include <event2/event.h>
 #include <malloc.h>
 
+#include "base/connection_limits.h"
+#include "calls/guarded_port.h"
 #include "daemon/loop_signals.h"
 #include "dragonflytack/base/hash.h"
 #include "dragonflytack/base/logger.h"
@@ -69,7 +71,9 @@
       logger_(logger),
       loop_(std::move(loop)),
       tracer_(settings.trace_sample, MakeSeed(settings, *clock)),
-      mailbox_(loop_.get(), [](const Message& message) { message(); }) {}
+      mailbox_(loop_.get(), [](const Message& message) { message(); }),
+      input_budget_(static_cast<size_t>(settings.control_buffered_mb) << 20),
+      input_ledger_(&input_budget_, InputLimits(settings)) {}
 
 ControlTask::~ControlTask() {
   for (event* const signal_event : signal_events_) {
@@ -81,6 +85,7 @@
   LinkOptions link_options;
   link_options.shared_key = settings_.shared_key;
   link_options.open_network = settings_.open_network;
+  link_options.max_inbound = ConnectionLimits::FromSettings(settings_).peers;
   links_ = WebSocketLinkLayer::Make(loop_.get(),
                                     {settings_.address, settings_.peer_port},
                                     link_options, logger_, reason);
@@ -127,7 +132,7 @@
       settings_.shared_key, settings_.address, fleet_report_.get());
   admin_server_ =
       AdminServer::Make(loop_.get(), {settings_.address, settings_.admin_port},
-                        admin_api_.get(), reason);
+                        admin_api_.get(), reason, MakeGuard("admin"));
   return admin_server_ != nullptr &&
          MakeReadinessAndAnnouncementServers(reason);
 }
@@ -136,7 +141,7 @@
   if (settings_.ready_port != 0) {
     readiness_server_ = AdminServer::Make(
         loop_.get(), {settings_.address, settings_.ready_port},
-        &readiness_handler_, reason);
+        &readiness_handler_, reason, MakeGuard("ready"));
     if (readiness_server_ == nullptr) {
       return false;
     }
@@ -148,12 +153,25 @@
       settings_,
       [this](const LocalTarget& target) { return OnAnnouncement(target); },
       logger_);
-  announcement_server_ =
-      AdminServer::Make(loop_.get(), {settings_.address, settings_.target_port},
-                        announcement_handler_.get(), reason);
+  announcement_server_ = AdminServer::Make(
+      loop_.get(), {settings_.address, settings_.target_port},
+      announcement_handler_.get(), reason, MakeGuard("target"));
   return announcement_server_ != nullptr;
 }
 
+std::unique_ptr<InputGuard> ControlTask::MakeGuard(const char* port) {
+  // evhttp responds to heads over its own limit. A complete request fits into
+  // the bytes that are read ahead.
+  return MakeInputGuard(
+      loop_.get(), &input_ledger_,
+      {.max_connections = ConnectionLimits::FromSettings(settings_).control,
+       .max_head_bytes = 2 * AdminServer::kMaxHeaderBytes,
+       .read_ahead_bytes =
+           2 * (AdminServer::kMaxHeaderBytes + AdminServer::kMaxBodyBytes),
+       .bounds_requests = true},
+      port, logger_, &metrics_);
+}
+
 bool ControlTask::MakeCallTask(Failure* reason) {
   CallTask::Events events;
   events.on_stopped = [this](const NodeId& successor,
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string_view>
 
+#include "base/buffer_budget.h"
+#include "base/input_ledger.h"
 #include "daemon/admin_api.h"
 #include "daemon/admin_server.h"
 #include "daemon/environment.h"
@@ -62,6 +64,7 @@
               std::unique_ptr<EventLoop> loop);
   bool MakeComponents(Failure* reason);
   bool MakeCallTask(Failure* reason);
+  std::unique_ptr<InputGuard> MakeGuard(const char* port);
   // Binds the readiness and announcement ports that are configured.
   bool MakeReadinessAndAnnouncementServers(Failure* reason);
   void RegisterSignalHandlers();
@@ -101,6 +104,9 @@
   Tracer tracer_;
   // Messages posted by the call task.
   Mailbox<Message> mailbox_;
+  // Of the admin, readiness and target ports; the call task has its own.
+  BufferBudget input_budget_;
+  InputLedger input_ledger_;
   std::unique_ptr<WebSocketLinkLayer> links_;
   std::unique_ptr<ObservedStore> store_;
   std::unique_ptr<DistributionCore> core_;
--- a/tests/hostile_input_test.cc
+++ b/tests/hostile_input_test.cc
@@ -2,7 +2,9 @@
 // the system. The crowds and the bounds were fixed on the code without limits
 // on input. The tests run one at a time, apart from other load.
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -210,4 +212,47 @@
   }
 }
 
+// Guards against limits that refuse clients within the documented limits: a
+// slow head of nearly 16 KB, the largest body, a slow but steady body, and a
+// connection that is used again after 15 s.
+Test(hostile_limits, clients_within_the_limits_are_served) {
+  const HostileFixture fixture;
+  const auto expect_ok = [](const Socket& socket, const char* what) {
+    const HttpReply reply = socket.Receive(Milliseconds(20'000));
+    cr_expect_eq(reply.status, 200, "%s: %d", what, reply.status);
+  };
+  const auto send = [](const Socket& socket, const std::string& piece,
+                       int count, Milliseconds pause) {
+    for (int i = 0; i < count; ++i) {
+      socket.Send(piece);
+      std::this_thread::sleep_for(pause);
+    }
+  };
+  const Socket idle(fixture.address(), HostileFixture::kCallPort);
+  idle.Send(kCall);
+  expect_ok(idle, "first request");
+  const TimePoint idle_since = std::chrono::steady_clock::now();
+
+  const Socket head(fixture.address(), HostileFixture::kCallPort);
+  head.Send(kPost);
+  send(head, "A: " + std::string(540, 'a') + "\r\n", 29, Milliseconds(95));
+  head.Send("\r\n");
+  expect_ok(head, "slow head");
+
+  const Socket body(fixture.address(), HostileFixture::kCallPort);
+  body.Send(Announced(kLimitedBody));
+  send(body, std::string(kLimitedBody / 32, 'x'), 32, Milliseconds(50));
+  expect_ok(body, "largest body");
+
+  const Socket slow(fixture.address(), HostileFixture::kCallPort);
+  slow.Send(kChunked);
+  send(slow, Chunk(16), 14, Milliseconds(500));
+  slow.Send("0\r\n\r\n");
+  expect_ok(slow, "slow body");
+
+  std::this_thread::sleep_until(idle_since + Milliseconds(15'000));
+  idle.Send(kCall);
+  expect_ok(idle, "request after 15 s");
+}
+
 }  // namespace dragonflytack
