Input: serve a body of 4 MB at the smallest budget

Cause: hostile_limits/clients_within_the_limits_are_served, new here, failed with calls.max_buffered_mb = 8. A body of 4 MB counts at the call port and at the mesh port of a node that calls its own target, which is more than the part of 6 MB for requests (503). Then InboundCall limited the bytes that are read ahead to 64 KB also on servers without a guard, which alone removes the limit, so the target stand-in did not read the body on a kept connection (504).

Change: accepted connections may always hold 9 MB.

--- a/src/base/input_ledger.h
+++ b/src/base/input_ledger.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_SRC_BASE_INPUT_LEDGER_H_
 #define DRAGONFLYTACK_SRC_BASE_INPUT_LEDGER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <unordered_set>
@@ -106,9 +107,16 @@
 
   BufferBudget* budget() const { return budget_; }
 
+  // Accepted connections may always hold this much: a body of 4 MB at the call
+  // port and again at the mesh port of a node that calls its own target, with
+  // the heads and framing.
+  static constexpr size_t kGuaranteedBytes = 9 << 20;
+
   // The part of the budget that accepted connections may use. The rest is left
   // to the responses of targets and nodes, so that calls can end.
-  size_t limit() const { return budget_->limit() / 4 * 3; }
+  size_t limit() const {
+    return std::max(budget_->limit() / 4 * 3, kGuaranteedBytes);
+  }
   // The bytes that accepted connections hold.
   size_t held() const { return held_; }
 
@@ -119,7 +127,8 @@
   // of the budget, so that responses without end stop no requests.
   bool IsOver() const {
     return held_ > limit() ||
-           (budget_->held() > budget_->limit() && held_ > budget_->limit() / 4);
+           (budget_->held() > budget_->limit() &&
+            held_ > std::max(budget_->limit() / 4, kGuaranteedBytes));
   }
   // Returns the connection that is dropped first; null if none may be dropped.
   InputSender* ChooseVictim(TimePoint now) const;
--- a/src/calls/inbound_call.cc
+++ b/src/calls/inbound_call.cc
@@ -51,10 +51,15 @@
   // evhttp stops reading while a response is pending and would not detect that
   // the peer closed the connection.
   bufferevent* bufev = evhttp_connection_get_bufferevent(connection_);
-  // Limits the bytes that a caller can send in the meantime. evhttp collects
-  // complete chunks in this buffer, so the limit has to end with the response;
-  // InputGuard removes it.
-  bufferevent_setwatermark(bufev, EV_READ, 0, kMaxHeaderBytes);
+  // Limits the bytes that a caller can send in the meantime, unless InputGuard
+  // does. evhttp collects complete bodies in this buffer, so a smaller limit
+  // would block large requests that follow.
+  size_t limit = 0;
+  bufferevent_getwatermark(bufev, EV_READ, nullptr, &limit);
+  if (limit == 0) {
+    bufferevent_setwatermark(bufev, EV_READ, 0,
+                             2 * (kMaxBodyBytes + kMaxHeaderBytes));
+  }
   // evhttp ends the process if its read callback is called while a response is
   // pending. It sets its callbacks again when the response is sent, and then
   // reads the bytes that arrived in the meantime.
