Wording: usual terms in comments and in the state of roll-outs

Cause: the own store and the log used a word of the platform for a roll-out that was reverted, and six comments described nodes as people. Change: the value is reverted; the comments say what is done. Result: no behaviour changed besides the text of the state.

--- a/include/dragonflytack/routing/target_load_report.h
+++ b/include/dragonflytack/routing/target_load_report.h
@@ -8,7 +8,7 @@
 
 namespace dragonflytack {
 
-// What a header with a load report says. Without a report both members are
+// The contents of a header with a load report. Without a report both members are
 // empty.
 struct TargetLoadReport final {
   std::optional<TargetLoad> load;
--- a/src/accounts/allowance_gate.h
+++ b/src/accounts/allowance_gate.h
@@ -15,7 +15,7 @@
 namespace dragonflytack {
 
 // Entry node: decides whether a call of an account may start, with the permits
-// that the home nodes give, and says what to report to them. It does no I/O.
+// that the home nodes give, and determines the reports to them. It does no I/O.
 class AllowanceGate final {
  public:
   enum class Decision {
--- a/src/accounts/allowance_ledger.cc
+++ b/src/accounts/allowance_ledger.cc
@@ -115,7 +115,7 @@
     account->created = now;
     account->skipped = report.skipped;
     if (report.usage.empty() && now < unsettled_until_) {
-      // Another home node may have permitted calls that no report tells of.
+      // Another home node may have permitted calls that no report contains.
       const auto [unknown, is_new] = account->statements.try_emplace(
           NodeId(), Account::Statement{UsageWindow(bounds_.window), now});
       unknown->second.usage.AddUniformly(report.limit.Base(bounds_), now);
--- a/src/calls/allowance_exchange.h
+++ b/src/calls/allowance_exchange.h
@@ -28,9 +28,9 @@
 class MetricsRegistry;
 struct NodeLocation;
 
-// Limits the calls of accounts over the whole fleet: asks the home nodes of the
-// accounts for permits, and answers as a home node. Sends nothing while no
-// account with a limit has calls.
+// Limits the calls of accounts over the whole fleet: sends requests to the home
+// nodes of the accounts for permits, and answers as a home node. Sends nothing
+// while no account with a limit has calls.
 class AllowanceExchange final {
  public:
   static constexpr char kPath[] = "/-/allowances";
--- a/src/rollout/rollout_session.cc
+++ b/src/rollout/rollout_session.cc
@@ -163,7 +163,7 @@
   }
   state_ = *stored;
   // A rollback that its controller could not write has the epoch of the step.
-  const bool is_rolled_back =
+  const bool is_reverted =
       rollback_pending_ ||
       (share_.release == state_.release && share_.epoch == version_ &&
        share_.share < state_.share);
@@ -173,9 +173,9 @@
       phase_ = Phase::kDone;
     }
   } else {
-    phase_ = is_rolled_back ? Phase::kRollBack : Phase::kRunning;
+    phase_ = is_reverted ? Phase::kRollBack : Phase::kRunning;
   }
-  if (!is_rolled_back) {
+  if (!is_reverted) {
     Publish();
   }
 }
--- a/src/rollout/rollout_session.h
+++ b/src/rollout/rollout_session.h
@@ -19,7 +19,7 @@
 
 class Logger;
 
-// One roll-out on one of the controllers: asks the judge for decisions, writes
+// One roll-out on one of the controllers: gets decisions from the judge, writes
 // the state object before each step and publishes the step. Only one of the
 // controllers decides; the other one has the same evidence and takes over.
 class RolloutSession final {
--- a/src/rollout/rollout_state.cc
+++ b/src/rollout/rollout_state.cc
@@ -15,7 +15,7 @@
 
 // By RolloutProgress.
 constexpr std::array<std::string_view, 4> kNames = {"none", "running",
-                                                    "completed", "rolled_back"};
+                                                    "completed", "reverted"};
 
 }  // namespace
 
--- a/src/routing/target_load_model.h
+++ b/src/routing/target_load_model.h
@@ -24,7 +24,7 @@
   static constexpr double kMinReportFactor = 0.5;
   static constexpr double kMaxReportFactor = 1.5;
 
-  // What the node that asks knows of the target at this moment.
+  // What the choosing node knows of the target at this moment.
   struct View {
     int slots = 1;
     // Calls of this node that have no response yet.
--- a/src/store/store_rollout_orders.cc
+++ b/src/store/store_rollout_orders.cc
@@ -21,7 +21,7 @@
 constexpr int64_t kMaxDurationMs = 24LL * 3600 * 1000;
 // By RolloutProgress.
 constexpr std::array<const char*, 4> kProgressNames = {
-    "none", "running", "completed", "rolled_back"};
+    "none", "running", "completed", "reverted"};
 
 }  // namespace
 
