--- a/include/dragonflytack/routing/target_load_report.h
+++ b/include/dragonflytack/routing/target_load_report.h
@@ -8,8 +8,8 @@
 
 namespace dragonflytack {
 
-// The contents of a header with a load report. Without a report both members are
-// empty.
+// The contents of a header with a load report. Without a report both members
+// are empty.
 struct TargetLoadReport final {
   std::optional<TargetLoad> load;
   // Why the report is not valid, as a static text for logs.
--- a/src/store/store_rollout_orders.cc
+++ b/src/store/store_rollout_orders.cc
@@ -20,8 +20,8 @@
 constexpr int kMaxOrders = 1000;
 constexpr int64_t kMaxDurationMs = 24LL * 3600 * 1000;
 // By RolloutProgress.
-constexpr std::array<const char*, 4> kProgressNames = {
-    "none", "running", "completed", "reverted"};
+constexpr std::array<const char*, 4> kProgressNames = {"none", "running",
+                                                       "completed", "reverted"};
 
 }  // namespace
 
