Load balancing: prices for billed traffic, and old reports do not leave a data centre

Cause: a target without a recent report was counted as slightly more than full, so with few calls per node each data centre seemed full and calls left it for 2.5 ms of expected wait; another region cost 416 ms. Change: another data centre costs 122.5 ms and another region 1,016 ms; the usable target of the data centre with the least wait is taken up to the first price, unless it is known to be full.

--- a/src/routing/service_pool.cc
+++ b/src/routing/service_pool.cc
@@ -13,9 +13,12 @@
 constexpr size_t kMaxCompared = 32;
 
 // What a call to another data centre and to another region costs beside its
-// wait: the longer way there and back, and 400 ms for the billed traffic.
-constexpr TargetLoadModel::Microseconds kOwnRegionCost{2'500};
-constexpr TargetLoadModel::Microseconds kOtherRegionsCost{416'000};
+// wait: the longer way there and back, and 120 and 1,000 ms for the billed
+// traffic. Without a price of the first kind calls leave the data centre for
+// each target that is not known to have room, and the traffic between data
+// centres is twice to three times as much.
+constexpr TargetLoadModel::Microseconds kOwnRegionCost{122'500};
+constexpr TargetLoadModel::Microseconds kOtherRegionsCost{1'016'000};
 
 // Weight of the newest sample in the mean run time of the service.
 constexpr double kRunTimeSmoothing = 0.02;
@@ -178,6 +181,9 @@
   static constexpr Tier kNearestFirst[] = {kOwnDataCentre, kOwnRegion};
   static constexpr Tier kOtherRegionsFirst[] = {kOtherRegions, kOwnDataCentre,
                                                 kOwnRegion};
+  static constexpr Tier kAllTiers[] = {kOwnDataCentre, kOwnRegion,
+                                       kOtherRegions};
+  static constexpr Tier kOwnDataCentreOnly = kOwnDataCentre;
   const Tiers& tiers = sides_[side];
   const bool other_regions_first =
       own_region_share_ < 1 && random_->Unit() >= own_region_share_;
@@ -187,8 +193,18 @@
     if (const Candidate* found = ChooseIn(tiers[tier], excluded, 1, now)) {
       return found;
     }
+    if (tier == kOwnDataCentre) {
+      // An old report tells too little to leave the data centre.
+      const CostedCandidate nearest =
+          ChooseLeastWait(tiers, {&kOwnDataCentreOnly, 1}, 1, excluded, now);
+      if (nearest.candidate != nullptr && nearest.cost <= kOwnRegionCost) {
+        return nearest.candidate;
+      }
+    }
   }
-  const Candidate* found = ChooseLeastWait(tiers, excluded, now);
+  const Candidate* found =
+      ChooseLeastWait(tiers, kAllTiers, kSpilloverOccupancy, excluded, now)
+          .candidate;
   return found == nullptr && side == kNewRelease
              ? ChooseLastResort(tiers, excluded, now, true)
              : found;
@@ -287,19 +303,20 @@
   return warm[chosen].first;
 }
 
-const ServicePool::Candidate* ServicePool::ChooseLeastWait(
+ServicePool::CostedCandidate ServicePool::ChooseLeastWait(
     const Tiers& tiers,
+    std::span<const Tier> compared_tiers,
+    double near_occupancy_limit,
     const std::vector<EndpointPtr>& excluded,
     TimePoint now) {
   using Microseconds = TargetLoadModel::Microseconds;
   static constexpr std::array<Microseconds, kTierCount> kDistances = {
       Microseconds(0), kOwnRegionCost, kOtherRegionsCost};
-  const Candidate* best = nullptr;
-  Microseconds best_cost{0};
-  for (const Tier tier : {kOwnDataCentre, kOwnRegion, kOtherRegions}) {
+  CostedCandidate best;
+  for (const Tier tier : compared_tiers) {
     const Candidates& candidates = tiers[tier];
     const double occupancy_limit =
-        tier == kOtherRegions ? 1 : kSpilloverOccupancy;
+        tier == kOtherRegions ? 1 : near_occupancy_limit;
     const size_t compared = std::min(candidates.size(), kMaxCompared);
     const size_t start =
         candidates.empty() ? 0 : random_->Below(candidates.size());
@@ -313,9 +330,8 @@
       }
       const Microseconds cost =
           kDistances[tier] + state.Cost(now, usual_run_time_);
-      if (best == nullptr || cost < best_cost) {
-        best = &candidate;
-        best_cost = cost;
+      if (best.candidate == nullptr || cost < best.cost) {
+        best = {&candidate, cost};
       }
     }
   }
--- a/src/routing/service_pool.h
+++ b/src/routing/service_pool.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -105,11 +106,19 @@
                             const std::vector<EndpointPtr>& excluded,
                             double occupancy_limit,
                             TimePoint now);
-  // Returns the usable candidate with the least expected wait, counting the
-  // distance, or null if there is none. Used when no near candidate has room.
-  const Candidate* ChooseLeastWait(const Tiers& tiers,
-                                   const std::vector<EndpointPtr>& excluded,
-                                   TimePoint now);
+  struct CostedCandidate {
+    const Candidate* candidate = nullptr;
+    TargetLoadModel::Microseconds cost{0};
+  };
+  // Returns the usable candidate of these tiers with the least expected wait,
+  // counting the distance, or a null candidate if there is none. Near ones are
+  // usable up to `near_occupancy_limit` calls per slot. Used when no near
+  // candidate has room.
+  CostedCandidate ChooseLeastWait(const Tiers& tiers,
+                                  std::span<const Tier> compared_tiers,
+                                  double near_occupancy_limit,
+                                  const std::vector<EndpointPtr>& excluded,
+                                  TimePoint now);
   // Returns the best candidate of all tiers, usable or not, or null if all are
   // excluded. With `must_be_usable` a candidate that is not usable is not
   // returned.
