Tool: roll-outs in status, and a subcommand for orders

Cause: operators saw roll-outs only as the JSON of GET /rollouts of the right node, and could order them only by writing an object of the store by hand. It asks the node, which names the controllers, and these. `dragonflytack rollout [SERVICE [RELEASE SECONDS]]` shows the orders in the project's own store and writes one; it refuses unknown services and an order that has not ended.

--- a/src/cli/status_verb.cc
+++ b/src/cli/status_verb.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cli/fleet.h"
+#include "cli/rollout_report.h"
 #include "cli/text_table.h"
 #include "cli/tool_context.h"
 #include "cli/verb.h"
@@ -48,7 +49,9 @@
  public:
   std::string Notes() const override {
     return "With --store the nodes are compared with the stored version, "
-           "otherwise with the\nnewest version in force on any node.\n";
+           "otherwise with the\nnewest version in force on any node.\nOf a "
+           "roll-out, the share is in thousandths of the calls, and failures "
+           "are those of all\nresponses since the order.\n";
   }
 
   ExitCode Run(const Arguments&,
@@ -107,10 +110,16 @@
          : *version_in_force == newest ? counts.with_newest
                                        : counts.with_older);
     }
+    const std::vector<RolloutView> rollouts =
+        FetchRollouts(&fetcher, *node, *nodes, timeout);
     if (context->options().json) {
-      PrintJson(data_centres, expected, versions, stored, newest, context);
-    } else {
-      PrintText(data_centres, expected, versions, stored, newest, context);
+      PrintJson(data_centres, expected, versions, stored, newest, rollouts,
+                context);
+      return ExitCode::kDone;
+    }
+    PrintText(data_centres, expected, versions, stored, newest, context);
+    if (!rollouts.empty()) {
+      context->out() << "\n" << RolloutsToText(rollouts);
     }
     return ExitCode::kDone;
   }
@@ -162,6 +171,7 @@
                         const std::vector<NodeVersion>& versions,
                         const std::optional<TableVersion>& stored,
                         TableVersion newest,
+                        const std::vector<RolloutView>& rollouts,
                         ToolContext* context) {
     json data_centre_list = json::array();
     for (const auto& [name, counts] : data_centres) {
@@ -191,7 +201,8 @@
                         {"accounts", reference.accounts},
                         {"account_keys", reference.account_keys},
                         {"places", std::move(data_centre_list)},
-                        {"nodes", std::move(node_list)}});
+                        {"nodes", std::move(node_list)},
+                        {"rollouts", RolloutsToJson(rollouts)}});
   }
 };
 
--- a/src/cli/verb.cc
+++ b/src/cli/verb.cc
@@ -9,7 +9,7 @@
 
 constexpr size_t kUnlimited = std::numeric_limits<size_t>::max();
 
-constexpr std::array<VerbEntry, 12> kVerbs = {{
+constexpr std::array<VerbEntry, 13> kVerbs = {{
     {"import", "FILE", "make a sheet equal to a CSV file (- for input)", 1, 1,
      MakeImportVerb},
     {"export", "", "write a sheet of the table as CSV", 0, 0, MakeExportVerb},
@@ -22,8 +22,11 @@
      MakeHistoryVerb},
     {"diff", "FILE", "show what an import of a CSV file would change", 1, 1,
      MakeDiffVerb},
-    {"status", "", "show which nodes have which version in force", 0, 0,
+    {"status", "",
+     "show which nodes have which version in force, and the roll-outs", 0, 0,
      MakeStatusVerb},
+    {"rollout", "[SERVICE [RELEASE SECONDS]]",
+     "show the orders of roll-outs, or start one", 0, 3, MakeRolloutVerb},
     {"explain", "SERVICE|HOST/PATH",
      "show why each endpoint of a service gets calls or not, or which route a "
      "call takes",
--- a/src/cli/verb.h
+++ b/src/cli/verb.h
@@ -61,6 +61,7 @@
 std::unique_ptr<Verb> MakeHistoryVerb();
 std::unique_ptr<Verb> MakeDiffVerb();
 std::unique_ptr<Verb> MakeStatusVerb();
+std::unique_ptr<Verb> MakeRolloutVerb();
 std::unique_ptr<Verb> MakeExplainVerb();
 std::unique_ptr<Verb> MakeTraceVerb();
 std::unique_ptr<Verb> MakeRequestVerb();
--- a/src/store/store_rollout_orders.cc
+++ b/src/store/store_rollout_orders.cc
@@ -25,6 +25,10 @@
 
 }  // namespace
 
+std::string StoreRolloutOrders::KeyOf(const std::string& service) {
+  return std::string(kPrefix) + service;
+}
+
 std::string StoreRolloutOrders::ToValue(const RolloutOrder& order) {
   return json{{"release", order.release},
               {"duration_ms", order.duration.count()},
@@ -99,7 +103,7 @@
   RolloutOrder changed = order;
   changed.progress = progress;
   store_->Put(
-      std::string(kPrefix) + order.service, ToValue(changed), order.version,
+      KeyOf(order.service), ToValue(changed), order.version,
       [callback = std::move(callback), alive = std::weak_ptr<bool>(alive_)](
           std::optional<StoreVersion> /*version*/, const Failure& reason) {
         if (!alive.expired()) {
--- a/src/store/store_rollout_orders.h
+++ b/src/store/store_rollout_orders.h
@@ -27,6 +27,8 @@
                      RolloutProgress progress,
                      WriteCallback callback) override;
 
+  // Returns the key of the object of a service.
+  static std::string KeyOf(const std::string& service);
   // Converts an order to and from the value of its object.
   static std::string ToValue(const RolloutOrder& order);
   static std::optional<RolloutOrder> FromObject(const StoreObject& object);
