--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -194,9 +194,9 @@
       metrics_.buffered_bytes()->Set(static_cast<int64_t>(budget_.held()));
     });
     if (events_.on_evidence) {
-      loop_->timers().SubscribeEvery(kEvidencePeriod, [this, n = 0]() mutable {
-        const bool is_due =
-            target_proxy_->is_in_rollout() || ++n % kQuietEvidencePeriods == 0;
+      loop_->timers().SubscribeEvery(kEvidencePeriod, [this] {
+        const bool is_due = target_proxy_->is_in_rollout() ||
+                            ++evidence_ticks_ % kQuietEvidencePeriods == 0;
         if (is_due && target_proxy_->evidence().TakeChanged()) {
           events_.on_evidence(target_proxy_->evidence().evidence());
         }
@@ -384,6 +384,7 @@
   Router router_;
   MetricsRegistry* const registry_;
   BufferBudget budget_;
+  int evidence_ticks_ = 0;
   InputLedger input_ledger_;
   ConnectionPool connections_;
   ResponseWrites response_writes_;
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -316,6 +316,10 @@
       const std::lock_guard<std::mutex> lock(to->mutex);
       to->ejected.push_back(service + "/" + target);
     };
+    events.on_evidence = [to = node.get()](const ReleaseEvidence& evidence) {
+      const std::lock_guard<std::mutex> lock(to->mutex);
+      to->evidence = evidence;
+    };
     Failure reason;
     node->task = CallTask::Make(settings, call_interface, 1, &node->clock,
                                 &node->logger, &node->metrics, &node->tracer,
@@ -336,6 +340,11 @@
   return nodes_[node]->ejected;
 }
 
+ReleaseEvidence CallFixture::Evidence(int node) {
+  const std::lock_guard<std::mutex> lock(nodes_[node]->mutex);
+  return nodes_[node]->evidence;
+}
+
 void CallFixture::Publish(const ServiceRow& row,
                           const Table::Routes& list,
                           bool is_outdated,
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -16,6 +16,7 @@
 #include "dragonflytack/calls/call_task.h"
 #include "dragonflytack/observe/metrics_registry.h"
 #include "dragonflytack/observe/tracer.h"
+#include "dragonflytack/rollout/release_evidence.h"
 #include "dragonflytack/routing/route_snapshot.h"
 #include "dragonflytack/table/table.h"
 
@@ -164,6 +165,8 @@
   Tracer* tracer(int node) { return &nodes_[node]->tracer; }
   // Returns the ejections that a node reported, in order, as "service/target".
   std::vector<std::string> Ejected(int node);
+  // Returns the evidence that the node last passed on about its target.
+  ReleaseEvidence Evidence(int node);
   // Stops a node without a drain, like a crash.
   void Kill(int node) { nodes_[node]->task.reset(); }
   bool WaitUntilStopped(int node, Milliseconds limit);
@@ -197,6 +200,7 @@
     std::atomic<bool> stopped = false;
     std::mutex mutex;
     std::vector<std::string> ejected;
+    ReleaseEvidence evidence;
     std::unique_ptr<CallTask> task;
   };
   const std::string service_;
--- a/tests/call_task_test.cc
+++ b/tests/call_task_test.cc
@@ -49,6 +49,23 @@
             "%d further requests, %d retries", further, retries);
 }
 
+// Guards against evidence that stays in the call task, so that no roll-out can
+// be decided.
+Test(call_task, passes_on_what_its_target_responded) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent));
+  ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                        RespondWithRequestId);
+  cr_assert_eq(fixture.Call("a", 1000).status, 200);
+  uint64_t responses = 0;
+  for (int i = 0; i < 100 && responses == 0; ++i) {
+    std::this_thread::sleep_for(Milliseconds(20));
+    for (const auto& [route, evidence] : fixture.Evidence(1).routes) {
+      responses += evidence.responses;
+    }
+  }
+  cr_expect_eq(responses, 1);
+}
+
 // Guards against a one-time call that is cancelled while its target runs it,
 // because its caller disconnected.
 Test(call_task, running_one_time_call_completes_after_its_caller_disconnects) {
