Soak: a roll-out during the faults

Cause: no test ran roll-outs with real daemons and faults. The roll-out has to end after the faults, and a good one must not be rolled back when planned stops are the only faults. The target stand-in announces a release, by option and by switch.

--- a/tools/soak_driver/main.cc
+++ b/tools/soak_driver/main.cc
@@ -181,6 +181,8 @@
       "callers choose no keys of their own")(
       "accounts", options::bool_switch(&soak.accounts),
       "callers present API keys, one of which is revoked")(
+      "rollouts", options::bool_switch(&soak.rollouts),
+      "add a roll-out of a service to a release that is good or bad")(
       "keep-logs", options::bool_switch(&arguments.keep_logs),
       "keep the logs of seeds that pass as well");
   try {
--- a/tools/soak_driver/soak_options.h
+++ b/tools/soak_driver/soak_options.h
@@ -29,6 +29,8 @@
   // Callers present no keys that they chose themselves, whose claims are
   // objects of the store.
   bool issued_keys_only = false;
+  // A service is moved to a new release during the run.
+  bool rollouts = false;
   // The table has client accounts, of which a key is revoked during the run.
   bool accounts = false;
 };
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -31,6 +31,8 @@
 constexpr double kConvergenceSeconds = 6;
 // A restarted daemon waits for up to the restart time, then for its drain.
 constexpr double kRestartSeconds = 15;
+// From the order of a roll-out to its deadline.
+constexpr double kRolloutSeconds = 8;
 constexpr int kAdminTimeoutMs = 2000;
 constexpr std::chrono::milliseconds kSamplePeriod{250};
 // Within the time of a limit. All limits have at least this much room on a
@@ -56,6 +58,11 @@
              fleet_.store().ToString(),
              options.work_dir + "/edits.log",
              &log_),
+      // Callers must not notice planned stops, but do notice a bad release.
+      rollout_(&fleet_,
+               !drawn_.stops_only() && options.seed % 2 == 1,
+               options.work_dir + "/rollout.log",
+               &log_),
       relay_(RelayPaths()),
       callers_(Entries(),
                options.callers_per_node,
@@ -80,6 +87,7 @@
   fleet.regions = kRegions;
   fleet.targets = true;
   fleet.services = 2;
+  fleet.rollouts = options_.rollouts;
   // Long enough for calls in flight at every fault.
   fleet.service_ms = 30;
   fleet.drain_timeout_ms = DaemonGroup::kDrainTimeoutMs;
@@ -139,6 +147,9 @@
   InjectFaults();
   EndFaults();
   CheckLastEdit();
+  if (options_.rollouts) {
+    CheckRollout();
+  }
   CheckRecovery();
   CheckCalls();
   CheckCommonStop();
@@ -163,6 +174,9 @@
   if (options_.accounts) {
     At(options_.seconds / 4, [this] { edits_.StartRevocation(); });
   }
+  if (options_.rollouts) {
+    At(options_.seconds / 4, [this] { rollout_.Start(); });
+  }
   for (const SoakEvent& event : schedule_) {
     PollUntil(event.at - SecondsSince(epoch_), [] { return false; });
     Begin(event);
@@ -268,6 +282,19 @@
   }
 }
 
+void SoakRun::CheckRollout() {
+  const SoakTime start = SteadyClock::now();
+  if (!PollUntil(kRolloutSeconds + kRecoverySeconds,
+                 [this] { return rollout_.HasEnded(); })) {
+    log_.ReportFailure(
+        {.text = "the roll-out does not end", .limited_since = start});
+  }
+  if (drawn_.stops_only() && rollout_.outcome() == "reverted") {
+    log_.ReportFailure({.text = "a good release was rolled back"});
+  }
+  rollout_.Finish();
+}
+
 void SoakRun::CheckRecovery() {
   const SoakTime start = SteadyClock::now();
   if (!WaitForSuccess(kRecoverySeconds)) {
@@ -345,6 +372,7 @@
   }
   daemons_.Poll();
   edits_.Poll();
+  rollout_.Poll();
   if (SteadyClock::now() >= next_sample_) {
     SampleWaits();
   }
--- a/tools/soak_driver/soak_run.h
+++ b/tools/soak_driver/soak_run.h
@@ -14,6 +14,7 @@
 #include "soak_driver/soak_event.h"
 #include "soak_driver/soak_log.h"
 #include "soak_driver/soak_options.h"
+#include "soak_driver/soak_rollout.h"
 #include "soak_driver/starvation_watch.h"
 #include "soak_driver/table_edits.h"
 #include "support/fleet.h"
@@ -45,6 +46,9 @@
   void InjectFaults();
   void Begin(const SoakEvent& event);
   void EndFaults();
+  // Checks that the roll-out ends, and that it is not a good one that is rolled
+  // back although nothing failed.
+  void CheckRollout();
   void CheckRecovery();
   void CheckLastEdit();
   void CheckCalls();
@@ -68,6 +72,7 @@
   SoakTime epoch_;
   Fleet fleet_;
   TableEdits edits_;
+  SoakRollout rollout_;
   FaultRelay relay_;
   CallerPool callers_;
   DaemonGroup daemons_;
--- a/tools/support/fleet.cc
+++ b/tools/support/fleet.cc
@@ -175,6 +175,12 @@
              : 0;
 }
 
+std::string Fleet::GetObject(const std::string& key) const {
+  const HttpExchange exchange = RunHttp(
+      {.server = store(), .path = "/v1/objects/" + key}, kRequestTimeoutMs);
+  return exchange.status == 200 ? exchange.response : "";
+}
+
 std::string Fleet::WriteSettings(const Node& node) const {
   const std::string path = fmt::format("{}/{}.ini", options_.work_dir, node.id);
   std::ofstream file(path, std::ios::trunc);
@@ -191,19 +197,34 @@
       options_.drain_timeout_ms);
   file << fmt::format("[security]\nshared_key={}\n[trace]\nsample={}\n",
                       kSharedKey, options_.trace_sample);
+  if (options_.rollouts) {
+    file << "[rollout]\nexposure=0.1\nexposure_slack=50\nrollback=5s\n";
+  }
   return path;
 }
 
 bool Fleet::StartTarget(Node* node) {
+  std::vector<std::string> arguments = {
+      options_.build_dir + "/target_standin",
+      "--listen",
+      HostPort{node->address, kTargetPort}.ToString(),
+      "--admin",
+      HostPort{node->address, kAdminPort}.ToString(),
+      "--call",
+      HostPort{node->address, kCallPort}.ToString(),
+      "--service",
+      node->service,
+      "--service-ms",
+      fmt::format("{}", options_.service_ms),
+      "--slots",
+      std::to_string(options_.slots),
+      "--announced",
+      AddressFor(*node, kTargetPort).ToString()};
+  if (options_.rollouts) {
+    arguments.insert(arguments.end(), {"--release", "v1"});
+  }
   node->target = ChildProcess::Start(
-      {options_.build_dir + "/target_standin", "--listen",
-       HostPort{node->address, kTargetPort}.ToString(), "--admin",
-       HostPort{node->address, kAdminPort}.ToString(), "--call",
-       HostPort{node->address, kCallPort}.ToString(), "--service",
-       node->service, "--service-ms", fmt::format("{}", options_.service_ms),
-       "--slots", std::to_string(options_.slots), "--announced",
-       AddressFor(*node, kTargetPort).ToString()},
-      fmt::format("{}/{}-target.log", options_.work_dir, node->id));
+      arguments, fmt::format("{}/{}-target.log", options_.work_dir, node->id));
   return node->target.has_value();
 }
 
--- a/tools/support/fleet.h
+++ b/tools/support/fleet.h
@@ -66,6 +66,10 @@
                      const std::string& value,
                      uint64_t if_version) const;
 
+  // Returns the value of an object, empty if it does not exist or the store
+  // does not respond.
+  std::string GetObject(const std::string& key) const;
+
   // Starts the daemon, and its target if the options request one and it is not
   // running.
   bool StartNode(size_t index);
--- a/tools/support/fleet_options.h
+++ b/tools/support/fleet_options.h
@@ -30,6 +30,9 @@
   // Number of regions, each with two data centres; at most 3.
   int regions = 3;
   int drain_timeout_ms = 30'000;
+  // Enables roll-outs, with the bounds of the users' deployment. Targets start
+  // with the release "v1".
+  bool rollouts = false;
 };
 
 }  // namespace dragonflytack
--- a/tools/target_standin/main.cc
+++ b/tools/target_standin/main.cc
@@ -45,6 +45,8 @@
       "IP:port to announce instead of the one of --listen, for a relay")(
       "call", options::value(&arguments->call),
       "IP:port of the call port of its node, for chains")(
+      "release", options::value(&standin->release),
+      "release that the target announces")(
       "slots", options::value(&standin->slots)->default_value(standin->slots),
       "number of calls it can run at a time")(
       "service-ms",
--- a/tools/target_standin/standin_options.h
+++ b/tools/target_standin/standin_options.h
@@ -20,6 +20,8 @@
   std::optional<HostPort> call;
   // Announced instead of `listen`.
   std::optional<HostPort> announced;
+  // Announced release, none if empty.
+  std::string release;
   int slots = 12;
   int service_ms = 5;
   // The state "warming" is announced for this long after the start.
--- a/tools/target_standin/standin_switches.cc
+++ b/tools/target_standin/standin_switches.cc
@@ -46,6 +46,14 @@
          switches->error_rate = value.get<double>();
          return true;
        }},
+      {"release",
+       [](const Json& value, StandinSwitches* switches) {
+         if (!value.is_string()) {
+           return false;
+         }
+         switches->release = value.get<std::string>();
+         return true;
+       }},
       {"false_load",
        [](const Json& value, StandinSwitches* switches) {
          if (!value.is_number() && !value.is_null()) {
@@ -91,6 +99,7 @@
               {"error_rate", error_rate},
               {"close", close_without_response},
               {"truncate", truncate},
+              {"release", release},
               {"false_load", false_load ? Json(*false_load) : Json()}}
       .dump();
 }
--- a/tools/target_standin/standin_switches.h
+++ b/tools/target_standin/standin_switches.h
@@ -31,6 +31,9 @@
   // "truncate": only half of the response body is sent before the connection is
   // closed.
   bool truncate = false;
+  // "release": release that is announced instead of that of the options, as if
+  // the target had been replaced; empty for that of the options.
+  std::string release;
   // "false_load": load that is reported instead of the actual one; null for the
   // actual one.
   std::optional<double> false_load;
--- a/tools/target_standin/target_standin.cc
+++ b/tools/target_standin/target_standin.cc
@@ -307,13 +307,17 @@
       *options_.admin, 2, kAnnouncePeriod, EVHTTP_REQ_POST, "/announce",
       [this](evhttp_request* out) {
         const HostPort self = options_.announced.value_or(options_.listen);
-        const std::string body = nlohmann::json{
-            {"service", options_.service},
-            {"address", self.address},
-            {"port", self.port},
-            {"state", AnnouncedState()},
-            {"slots",
-             options_.slots}}.dump();
+        nlohmann::json target = {{"service", options_.service},
+                                 {"address", self.address},
+                                 {"port", self.port},
+                                 {"state", AnnouncedState()},
+                                 {"slots", options_.slots}};
+        const std::string& release =
+            switches_.release.empty() ? options_.release : switches_.release;
+        if (!release.empty()) {
+          target["release"] = release;
+        }
+        const std::string body = target.dump();
         evkeyvalq* headers = evhttp_request_get_output_headers(out);
         evhttp_add_header(headers, "Host", options_.admin->ToString().c_str());
         evhttp_add_header(headers, "Content-Type", "application/json");
