Roll-outs: the worst target is compared with the rate of the others

Cause: the bad responses of the worst target counted for at most one more than those of the next one. Change: the limit is also the number that the worst target would have at the rate of the others.

--- a/src/rollout/rollout_judge.cc
+++ b/src/rollout/rollout_judge.cc
@@ -179,7 +179,7 @@
 template <typename Counter>
 RolloutJudge::Count RolloutJudge::CountNew(const Counter& counter) const {
   Count sum;
-  uint64_t worst = 0;
+  Count worst;
   uint64_t second = 0;
   size_t targets = 0;
   for (const auto& [id, target] : targets_) {
@@ -190,13 +190,22 @@
     ++targets;
     sum.bad += count.bad;
     sum.all += count.all;
-    second = std::max(second, std::min(worst, count.bad));
-    worst = std::max(worst, count.bad);
+    second = std::max(second, std::min(worst.bad, count.bad));
+    if (count.bad > worst.bad) {
+      worst = count;
+    }
   }
   // One suspended host times out as many calls as it has slots, whatever its
   // release, so the worst target counts for little more than the next one.
-  if (targets > 1 && worst > second + 1) {
-    sum.bad -= worst - (second + 1);
+  // If the others have few calls, because the nodes beside them restart, their
+  // rate is what counts.
+  const Count others{sum.bad - worst.bad, sum.all - worst.all};
+  const uint64_t limit =
+      std::max(second, static_cast<uint64_t>(static_cast<double>(worst.all) *
+                                             others.Rate())) +
+      1;
+  if (targets > 1 && worst.bad > limit) {
+    sum.bad -= worst.bad - limit;
   }
   return sum;
 }
--- a/tests/rollout_judge_test.cc
+++ b/tests/rollout_judge_test.cc
@@ -355,6 +355,26 @@
              /*check_decision=*/false);
 }
 
+// Guards against a bad release that is completed because the node beside its
+// other target was down for most of the time (tools/soak --rollouts, seed 7),
+// and against a good one that is rolled back because of one faulty target.
+Test(rollout_judge, compares_the_worst_target_with_the_rate_of_the_others) {
+  const auto evidence = [](uint64_t responses, uint64_t failures) {
+    return ReleaseEvidence{"s", "v", {{"r", {responses, failures, {}}}}};
+  };
+  const auto decide = [&](const ReleaseEvidence& other) {
+    RolloutJudge judge({0.1, 50, Milliseconds(12'000), kRollback});
+    judge.Add("old", false, evidence(0, 0), Milliseconds(0));
+    judge.Add("old", false, evidence(250, 0), Milliseconds(5'000));
+    judge.Add("worst", true, evidence(117, 58), Milliseconds(5'000));
+    judge.Add("other", true, other, Milliseconds(5'000));
+    return judge.Decide({Milliseconds(5'000), 50, Milliseconds(4'000), true})
+        .decision;
+  };
+  cr_expect(decide(evidence(13, 2)) == RolloutJudge::Decision::kRollBack);
+  cr_expect(decide(evidence(120, 0)) != RolloutJudge::Decision::kRollBack);
+}
+
 // Guards against a rollback for what the old release shows as well, for the
 // different speeds of hosts, or for cold targets.
 Test(rollout_judge, completes_a_good_release) {
