Soak: a bad release stays bad and must not be completed

Cause: the end of another fault of a target switched the failures of the bad release off, and nothing checked that it is rolled back. Change: the stand-in has a switch of its own for a bad release, and the soak reports one that was completed.

--- a/tools/soak_driver/soak_rollout.cc
+++ b/tools/soak_driver/soak_rollout.cc
@@ -54,7 +54,7 @@
     Start();
     return;
   }
-  SwitchTargets(2, is_bad_ ? R"({"release":"v2","error_rate":0.5})"
+  SwitchTargets(2, is_bad_ ? R"({"release":"v2","bad_release":true})"
                            : R"({"release":"v2"})");
 }
 
@@ -98,8 +98,8 @@
 
 void SoakRollout::Finish() {
   SwitchTargets(1, outcome_ == "completed"
-                       ? R"({"release":"v2","error_rate":0})"
-                       : R"({"release":"v1","error_rate":0})");
+                       ? R"({"release":"v2","bad_release":false})"
+                       : R"({"release":"v1","bad_release":false})");
 }
 
 }  // namespace dragonflytack
--- a/tools/soak_driver/soak_rollout.h
+++ b/tools/soak_driver/soak_rollout.h
@@ -30,6 +30,7 @@
   // Lets all targets announce the release that the roll-out left in use.
   void Finish();
 
+  bool is_bad() const { return is_bad_; }
   // "completed" or "reverted" when it has ended.
   const std::string& outcome() const { return outcome_; }
 
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -292,6 +292,9 @@
   if (drawn_.stops_only() && rollout_.outcome() == "reverted") {
     log_.ReportFailure({.text = "a good release was rolled back"});
   }
+  if (rollout_.is_bad() && rollout_.outcome() == "completed") {
+    log_.ReportFailure({.text = "a bad release was completed"});
+  }
   rollout_.Finish();
 }
 
--- a/tools/soak_driver/soak_run.h
+++ b/tools/soak_driver/soak_run.h
@@ -46,8 +46,8 @@
   void InjectFaults();
   void Begin(const SoakEvent& event);
   void EndFaults();
-  // Checks that the roll-out ends, and that it is not a good one that is rolled
-  // back although nothing failed.
+  // Checks that the roll-out ends, that a bad release is not completed, and
+  // that a good one is not rolled back although nothing failed.
   void CheckRollout();
   void CheckRecovery();
   void CheckLastEdit();
--- a/tools/target_standin/standin_switches.cc
+++ b/tools/target_standin/standin_switches.cc
@@ -46,6 +46,7 @@
          switches->error_rate = value.get<double>();
          return true;
        }},
+      {"bad_release", BooleanSetter(&StandinSwitches::bad_release)},
       {"release",
        [](const Json& value, StandinSwitches* switches) {
          if (!value.is_string()) {
@@ -99,6 +100,7 @@
               {"error_rate", error_rate},
               {"close", close_without_response},
               {"truncate", truncate},
+              {"bad_release", bad_release},
               {"release", release},
               {"false_load", false_load ? Json(*false_load) : Json()}}
       .dump();
--- a/tools/target_standin/standin_switches.h
+++ b/tools/target_standin/standin_switches.h
@@ -34,6 +34,9 @@
   // "release": release that is announced instead of that of the options, as if
   // the target had been replaced; empty for that of the options.
   std::string release;
+  // "bad_release": half of the calls get a response with status 500. Unlike
+  // "error_rate", it is not switched off with the faults of a soak run.
+  bool bad_release = false;
   // "false_load": load that is reported instead of the actual one; null for the
   // actual one.
   std::optional<double> false_load;
--- a/tools/target_standin/target_standin.cc
+++ b/tools/target_standin/target_standin.cc
@@ -19,6 +19,8 @@
 
 namespace {
 
+// Failures of a release that "bad_release" makes bad.
+constexpr double kBadErrorRate = 0.5;
 constexpr char kRequestIdHeader[] = "x-request-id";
 constexpr char kChainHeader[] = "x-chain";
 constexpr Milliseconds kAnnouncePeriod{1000};
@@ -182,7 +184,10 @@
     CloseConnection(call->inbound.request());
     return;
   }
-  if (switches_.error_rate > 0 && random_.Unit() < switches_.error_rate) {
+  const double error_rate = switches_.bad_release
+                                ? std::max(kBadErrorRate, switches_.error_rate)
+                                : switches_.error_rate;
+  if (error_rate > 0 && random_.Unit() < error_rate) {
     Respond(call, 500, "\"error switched on\"");
     return;
   }
