--- a/fuzz/text_entry_points.cc
+++ b/fuzz/text_entry_points.cc
@@ -1,8 +1,11 @@
+#include <algorithm>
 #include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "calls/http_headers.h"
+#include "calls/pipeline_reader.h"
 #include "daemon/admin_api.h"
 #include "daemon/admin_source.h"
 #include "dragonflytack/base/hash.h"
@@ -185,6 +188,95 @@
              : "an error has no code";
 }
 
+std::vector<std::string> PipelineSeeds() {
+  const std::string get = "GET /s/x?a=%20 HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string head =
+      "HEAD /s/y HTTP/1.1\r\nhost: h\r\nConnection: keep-alive\r\n\r\n";
+  const std::string closing =
+      "OPTIONS /s/z HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  return {get, head + get + get, get + closing + get,
+          get + "POST /s/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n" +
+              "abc" + get};
+}
+
+// Takes all heads from the input while it arrives in pieces of `step` bytes.
+std::vector<RequestHead> TakeHeads(const std::string& input,
+                                   size_t step,
+                                   PipelineReader* reader) {
+  std::vector<RequestHead> heads;
+  for (size_t size = step;; size += step) {
+    const std::string_view arrived = std::string_view(input).substr(0, size);
+    while (const RequestHead* head =
+               reader->Next(arrived.substr(reader->taken_bytes()))) {
+      heads.push_back(*head);
+    }
+    if (size >= input.size()) {
+      return heads;
+    }
+  }
+}
+
+// Any input is valid: the requests that are not started early wait. Those that
+// are must be safe, without a body, and the bytes at the start of the input.
+std::string CheckPipeline(const std::string& input) {
+  constexpr size_t kMaxRequests = 8;
+  constexpr size_t kPieces = 16;
+  PipelineReader whole(kMaxRequests);
+  PipelineReader pieces(kMaxRequests);
+  const std::vector<RequestHead> heads =
+      TakeHeads(input, input.size() + 1, &whole);
+  if (TakeHeads(input, input.size() / kPieces + 1, &pieces) != heads) {
+    return "the heads depend on the pieces in which they arrive";
+  }
+  if (heads.size() >= kMaxRequests) {
+    return "too many heads were taken";
+  }
+  const std::string_view taken =
+      std::string_view(input).substr(0, whole.taken_bytes());
+  if (!heads.empty() && !taken.ends_with("\r\n\r\n")) {
+    return "the last head is incomplete";
+  }
+  if (taken.find('\0') != std::string_view::npos ||
+      taken.find("\n\n") != std::string_view::npos) {
+    return "a head has an ambiguous end of line";
+  }
+  for (size_t i = 0; i < heads.size(); ++i) {
+    const RequestOrder order = heads[i].FindOrder();
+    if (order != RequestOrder::kMayOvertake &&
+        (order != RequestOrder::kMayOvertakeAsLast || i + 1 < heads.size())) {
+      return "a request was taken that must wait, or after a closing one";
+    }
+    for (const auto& [name, value] : heads[i].headers) {
+      if (IsHeaderName(name, "Content-Length") ||
+          IsHeaderName(name, "Transfer-Encoding")) {
+        return "a request with a body was taken";
+      }
+    }
+    const size_t before = pieces.taken_bytes();
+    PipelineReader other(kMaxRequests);
+    TakeHeads(input, input.size() + 1, &other);
+    RequestHead wrong = heads.front();
+    wrong.uri += "x";
+    if (other.Deliver(wrong, input)) {
+      return "another request was accepted";
+    }
+    const size_t size =
+        i + 1 < heads.size()
+            ? input.find("\r\n\r\n", whole.taken_bytes() - before) + 4 -
+                  (whole.taken_bytes() - before)
+            : before;
+    if (!pieces.Deliver(heads[i],
+                        input.substr(whole.taken_bytes() - before + size))) {
+      return "a request that was taken was not accepted";
+    }
+    if (before - pieces.taken_bytes() != size) {
+      return "a head has a wrong size";
+    }
+  }
+  DecodedValues() += heads.empty() ? 0 : 1;
+  return {};
+}
+
 }  // namespace
 
 std::vector<EntryPoint> TextEntryPoints() {
@@ -193,6 +285,7 @@
           {"store_version", VersionSeeds, CheckVersion},
           {"attempt_id", AttemptSeeds, CheckAttempt},
           {"one_time_key", KeySeeds, CheckKey},
+          {"pipelined_requests", PipelineSeeds, CheckPipeline},
           {"admin", AdminSeeds, CheckAdmin, /*accepts_seeds=*/false}};
 }
 
--- a/include/dragonflytack/base/settings.h
+++ b/include/dragonflytack/base/settings.h
@@ -48,6 +48,8 @@
   int drain_timeout_ms =
       30'000;  // drain_timeout_ms: maximum wait for calls in flight at a stop
   int max_buffered_mb = 0;    // max_buffered_mb; 0 for a quarter of the memory
+  int max_pipelined = 1;      // max_pipelined: requests of one connection of
+                              // the call port that are processed at once
   bool routes_calls = false;  // addressing: "routes" instead of "services"
   // [input]
   int head_timeout_ms = 5'000;      // head_timeout: from its first byte on
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -295,6 +295,8 @@
     {"calls.kill_after", false, "a time from 2s to 600s", &ApplyKillAfter},
     {"calls.max_buffered_mb", false, "a number from 8 to 65536",
      &ApplyInteger<&Settings::max_buffered_mb, 8, 65'536>},
+    {"calls.max_pipelined", false, "a number from 1 to 64",
+     &ApplyInteger<&Settings::max_pipelined, 1, 64>},
     {"calls.addressing", false, "services or routes", &ApplyAddressing},
     {"input.head_timeout", false, "a time from 4s to 60s",
      &ApplyDuration<&Settings::head_timeout_ms, 4000, kMaxTimeoutMs>},
--- a/src/calls/call_context.h
+++ b/src/calls/call_context.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_SRC_CALLS_CALL_CONTEXT_H_
 #define DRAGONFLYTACK_SRC_CALLS_CALL_CONTEXT_H_
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -12,6 +13,7 @@
 class AllowanceExchange;
 class AttemptGuard;
 class AttemptIdGenerator;
+class BufferBudget;
 class CallAddressing;
 class CallHeaderCodec;
 class CallMetrics;
@@ -44,6 +46,10 @@
   RetryShare* retry_share = nullptr;
   // Limits of accounts over the whole fleet; null if they are not enforced.
   AllowanceExchange* allowances = nullptr;
+  // Memory for messages that are not passed on; null for no limit.
+  BufferBudget* budget = nullptr;
+  // Requests of one connection of the call port that are processed at once.
+  size_t max_pipelined = 1;
   // The responses to callers and nodes that are being written.
   ResponseWrites* response_writes = nullptr;
   // For the attempts of one-time calls: the ids of those that this node
--- a/src/calls/call_entry.cc
+++ b/src/calls/call_entry.cc
@@ -17,10 +17,13 @@
 #include "calls/call_metrics.h"
 #include "calls/call_span.h"
 #include "calls/deferred_deleter.h"
+#include "calls/entry_call.h"
+#include "calls/entry_pipeline.h"
 #include "calls/http_headers.h"
 #include "calls/inbound_call.h"
 #include "calls/keyed_call.h"
 #include "calls/one_time.h"
+#include "calls/response_writes.h"
 #include "calls/routed_call.h"
 #include "dragonflytack/accounts/account_index.h"
 #include "dragonflytack/accounts/call_rank.h"
@@ -77,54 +80,74 @@
 
 }  // namespace
 
-class CallEntry::Call final {
- public:
-  Call(CallEntry* entry, evhttp_request* request)
-      : inbound(
-            request,
-            entry->context_->header_codec,
-            [this, entry] { entry->OnCallerDisconnected(this); },
-            entry->context_->response_writes) {}
+CallEntry::Call::Call(CallEntry* entry, evhttp_request* request)
+    : memory(nullptr) {
+  Deliver(entry, request);
+}
 
-  InboundCall inbound;
-  std::unique_ptr<CallSpan> span;
-  // Destroyed before the request that it reads.
-  std::unique_ptr<RoutedCall> routed;
-  // Set while the call waits for the allowance of its account.
-  uint64_t allowance_ticket = 0;
-  // Set instead of `routed` for a one-time call with a key.
-  std::unique_ptr<KeyedCall> keyed;
+CallEntry::Call::Call(CallEntry* entry, HttpRequestPtr request)
+    : copy(std::move(request)), memory(entry->context_->budget) {}
 
-  const CallRequest& request() const {
-    return keyed != nullptr ? keyed->request() : routed->request();
-  }
-  // Whether a target may have received the call.
-  bool maybe_dispatched() const {
-    return keyed != nullptr ? keyed->maybe_forwarded()
-                            : routed->maybe_dispatched();
-  }
-};
+void CallEntry::Call::Deliver(CallEntry* entry, evhttp_request* request) {
+  connection = evhttp_request_get_connection(request);
+  inbound = std::make_unique<InboundCall>(
+      request, entry->context_->header_codec,
+      [this, entry] { entry->OnCallerDisconnected(this); },
+      entry->context_->response_writes);
+}
 
 CallEntry::CallEntry(const CallContext* context,
                      OneTime* one_time,
                      std::function<void()> on_call_ended)
     : context_(context),
       one_time_(one_time),
-      on_call_ended_(std::move(on_call_ended)) {}
+      on_call_ended_(std::move(on_call_ended)) {
+  if (context_->max_pipelined > 1) {
+    context_->response_writes->set_on_closed(
+        [this](evhttp_connection* connection) {
+          EndPipeline(connection, PipelineEvent::kAbandoned);
+        });
+  }
+}
 
 CallEntry::~CallEntry() {
+  if (context_->max_pipelined > 1) {
+    context_->response_writes->set_on_closed(nullptr);
+  }
+  while (!pipelines_.empty()) {
+    EndPipeline(pipelines_.begin()->first, PipelineEvent::kAbandoned);
+  }
   assert(calls_.empty());
 }
 
 void CallEntry::CutOff() {
   RefuseNewCalls();
-  while (!calls_.empty()) {
-    Call* const call = calls_.begin()->first;
-    CallResult result =
-        call->maybe_dispatched()
-            ? CallResult::Unknown(CallReason::kStopping, "the node is stopping")
-            : CallResult::Refused(CallReason::kStopping,
-                                  "the node is stopping");
+  starts_none_early_ = true;
+  is_cut_off_ = true;
+  const auto cut_off = [](const Call& call) {
+    return call.maybe_dispatched()
+               ? CallResult::Unknown(CallReason::kStopping,
+                                     "the node is stopping")
+               : CallResult::Refused(CallReason::kStopping,
+                                     "the node is stopping");
+  };
+  for (const auto& [connection, pipeline] : pipelines_) {
+    for (Call* const call : pipeline->early) {
+      if (!call->result) {
+        CancelAllowance(call);
+        CallResult result = cut_off(*call);
+        ReportEnd(*call, result);
+        call->routed.reset();
+        Keep(call, std::move(result));
+      }
+    }
+  }
+  while (calls_.size() > early_calls_) {
+    Call* const call =
+        std::find_if(calls_.begin(), calls_.end(), [](const auto& item) {
+          return item.second->inbound != nullptr;
+        })->first;
+    CallResult result = cut_off(*call);
     if (call->keyed != nullptr && result.outcome == CallOutcome::kNotRun) {
       // The key is still valid at its owner.
       result.scope = NotRunScope::kRequest;
@@ -145,6 +168,9 @@
     one_time_->OnKeyRequest(request);
     return;
   }
+  if (context_->max_pipelined > 1 && DeliverEarly(request)) {
+    return;
+  }
   auto owned = std::make_unique<Call>(this, request);
   Call* call = owned.get();
   calls_.emplace(call, std::move(owned));
@@ -155,30 +181,37 @@
     context_->logger->Info(
         "call_refused",
         {{"call",
-          context_->header_codec->ReadCallerHeaders(call->inbound.headers())
+          context_->header_codec->ReadCallerHeaders(call->inbound->headers())
               .call_id},
-         {"host", std::string(FindHeader(call->inbound.headers(), "Host"))},
+         {"host", std::string(FindHeader(call->inbound->headers(), "Host"))},
          {"path", std::string(evhttp_request_get_uri(request))},
          {"reason", std::string(CallReasonName(refusal->reason))},
          {"detail", refusal->detail},
          {"table", uint64_t{routes == nullptr ? 0 : routes->version}},
          {"newest_table",
           uint64_t{routes == nullptr ? 0 : routes->newest_version}}});
-    if (!KeyOf(call->inbound.headers()).empty()) {
+    if (!KeyOf(call->inbound->headers()).empty()) {
       // The records of the key were not checked, so the refusal holds for this
       // request only.
       refusal->scope = NotRunScope::kRequest;
     }
     if (refusal->reason == CallReason::kBadRequest) {
       // The following bytes on the connection may belong to this request.
-      evhttp_add_header(call->inbound.response_headers(), "Connection",
+      evhttp_add_header(call->inbound->response_headers(), "Connection",
                         "close");
     }
     SendResponse(call, *refusal);
     Remove(call);
     return;
   }
+  const bool may_begin_pipeline =
+      context_->max_pipelined > 1 && !starts_none_early_ &&
+      call->routed != nullptr &&
+      call->request().policy.kind == ServiceKind::kIdempotent;
   Admit(call);
+  if (may_begin_pipeline && calls_.contains(call)) {
+    BeginPipeline(call);
+  }
 }
 
 void CallEntry::Admit(Call* call) {
@@ -265,7 +298,7 @@
 
 std::optional<CallResult> CallEntry::Prepare(evhttp_request* request,
                                              Call* call) {
-  const evkeyvalq* headers = call->inbound.headers();
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
   if (refusing_) {
     return CallResult::Refused(CallReason::kStopping, "the node is stopping");
   }
@@ -287,6 +320,11 @@
           IdentifyAccount(info.api_key, &routed)) {
     return refusal;
   }
+  if (call->inbound == nullptr &&
+      routed.policy.kind != ServiceKind::kIdempotent) {
+    return CallResult::Refused(CallReason::kOverloaded,
+                               "the call must not be started early");
+  }
   if (info.malformed) {
     return CallResult::Refused(CallReason::kBadRequest,
                                "the deadline is not a whole number");
@@ -333,6 +371,10 @@
                            call->request().deadline);
   }
   ReportEnd(*call, result);
+  if (call->inbound == nullptr) {
+    Keep(call, std::move(result));
+    return;
+  }
   SendResponse(call, result);
   Remove(call);
 }
@@ -394,9 +436,9 @@
       (status == kTooManyRequests || status == kServiceUnavailable)) {
     context_->header_codec->WriteRetryAfter(
         result.retry_after.value_or(kDefaultRetryAfter),
-        call->inbound.response_headers());
+        call->inbound->response_headers());
   }
-  call->inbound.Reply(result);
+  call->inbound->Reply(result);
 }
 
 void CallEntry::OnCallerDisconnected(Call* call) {
@@ -407,8 +449,8 @@
       "caller_disconnected",
       {{"call", request.call_id},
        {"service", request.route->row.service},
-       {"cause", call->inbound.closed_by_peer() ? "closed by the caller"
-                                                : "closed by this node"},
+       {"cause", call->inbound->closed_by_peer() ? "closed by the caller"
+                                                 : "closed by this node"},
        {"dispatched", call->maybe_dispatched()},
        {"after_ms", ToMillis(now - request.start)},
        {"deadline_ms", ToMillis(request.deadline - request.start)}});
@@ -419,13 +461,24 @@
   // later.
   call->routed.reset();
   call->keyed.reset();
+  EndPipeline(call->connection, PipelineEvent::kAbandoned);
   Remove(call);
 }
 
-void CallEntry::Remove(Call* call) {
+void CallEntry::CancelAllowance(Call* call) {
   if (call->allowance_ticket != 0) {
     context_->allowances->Cancel(std::exchange(call->allowance_ticket, 0));
   }
+}
+
+void CallEntry::Remove(Call* call) {
+  CancelAllowance(call);
+  if (Pipeline* const pipeline = std::exchange(call->pipeline, nullptr)) {
+    pipeline->current = nullptr;
+    if (pipeline->early.empty()) {
+      pipelines_.erase(call->connection);
+    }
+  }
   const auto found = calls_.find(call);
   context_->deleter->Add(std::shared_ptr<void>(std::move(found->second)));
   calls_.erase(found);
--- a/src/calls/call_entry.h
+++ b/src/calls/call_entry.h
@@ -14,13 +14,16 @@
 #include "calls/call_result.h"
 #include "dragonflytack/base/clock.h"
 
+struct evhttp_connection;
 struct evhttp_request;
 struct evkeyvalq;
 
 namespace dragonflytack {
 
 class OneTime;
+enum class PipelineEvent;
 struct CallRequest;
+struct RequestHead;
 
 // Accepts calls from callers and from the local target, routes them and sends
 // the responses.
@@ -50,14 +53,23 @@
   // Refuses all calls that arrive from now on.
   void RefuseNewCalls() { refusing_ = true; }
 
+  // Starts no call before its turn on its connection any more, because a
+  // response will close the connection.
+  void StartNoneEarly() { starts_none_early_ = true; }
+
   // Refuses new calls and responds to those in progress: calls that may have
-  // been dispatched have an unknown outcome, the others are refused.
+  // been dispatched have an unknown outcome, the others are refused. Calls that
+  // wait for their turn are responded to then.
   void CutOff();
 
-  size_t calls_in_progress() const { return calls_.size(); }
+  // After CutOff(), without those that wait for their turn on a connection.
+  size_t calls_in_progress() const {
+    return is_cut_off_ ? calls_.size() - early_calls_ : calls_.size();
+  }
 
  private:
   class Call;
+  class Pipeline;
 
   // Returns the refusal if the call cannot be routed, std::nullopt otherwise.
   std::optional<CallResult> Prepare(evhttp_request* request, Call* call);
@@ -79,8 +91,24 @@
   void LogFailure(const CallRequest& request, const CallResult& result) const;
   void OnResult(Call* call, CallResult result);
   void OnCallerDisconnected(Call* call);
+  void CancelAllowance(Call* call);
   void Remove(Call* call);
 
+  // Lets requests after that of the call overtake it.
+  void BeginPipeline(Call* call);
+  // Starts the calls of waiting requests that may be started now.
+  void ReadAhead(Pipeline* pipeline);
+  bool HasRoomForEarlyCall() const;
+  // Returns false if the request has to wait for its turn.
+  bool StartEarly(Pipeline* pipeline, const RequestHead& head);
+  // Stores the result of an early call until its turn.
+  void Keep(Call* call, CallResult result);
+  // Continues the early call of a request that evhttp delivers. Returns false
+  // if there is none.
+  bool DeliverEarly(evhttp_request* request);
+  // Abandons the early calls of a connection, if it has any.
+  void EndPipeline(evhttp_connection* connection, PipelineEvent event);
+
   const CallContext* const context_;
   OneTime* const one_time_;
   const std::function<void()> on_call_ended_;
@@ -88,6 +116,11 @@
   std::optional<TimePoint> latest_deadline_;
   AttemptAge attempt_age_;
   std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
+  // Calls whose requests evhttp has not delivered yet.
+  size_t early_calls_ = 0;
+  bool starts_none_early_ = false;
+  bool is_cut_off_ = false;
+  std::unordered_map<evhttp_connection*, std::unique_ptr<Pipeline>> pipelines_;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/call_metrics.cc
+++ b/src/calls/call_metrics.cc
@@ -70,4 +70,18 @@
       ->Add();
 }
 
+void CallMetrics::CountPipelined(PipelineEvent event) {
+  constexpr std::array<const char*, 5> kNames = {
+      "started", "answered", "abandoned", "mismatched", "no_room"};
+  const auto index = static_cast<size_t>(event);
+  Counter*& counter = pipelined_[index];
+  if (counter == nullptr) {
+    counter = registry_->GetCounter(
+        "dragonflytack_pipelined_calls_total",
+        "Calls that are processed before their turn, by event",
+        {{"event", kNames[index]}});
+  }
+  counter->Add();
+}
+
 }  // namespace dragonflytack
--- a/src/calls/call_metrics.h
+++ b/src/calls/call_metrics.h
@@ -14,6 +14,19 @@
 
 class MetricsRegistry;
 
+// What happens to a call that is processed before its turn on its connection.
+enum class PipelineEvent {
+  kStarted,
+  // evhttp has delivered its request.
+  kAnswered,
+  // Its connection has ended before.
+  kAbandoned,
+  // evhttp has delivered another request.
+  kMismatched,
+  // A waiting request was not started for lack of memory.
+  kNoRoom,
+};
+
 // The metrics of calls, looked up once so that a call only updates them. Names
 // of services that are not in the table are never used as labels, because
 // callers choose them and could create any number of metrics.
@@ -37,6 +50,10 @@
   // disconnected, by its reason. `side` is "entry" or "target".
   void CountFailure(const char* side, CallReason reason);
 
+  // Counts an event of a call that is processed before its turn on its
+  // connection.
+  void CountPipelined(PipelineEvent event);
+
   // Bytes of responses that are being received.
   Gauge* buffered_bytes() { return buffered_bytes_; }
   // Calls that arrived at the call port and have no response yet.
@@ -59,6 +76,9 @@
   Gauge* const slots_in_use_;
   Gauge* const one_time_records_;
   Counter* const invalid_load_reports_;
+  // Null until the first event of the kind.
+  std::array<Counter*, static_cast<size_t>(PipelineEvent::kNoRoom) + 1>
+      pipelined_{};
 };
 
 }  // namespace dragonflytack
--- a/src/calls/call_task.cc
+++ b/src/calls/call_task.cc
@@ -111,6 +111,8 @@
     context_.header_codec = call_interface_.headers.get();
     context_.addressing = call_interface_.addressing.get();
     context_.has_one_time_keys = call_interface_.has_one_time_keys;
+    context_.budget = &budget_;
+    context_.max_pipelined = static_cast<size_t>(settings.max_pipelined);
     context_.retry_share = &retry_share_;
     context_.response_writes = &response_writes_;
     context_.on_ejected = events_.on_ejected;
@@ -255,6 +257,7 @@
     target_proxy_->Drain(cut_off_time_ - kTimeToWrite);
     one_time_->RefuseKeys();
     call_server_->CloseAfterResponses();
+    entry_->StartNoneEarly();
     // The grace period is a fraction of the drain timeout, which covers the
     // complete stop.
     const Milliseconds grace =
--- a/src/calls/owned_request.cc
+++ b/src/calls/owned_request.cc
@@ -1,5 +1,7 @@
 #include "calls/owned_request.h"
 
+#include <cstring>
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -26,4 +28,44 @@
   return copy;
 }
 
+RequestHead ReadHead(evhttp_request* request) {
+  RequestHead head;
+  switch (evhttp_request_get_command(request)) {
+    case EVHTTP_REQ_GET:
+      head.method = "GET";
+      break;
+    case EVHTTP_REQ_HEAD:
+      head.method = "HEAD";
+      break;
+    case EVHTTP_REQ_OPTIONS:
+      head.method = "OPTIONS";
+      break;
+    default:
+      // No other method may overtake.
+      break;
+  }
+  head.uri = evhttp_request_get_uri(request);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* item = headers->tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    head.headers.emplace_back(item->key, item->value);
+  }
+  return head;
+}
+
+HttpRequestPtr MakeRequest(const RequestHead& head, DeferredDeleter* deleter) {
+  HttpRequestPtr request(evhttp_request_new(nullptr, nullptr),
+                         HttpRequestDeleter{deleter});
+  request->type = head.method == "GET"    ? EVHTTP_REQ_GET
+                  : head.method == "HEAD" ? EVHTTP_REQ_HEAD
+                                          : EVHTTP_REQ_OPTIONS;
+  // Freed with the request.
+  request->uri = strdup(head.uri.c_str());
+  evkeyvalq* headers = evhttp_request_get_input_headers(request.get());
+  for (const auto& [name, value] : head.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  return request;
+}
+
 }  // namespace dragonflytack
--- a/src/calls/response_writes.cc
+++ b/src/calls/response_writes.cc
@@ -17,13 +17,28 @@
 }
 
 void ResponseWrites::OnWritten(evhttp_request* request, void* self) {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
-                                nullptr);
-  static_cast<ResponseWrites*>(self)->Remove();
+  auto* const writes = static_cast<ResponseWrites*>(self);
+  evhttp_connection_set_closecb(
+      evhttp_request_get_connection(request),
+      writes->on_closed_ ? &ResponseWrites::OnIdleClosed : nullptr,
+      writes->on_closed_ ? writes : nullptr);
+  writes->Remove();
 }
 
-void ResponseWrites::OnClosed(evhttp_connection* /*connection*/, void* self) {
-  static_cast<ResponseWrites*>(self)->Remove();
+void ResponseWrites::OnClosed(evhttp_connection* connection, void* self) {
+  auto* const writes = static_cast<ResponseWrites*>(self);
+  writes->ReportClosed(connection);
+  writes->Remove();
+}
+
+void ResponseWrites::OnIdleClosed(evhttp_connection* connection, void* self) {
+  static_cast<ResponseWrites*>(self)->ReportClosed(connection);
+}
+
+void ResponseWrites::ReportClosed(evhttp_connection* connection) const {
+  if (on_closed_) {
+    on_closed_(connection);
+  }
 }
 
 void ResponseWrites::Remove() {
--- a/src/calls/response_writes.h
+++ b/src/calls/response_writes.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <utility>
 
 struct evhttp_connection;
 struct evhttp_request;
@@ -21,6 +22,13 @@
   ResponseWrites(const ResponseWrites&) = delete;
   ResponseWrites& operator=(const ResponseWrites&) = delete;
 
+  // Sets a function that is called from evhttp's callbacks when a connection
+  // ends while its response is being written, or after that and before another
+  // close callback is set. May be empty.
+  void set_on_closed(std::function<void(evhttp_connection*)> on_closed) {
+    on_closed_ = std::move(on_closed);
+  }
+
   // Counts a response that is about to be sent, until it is written or its
   // connection ends. Replaces the close callback of the connection.
   void Add(evhttp_request* request);
@@ -30,9 +38,12 @@
  private:
   static void OnWritten(evhttp_request* request, void* self);
   static void OnClosed(evhttp_connection* connection, void* self);
+  static void OnIdleClosed(evhttp_connection* connection, void* self);
+  void ReportClosed(evhttp_connection* connection) const;
   void Remove();
 
   const std::function<void()> on_none_;
+  std::function<void(evhttp_connection*)> on_closed_;
   size_t count_ = 0;
 };
 
--- a/tests/call_fixture.cc
+++ b/tests/call_fixture.cc
@@ -281,7 +281,8 @@
                          std::shared_ptr<const CallHeaderCodec> header_codec,
                          int drain_timeout_ms,
                          Addressing addressing,
-                         int max_buffered_mb)
+                         int max_buffered_mb,
+                         int max_pipelined)
     : service_(row.service) {
   CallInterface call_interface{std::move(header_codec), nullptr};
   if (call_interface.headers == nullptr) {
@@ -303,6 +304,7 @@
     settings.mesh_port = kMeshPort;
     settings.drain_timeout_ms = drain_timeout_ms;
     settings.max_buffered_mb = max_buffered_mb;
+    settings.max_pipelined = max_pipelined;
     auto node = std::make_unique<Node>(settings);
     CallTask::Events events;
     events.on_stopped = [flag = &node->stopped](const NodeId&,
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -138,7 +138,8 @@
               std::shared_ptr<const CallHeaderCodec> header_codec = nullptr,
               int drain_timeout_ms = Settings().drain_timeout_ms,
               Addressing addressing = Addressing::kServices,
-              int max_buffered_mb = Settings().max_buffered_mb);
+              int max_buffered_mb = Settings().max_buffered_mb,
+              int max_pipelined = Settings().max_pipelined);
   CallFixture(int targets, const ServiceRow& row, Addressing addressing)
       : CallFixture(targets,
                     row,
--- /dev/null
+++ b/tests/pipelining_test.cc
@@ -0,0 +1,479 @@
+// Requests that callers send before earlier ones on the connection are
+// answered, at a node on loopback.
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include "call_fixture.h"
+#include "dragonflytack/base/random.h"
+
+namespace dragonflytack {
+
+namespace {
+
+constexpr Milliseconds kPatience{10'000};
+// A request that is not held back would have arrived by then.
+constexpr Milliseconds kMoreRequests{60};
+constexpr int kMaxPipelined = 8;
+
+// A target whose responses wait until the test lets them go.
+class HoldingTarget {
+ public:
+  explicit HoldingTarget(const std::string& address)
+      : target_(address,
+                CallFixture::kTargetPort,
+                [this](int fd, const std::string& head, int /*n*/) {
+                  const std::string id = RequestId(head);
+                  std::unique_lock<std::mutex> lock(mutex_);
+                  events_.push_back("+" + id);
+                  changed_.notify_all();
+                  changed_.wait(lock, [&] {
+                    return releases_all_ || std::ranges::count(released_, id);
+                  });
+                  events_.push_back("-" + id);
+                  return ScriptedTarget::Respond(fd, id);
+                }) {}
+  ~HoldingTarget() { ReleaseAll(); }
+  HoldingTarget(const HoldingTarget&) = delete;
+  HoldingTarget& operator=(const HoldingTarget&) = delete;
+
+  void Release(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    released_.push_back(id);
+    changed_.notify_all();
+  }
+  void ReleaseAll() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    releases_all_ = true;
+    changed_.notify_all();
+  }
+  // Holds the responses to requests from now on.
+  void HoldAgain() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    releases_all_ = false;
+    released_.clear();
+  }
+  // Waits until `count` requests have arrived and no further one does.
+  void ExpectArrived(size_t count) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait_for(lock, kPatience, [&] { return Arrived() >= count; });
+    changed_.wait_for(lock, kMoreRequests, [&] { return Arrived() > count; });
+    cr_expect_eq(Arrived(), count, "%zu instead of %zu arrived", Arrived(),
+                 count);
+  }
+  // Returns "+ID" for each request and "-ID" for each response, in order.
+  std::vector<std::string> events() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return events_;
+  }
+  int closed() const { return target_.closed(); }
+
+ private:
+  size_t Arrived() const {
+    return static_cast<size_t>(std::ranges::count(
+        events_, '+', [](auto& text) { return text.front(); }));
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> released_;
+  std::vector<std::string> events_;
+  bool releases_all_ = false;
+  ScriptedTarget target_;
+};
+
+std::string Get(const std::string& id, const std::string& headers = "") {
+  return CallFixture::Request(id, 8'000, headers);
+}
+
+// Returns requests with the ids first, first + 1, ..., last.
+std::string Gets(int first, int last) {
+  std::string text;
+  for (int id = first; id <= last; ++id) {
+    text += Get(std::to_string(id));
+  }
+  return text;
+}
+
+std::unique_ptr<CallFixture> MakeNodes(
+    ServiceKind kind = ServiceKind::kIdempotent,
+    int max_pipelined = kMaxPipelined,
+    int max_buffered_mb = Settings().max_buffered_mb) {
+  return std::make_unique<CallFixture>(
+      1, Row(kind), nullptr, Settings().drain_timeout_ms,
+      CallFixture::Addressing::kServices, max_buffered_mb, max_pipelined);
+}
+
+void ExpectBody(Socket* caller, const std::string& body) {
+  const HttpReply reply = caller->ReceiveNext(kPatience);
+  cr_expect_eq(reply.status, 200, "%s: %d", body.c_str(), reply.status);
+  ExpectEqual(reply.body, body);
+}
+
+// Returns the value of a metric of the first node, 0 if it is missing.
+int Metric(CallFixture* fixture, const std::string& name) {
+  const std::string text = fixture->metrics(0)->RenderText();
+  const size_t at = text.find("\n" + name + " ");
+  return at == std::string::npos ? 0
+                                 : std::stoi(text.substr(at + name.size() + 2));
+}
+
+int Events(CallFixture* fixture, const std::string& event) {
+  return Metric(fixture,
+                "dragonflytack_pipelined_calls_total{event=\"" + event + "\"}");
+}
+
+template <typename Condition>
+void ExpectSoon(Condition condition) {
+  const TimePoint end = std::chrono::steady_clock::now() + kPatience;
+  while (!condition() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  cr_expect(condition());
+}
+
+}  // namespace
+
+// Guards against requests that wait for the one before them, more at once than
+// the setting allows, responses out of order, and a caller that never gets the
+// rest.
+Test(pipelining, requests_run_at_once_and_are_answered_in_order) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  Socket caller(fixture->Address(0), CallFixture::kCallPort);
+  caller.Send(Gets(0, 2));
+  target.ExpectArrived(3);
+  caller.Send(Gets(3, 11));
+  target.ExpectArrived(kMaxPipelined);
+  for (int id = 11; id >= 1; --id) {
+    target.Release(std::to_string(id));
+  }
+  target.ExpectArrived(kMaxPipelined);
+  target.Release("0");
+  for (int id = 0; id <= 11; ++id) {
+    ExpectBody(&caller, std::to_string(id));
+  }
+  cr_expect_eq(Events(fixture.get(), "answered"), 11);
+  cr_expect_eq(Events(fixture.get(), "mismatched"), 0);
+  ExpectSoon([&] {
+    return Metric(fixture.get(),
+                  "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
+  });
+}
+
+// Guards against pipelining without the setting, and of calls that may run only
+// once.
+Test(pipelining, without_the_setting_or_for_one_time_calls_each_waits) {
+  for (const bool one_time : {false, true}) {
+    const auto fixture =
+        MakeNodes(one_time ? ServiceKind::kOneTime : ServiceKind::kIdempotent,
+                  one_time ? kMaxPipelined : Settings().max_pipelined);
+    HoldingTarget target(fixture->Address(1));
+    Socket caller(fixture->Address(0), CallFixture::kCallPort);
+    caller.Send(Gets(0, 2));
+    target.ExpectArrived(1);
+    target.ReleaseAll();
+    for (int id = 0; id <= 2; ++id) {
+      ExpectBody(&caller, std::to_string(id));
+    }
+    cr_expect_eq(Events(fixture.get(), "started"), 0);
+  }
+}
+
+// Guards against a request with a body that runs before the ones before it are
+// answered, and against later ones that run before it is.
+Test(pipelining, an_unsafe_request_waits_and_holds_back_the_next) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  Socket caller(fixture->Address(0), CallFixture::kCallPort);
+  caller.Send(Gets(0, 1) +
+              "POST /s/x HTTP/1.1\r\nHost: h\r\nx-request-id: 2\r\n"
+              "Content-Length: 3\r\n\r\nabc" +
+              Gets(3, 4));
+  target.ExpectArrived(2);
+  target.Release("1");
+  target.ExpectArrived(2);
+  target.Release("0");
+  ExpectBody(&caller, "0");
+  ExpectBody(&caller, "1");
+  target.ExpectArrived(3);
+  target.Release("2");
+  ExpectBody(&caller, "2");
+  target.ExpectArrived(5);
+  target.ReleaseAll();
+  ExpectBody(&caller, "3");
+  ExpectBody(&caller, "4");
+}
+
+// Guards against requests that are forwarded behind a response that closes the
+// connection: by the caller, or by a refusal of the node.
+Test(pipelining, nothing_is_forwarded_behind_a_closing_response) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  const std::string closing[] = {
+      Get("1", "Connection: close\r\n"),
+      "GET /s/x HTTP/1.1\r\nHost: h\r\nx-deadline-ms: x\r\n\r\n",
+      "GET /s/x HTTP/1.0\r\nHost: h\r\nx-request-id: 1\r\n\r\n"};
+  size_t arrived = 0;
+  for (const std::string& request : closing) {
+    target.HoldAgain();
+    Socket caller(fixture->Address(0), CallFixture::kCallPort);
+    caller.Send(Get("0") + request + Gets(2, 3));
+    arrived += request == closing[0] ? 2 : 1;
+    target.ExpectArrived(arrived);
+    target.ReleaseAll();
+    ExpectBody(&caller, "0");
+    const HttpReply last = caller.ReceiveNext(kPatience);
+    cr_expect_eq(last.status, request == closing[1] ? 400 : 200);
+    cr_expect_eq(caller.ReceiveNext(kPatience).status, 0);
+    arrived += request == closing[2] ? 1 : 0;
+  }
+  target.ExpectArrived(arrived);
+}
+
+// Guards against checks that early calls escape, and refusals out of order.
+Test(pipelining, refusals_are_sent_in_order) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  Socket caller(fixture->Address(0), CallFixture::kCallPort);
+  caller.Send(Get("0") + "GET /unknown/x HTTP/1.1\r\nHost: h\r\n\r\n" +
+              Get("1"));
+  target.ExpectArrived(1);
+  target.ReleaseAll();
+  ExpectBody(&caller, "0");
+  cr_expect_eq(caller.ReceiveNext(kPatience).status, 404);
+  ExpectBody(&caller, "1");
+}
+
+// Guards against calls of a disconnected caller that continue: before the first
+// response, and while a response is written that the caller does not read.
+Test(pipelining, calls_of_a_disconnected_caller_are_abandoned) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  auto caller =
+      std::make_unique<Socket>(fixture->Address(0), CallFixture::kCallPort);
+  caller->Send(Gets(0, 3));
+  target.ExpectArrived(4);
+  target.Release("2");
+  caller.reset();
+  ExpectSoon([&] { return Events(fixture.get(), "abandoned") == 3; });
+  ExpectSoon([&] {
+    return Metric(fixture.get(),
+                  "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
+  });
+  target.ReleaseAll();
+  Socket other(fixture->Address(0), CallFixture::kCallPort);
+  other.Send(Gets(10, 12));
+  for (int id = 10; id <= 12; ++id) {
+    ExpectBody(&other, std::to_string(id));
+  }
+}
+
+// Guards against calls that continue if their caller disconnects while the
+// response before them is being written.
+Test(pipelining, calls_behind_an_unread_response_are_abandoned) {
+  const auto fixture = MakeNodes();
+  std::atomic<int> waiting = 0;
+  std::atomic<bool> released = false;
+  ScriptedTarget target(fixture->Address(1), CallFixture::kTargetPort,
+                        [&](int fd, const std::string& head, int /*n*/) {
+                          if (RequestId(head) == "0") {
+                            return ScriptedTarget::Respond(
+                                fd, std::string(4'000'000, 'a'));
+                          }
+                          ++waiting;
+                          while (!released) {
+                            std::this_thread::sleep_for(Milliseconds(5));
+                          }
+                          return RespondWithRequestId(fd, head, 0);
+                        });
+  auto caller =
+      std::make_unique<Socket>(fixture->Address(0), CallFixture::kCallPort);
+  const int small = 4096;
+  setsockopt(caller->fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+  caller->Send(Gets(0, 2));
+  ExpectSoon([&] { return waiting == 2; });
+  std::this_thread::sleep_for(kMoreRequests);
+  ResetConnection(caller->fd());
+  ExpectSoon([&] { return Events(fixture.get(), "abandoned") == 2; });
+  ExpectSoon([&] {
+    return Metric(fixture.get(),
+                  "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
+  });
+  released = true;
+}
+
+// Guards against a node that stops and starts further requests early, that
+// closes the connection before it has answered those it has started, or that
+// forwards one behind the closing response.
+Test(pipelining, a_stopping_node_answers_what_it_has_started) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  Socket caller(fixture->Address(0), CallFixture::kCallPort);
+  caller.Send(Gets(0, 2));
+  target.ExpectArrived(3);
+  fixture->task(0)->PostStop();
+  std::this_thread::sleep_for(kMoreRequests);
+  caller.Send(Gets(3, 4));
+  target.ExpectArrived(3);
+  target.ReleaseAll();
+  for (int id = 0; id <= 2; ++id) {
+    const HttpReply reply = caller.ReceiveNext(kPatience);
+    ExpectEqual(reply.body, std::to_string(id));
+    ExpectEqual(reply.Header("connection"), id == 2 ? "close" : "");
+  }
+  cr_expect_eq(caller.ReceiveNext(kPatience).status, 0);
+  target.ExpectArrived(3);
+  cr_expect(fixture->WaitUntilStopped(0, kPatience));
+}
+
+// Guards against a call that is cut off at the end of a stop, may have run, and
+// is reported as not run when its turn comes.
+Test(pipelining, calls_that_are_cut_off_are_not_reported_as_not_run) {
+  constexpr int kDrainTimeoutMs = 1'000;
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent), nullptr,
+                      kDrainTimeoutMs, CallFixture::Addressing::kServices,
+                      Settings().max_buffered_mb, kMaxPipelined);
+  HoldingTarget target(fixture.Address(1));
+  Socket caller(fixture.Address(0), CallFixture::kCallPort);
+  caller.Send(Gets(0, 2));
+  target.ExpectArrived(3);
+  target.Release("2");
+  fixture.task(0)->PostStop();
+  for (int id = 0; id <= 2; ++id) {
+    const HttpReply reply = caller.ReceiveNext(kPatience);
+    cr_expect_eq(reply.status, id == 2 ? 200 : 504, "%d: %d", id, reply.status);
+    ExpectEqual(reply.Header("x-outcome"), id == 2 ? "done" : "unknown");
+  }
+  cr_expect(fixture.WaitUntilStopped(0, kPatience));
+}
+
+// Guards against deadlines that begin when the turn of a call comes.
+Test(pipelining, the_deadline_runs_from_the_arrival) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  Socket caller(fixture->Address(0), CallFixture::kCallPort);
+  constexpr int kDeadlineMs = 100;
+  caller.Send(Get("0") + CallFixture::Request("1", kDeadlineMs) + Get("2"));
+  target.ExpectArrived(3);
+  ExpectSoon([&] {
+    return Metric(fixture.get(),
+                  "dragonflytack_calls_total{outcome=\"unknown\",service="
+                  "\"s\"}") == 1;
+  });
+  target.Release("0");
+  target.Release("2");
+  ExpectBody(&caller, "0");
+  const HttpReply late = caller.ReceiveNext(kPatience);
+  cr_expect_eq(late.status, 504);
+  ExpectEqual(late.Header("x-reason"), "deadline");
+  ExpectBody(&caller, "2");
+}
+
+// Guards against responses that wait for their turn outside of the budget: with
+// half of it in use, no call is started early, and all are still answered.
+Test(pipelining, without_memory_no_request_is_started_early, .timeout = 60) {
+  constexpr int kMaxBufferedMb = 8;
+  const auto fixture =
+      MakeNodes(ServiceKind::kIdempotent, kMaxPipelined, kMaxBufferedMb);
+  std::atomic<bool> released = false;
+  const std::string body(1'000'000, 'b');
+  ScriptedTarget target(fixture->Address(1), CallFixture::kTargetPort,
+                        [&](int fd, const std::string& head, int /*n*/) {
+                          while (RequestId(head) == "0" && !released) {
+                            std::this_thread::sleep_for(Milliseconds(5));
+                          }
+                          return ScriptedTarget::Respond(fd, body);
+                        });
+  Socket first(fixture->Address(0), CallFixture::kCallPort);
+  first.Send(Gets(0, 5));
+  ExpectSoon([&] {
+    return Metric(fixture.get(), "dragonflytack_buffered_bytes") >= 5'000'000;
+  });
+  Socket second(fixture->Address(0), CallFixture::kCallPort);
+  second.Send(Gets(0, 1));
+  ExpectSoon([&] { return Events(fixture.get(), "no_room") > 0; });
+  cr_expect_eq(Events(fixture.get(), "started"), 5);
+  released = true;
+  for (int id = 0; id <= 5; ++id) {
+    ExpectBody(&first, body);
+  }
+  ExpectBody(&second, body);
+  ExpectBody(&second, body);
+  ExpectSoon([&] {
+    return Metric(fixture.get(), "dragonflytack_buffered_bytes") == 0;
+  });
+}
+
+// Guards against faults of any mixture: safe and unsafe requests, refused ones
+// and heads in pieces, against a target that responds after random times.
+Test(pipelining, mixed_sequences_are_answered_in_order, .timeout = 120) {
+  const auto fixture = MakeNodes();
+  ScriptedTarget target(fixture->Address(1), CallFixture::kTargetPort,
+                        [](int fd, const std::string& head, int n) {
+                          const HttpReply request{0, head, "", Milliseconds(0)};
+                          std::this_thread::sleep_for(Milliseconds(
+                              std::stoi(request.Header("x-wait"))));
+                          return RespondWithRequestId(fd, head, n);
+                        });
+  constexpr uint64_t kSeeds = 30;
+  constexpr int kRequests = 40;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Random random(seed);
+    Socket caller(fixture->Address(0), CallFixture::kCallPort);
+    std::string text;
+    std::vector<std::string> expected;
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string id = fmt::format("{}-{}", seed, i);
+      const std::string headers = fmt::format(
+          "Host: h\r\nx-request-id: {}\r\nx-wait: {}\r\n", id, random.Below(8));
+      const auto kind = random.Below(12);
+      if (kind == 0) {
+        text += fmt::format(
+            "POST /s/x HTTP/1.1\r\n{}Content-Length: 2\r\n\r\nab", headers);
+      } else if (kind == 1) {
+        text += fmt::format(
+            "PUT /s/x HTTP/1.1\r\n{}Transfer-Encoding: chunked\r\n\r\n"
+            "2\r\nab\r\n0\r\n\r\n",
+            headers);
+      } else if (kind == 2) {
+        text += fmt::format("GET /none HTTP/1.1\r\n{}\r\n", headers);
+      } else if (kind == 3) {
+        text += fmt::format("OPTIONS /s/x HTTP/1.1\r\n{}\r\n", headers);
+      } else {
+        text += fmt::format("GET /s/x HTTP/1.1\r\n{}\r\n", headers);
+      }
+      expected.push_back(kind == 2 ? "404" : id);
+    }
+    for (size_t at = 0; at < text.size();) {
+      const size_t size = 1 + random.Below(600);
+      caller.Send(text.substr(at, size));
+      at += size;
+      if (random.Below(4) == 0) {
+        std::this_thread::sleep_for(Milliseconds(1));
+      }
+    }
+    for (const std::string& body : expected) {
+      const HttpReply reply = caller.ReceiveNext(kPatience);
+      ExpectEqual(reply.status == 404 ? "404" : reply.body, body);
+      cr_assert_neq(reply.status, 0, "seed %d", static_cast<int>(seed));
+    }
+  }
+  cr_expect_gt(Events(fixture.get(), "answered"), kRequests);
+  cr_expect_eq(Events(fixture.get(), "mismatched"), 0);
+  cr_expect_eq(Events(fixture.get(), "started"),
+               Events(fixture.get(), "answered"));
+}
+
+}  // namespace dragonflytack
