Tools: load generator and soak send pipelined requests

PipelinedConnection sends requests before earlier ones are answered. The soak has one such caller for each node and checks that no call behind a closing response ran.

--- a/tools/load_generator/main.cc
+++ b/tools/load_generator/main.cc
@@ -49,7 +49,9 @@
       "duration of the run in seconds")(
       "fetch-keys", options::bool_switch(&plan.fetch_one_time_keys),
       "request a one-time key from the entry node for each call")(
-      "run-id", options::value(&plan.run_id), "prefix of the request ids");
+      "pipelined", options::value(&plan.pipelined),
+      "calls on one connection at once")("run-id", options::value(&plan.run_id),
+                                         "prefix of the request ids");
   try {
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description),
--- a/tools/soak_driver/call_record.h
+++ b/tools/soak_driver/call_record.h
@@ -37,6 +37,9 @@
   std::string outcome;
   std::string reason;
   std::string scope;
+  // The response before it closed the connection, so that the call must not
+  // have run and gets no response.
+  bool is_behind_close = false;
   // Whether the response body names the request.
   bool own_response = false;
 
--- a/tools/soak_driver/caller_pool.cc
+++ b/tools/soak_driver/caller_pool.cc
@@ -210,6 +210,17 @@
       callers_.push_back(std::make_unique<Caller>(this, entries[entry],
                                                   static_cast<int>(entry)));
     }
+    pipelined_callers_.push_back(std::make_unique<PipelinedCaller>(
+        loop_.get(), &random_,
+        PipelinedCaller::Options{.server = entries[entry],
+                                 .entry = static_cast<int>(entry),
+                                 .timeout = Milliseconds(kResponseTimeoutMs),
+                                 .accounts = accounts},
+        [this] {
+          return finishing_ ? std::string()
+                            : fmt::format("soak-{}", next_id_++);
+        },
+        [this](const CallRecord& record) { Record(record); }));
   }
 }
 
@@ -238,7 +249,7 @@
 
 void CallerPool::Record(const CallRecord& record) {
   records_.push_back(record);
-  if (!record.Succeeded() && record.presented == 0) {
+  if (!record.Succeeded() && record.presented == 0 && !record.is_behind_close) {
     last_failure_sent_ = std::max(last_failure_sent_.load(),
                                   record.sent.time_since_epoch().count());
   }
@@ -259,6 +270,12 @@
       oldest = std::min(oldest, caller->sent());
     }
   }
+  for (const std::unique_ptr<PipelinedCaller>& caller : pipelined_callers_) {
+    if (caller->calling()) {
+      calling = true;
+      oldest = std::min(oldest, caller->sent());
+    }
+  }
   oldest_unanswered_ = oldest.time_since_epoch().count();
   if (finishing_ && !calling) {
     loop_->Stop();
--- a/tools/soak_driver/caller_pool.h
+++ b/tools/soak_driver/caller_pool.h
@@ -14,6 +14,7 @@
 #include "dragonflytack/base/random.h"
 #include "dragonflytack/base/system_clock.h"
 #include "soak_driver/call_record.h"
+#include "soak_driver/pipelined_caller.h"
 
 struct evhttp_request;
 
@@ -21,7 +22,7 @@
 
 // Callers on a thread of their own. Each has a connection to one node, which it
 // uses for one call after another until the connection is closed; it connects
-// again at its next call.
+// again at its next call. One more for each node sends several calls at once.
 class CallerPool final {
  public:
   // Time after which a request counts as unanswered. It is longer than any
@@ -76,6 +77,7 @@
   const bool issued_keys_only_;
   const bool accounts_;
   std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<std::unique_ptr<PipelinedCaller>> pipelined_callers_;
   std::deque<RepeatedKey> repeated_keys_;
   std::unordered_map<std::string, std::string> key_of_id_;
   std::vector<CallRecord> records_;
--- a/tools/soak_driver/soak_run.cc
+++ b/tools/soak_driver/soak_run.cc
@@ -73,6 +73,9 @@
 
 FleetOptions SoakRun::MakeFleetOptions() const {
   FleetOptions fleet;
+  // As on the users' platform.
+  constexpr int kMaxPipelined = 8;
+  fleet.max_pipelined = kMaxPipelined;
   fleet.build_dir = options_.build_dir;
   fleet.work_dir = options_.work_dir;
   fleet.nodes = options_.nodes;
@@ -414,8 +417,9 @@
       std::count_if(records.begin(), records.end(),
                     [](const CallRecord& call) { return call.Succeeded(); });
   const auto unanswered =
-      std::count_if(records.begin(), records.end(),
-                    [](const CallRecord& call) { return call.status == 0; });
+      std::count_if(records.begin(), records.end(), [](const CallRecord& call) {
+        return call.status == 0 && !call.is_behind_close;
+      });
   return fmt::format(
       "{} calls, {} succeeded, {} without a response, {} stops, {} kills, "
       "{} edits, calls succeed after {:.1f} s, last edit in force after "
--- a/tools/support/fleet.cc
+++ b/tools/support/fleet.cc
@@ -185,10 +185,10 @@
       kMeshPort, kPeerPort, kAdminPort);
   file << fmt::format(
       "[store]\naddress={}\nport={}\nregion={}\nwatch_on_every_node={}\n"
-      "[calls]\ndrain_timeout_ms={}\n",
+      "[calls]\ndrain_timeout_ms={}\nmax_pipelined={}\n",
       AddressFor(node, kStorePort).address, kStorePort, kRegions[0],
       options_.watch_on_every_node ? "true" : "false",
-      options_.drain_timeout_ms);
+      options_.drain_timeout_ms, options_.max_pipelined);
   file << fmt::format("[security]\nshared_key={}\n[trace]\nsample={}\n",
                       kSharedKey, options_.trace_sample);
   return path;
--- a/tools/support/fleet_options.h
+++ b/tools/support/fleet_options.h
@@ -30,6 +30,8 @@
   // Number of regions, each with two data centres; at most 3.
   int regions = 3;
   int drain_timeout_ms = 30'000;
+  // calls.max_pipelined of the daemons.
+  int max_pipelined = 1;
 };
 
 }  // namespace dragonflytack
--- a/tools/support/load_generator.cc
+++ b/tools/support/load_generator.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include <fmt/format.h>
 
 #include "dragonflytack/base/timeval.h"
+#include "support/pipelined_connection.h"
 
 namespace dragonflytack {
 
@@ -58,7 +60,8 @@
   explicit Impl(LoadPlan plan)
       : plan_(std::move(plan)),
         base_(MakePreciseBase()),
-        idle_(plan_.entries.size()) {}
+        idle_(plan_.entries.size()),
+        pipelines_(plan_.entries.size()) {}
 
   ~Impl() {
     for (auto& connections : idle_) {
@@ -67,6 +70,7 @@
       }
     }
     FreeRetiredConnections(-1, 0, this);
+    pipelines_.clear();
     event_base_free(base_);
   }
 
@@ -99,6 +103,14 @@
     std::string first_failure_reason = {};
   };
 
+  // What a call's response says.
+  struct Answer {
+    int status;
+    std::string reason;
+    std::string outcome;
+    std::string body;
+  };
+
   static void OnTick(int /*fd*/, short /*what*/, void* self) {
     static_cast<Impl*>(self)->SendDueCalls();
   }
@@ -113,6 +125,9 @@
            static_cast<double>(next_call_) < elapsed * plan_.calls_per_second) {
       StartCall(elapsed);
     }
+    for (Call* const call : std::exchange(behind_close_, {})) {
+      SendPipelined(call);
+    }
     if (sending_finished_ && open_calls_ == 0) {
       event_base_loopbreak(base_);
     }
@@ -120,8 +135,9 @@
 
   void StartCall(double elapsed) {
     const size_t entry = next_call_ % plan_.entries.size();
+    const bool pipelined = plan_.pipelined > 1;
     auto* call = new Call{this,
-                          TakeConnection(entry),
+                          pipelined ? nullptr : TakeConnection(entry),
                           entry,
                           fmt::format("{}-{}", plan_.run_id, next_call_),
                           SteadyClock::now(),
@@ -130,13 +146,73 @@
     ++next_call_;
     ++open_calls_;
     result_.sent += call->counted ? 1 : 0;
-    if (call->fetching_one_time_key) {
+    if (pipelined) {
+      SendPipelined(call);
+    } else if (call->fetching_one_time_key) {
       Send(call, EVHTTP_REQ_POST, "/-/keys", {});
     } else {
       Send(call, EVHTTP_REQ_GET, plan_.path, {});
     }
   }
 
+  // Returns a connection on which calls are pending, if it takes another one,
+  // so that calls share connections as far as possible.
+  PipelinedConnection* TakePipeline(size_t entry) {
+    auto& connections = pipelines_[entry];
+    std::erase_if(connections, [](const auto& connection) {
+      return connection->ended() && connection->pending() == 0;
+    });
+    PipelinedConnection* idle = nullptr;
+    for (const auto& connection : connections) {
+      if (connection->ended() ||
+          connection->pending() >= static_cast<size_t>(plan_.pipelined)) {
+        continue;
+      }
+      if (connection->pending() > 0) {
+        return connection.get();
+      }
+      idle = connection.get();
+    }
+    if (idle == nullptr) {
+      idle = connections
+                 .emplace_back(std::make_unique<PipelinedConnection>(
+                     base_, plan_.entries[entry],
+                     std::chrono::milliseconds(plan_.hang_timeout_ms)))
+                 .get();
+    }
+    return idle;
+  }
+
+  void SendPipelined(Call* call) {
+    std::string request = fmt::format(
+        "GET {} HTTP/1.1\r\nHost: {}\r\nx-request-id: {}\r\n", plan_.path,
+        plan_.entries[call->entry].ToString(), call->id);
+    for (const auto& [name, value] : plan_.headers) {
+      request += fmt::format("{}: {}\r\n", name, value);
+    }
+    TakePipeline(call->entry)
+        ->Send(request + "\r\n",
+               [this, call](const PipelinedConnection::Response& response) {
+                 HandlePipelined(response, call);
+               });
+  }
+
+  void HandlePipelined(const PipelinedConnection::Response& response,
+                       Call* call) {
+    if (response.is_behind_close) {
+      // The call has not run. The next tick sends it on another connection.
+      behind_close_.push_back(call);
+      return;
+    }
+    if (call->counted) {
+      RecordResult({response.status, response.Header("x-reason"),
+                    response.Header("x-outcome"), response.body},
+                   *call);
+    }
+    --open_calls_;
+    delete call;
+  }
+
   evhttp_connection* TakeConnection(size_t entry) {
     if (!idle_[entry].empty()) {
       evhttp_connection* connection = idle_[entry].back();
@@ -192,7 +268,11 @@
       return;
     }
     if (call->counted) {
-      RecordResult(request, status, *call);
+      RecordResult(
+          status == 0 ? Answer{}
+                      : Answer{status, HeaderOf(request, "x-reason"),
+                               HeaderOf(request, "x-outcome"), BodyOf(request)},
+          *call);
     }
     FinishCall(call, status != 0);
   }
@@ -223,9 +303,9 @@
     return body.substr(begin + kName.size(), end - begin - kName.size());
   }
 
-  void RecordResult(evhttp_request* request, int status, const Call& call) {
+  void RecordResult(const Answer& answer, const Call& call) {
     const double seconds = Seconds(SteadyClock::now() - call.sent);
-    if (status == 0) {
+    if (answer.status == 0) {
       const bool hung = seconds * 1000 >= plan_.hang_timeout_ms;
       ++(hung ? result_.hung : result_.no_response);
       if (call.resent) {
@@ -234,18 +314,16 @@
       }
       return;
     }
-    if (status != kHttpOk) {
-      ++result_.refused[fmt::format("{} {}", status,
-                                    HeaderOf(request, "x-reason"))];
-      if (HeaderOf(request, "x-outcome") == "not-run") {
+    if (answer.status != kHttpOk) {
+      ++result_.refused[fmt::format("{} {}", answer.status, answer.reason)];
+      if (answer.outcome == "not-run") {
         result_.not_run_ids.push_back(call.id);
       }
       return;
     }
-    const std::string body = BodyOf(request);
     // The quotes around the id keep "run-1" from matching the response to
     // "run-12".
-    if (body.find("\"" + call.id + "\"") == std::string::npos) {
+    if (answer.body.find("\"" + call.id + "\"") == std::string::npos) {
       ++result_.wrong_response;
       return;
     }
@@ -286,6 +364,9 @@
   event_base* const base_;
   std::vector<std::vector<evhttp_connection*>> idle_;
   std::vector<evhttp_connection*> retired_connections_;
+  // Used instead of idle_ if calls are pipelined.
+  std::vector<std::vector<std::unique_ptr<PipelinedConnection>>> pipelines_;
+  std::vector<Call*> behind_close_;
   SteadyClock::time_point start_;
   std::atomic<bool> stop_{false};
   bool sending_finished_ = false;
--- a/tools/support/load_plan.h
+++ b/tools/support/load_plan.h
@@ -28,6 +28,9 @@
   // caller with a list of several nodes would. One-time calls send the same key
   // again.
   bool resend_to_next_entry = false;
+  // Calls that are sent on one connection before the first of them is answered;
+  // 1 for one at a time. With more, one-time keys and resending are not used.
+  int pipelined = 1;
   // Prefix of the request ids, which distinguishes the runs.
   std::string run_id = "run";
 };
