--- a/tests/allowance_loopback_test.cc
+++ b/tests/allowance_loopback_test.cc
@@ -68,6 +68,7 @@
       settings.allowance_window_ms = 5'000;
       settings.allowance_over = 0.1;
       settings.allowance_slack = 2;
+      settings.max_pipelined = 8;
       CallInterface call_interface{std::make_shared<NativeHeaderCodec>(),
                                    std::make_shared<ServiceAddressing>()};
       Failure reason;
@@ -163,6 +164,43 @@
   cr_expect_leq(served, kBound * windows);
 }
 
+// Calls that are started before their turn on the connection could escape the
+// limit, or their refusals could be sent out of order.
+Test(allowance_loopback, limit_holds_for_pipelined_calls) {
+  const ScriptedTarget target(LoopbackAddress(Fleet::kNodes - 1), kTargetPort,
+                              RespondWithRequestId);
+  const Fleet fleet(/*home_is_mute=*/false);
+  constexpr int kCalls = 60;
+  // As above.
+  constexpr int kBound = 24;
+  Socket caller(LoopbackAddress(0), kCallPort);
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kCalls; ++i) {
+    caller.Send(CallFixture::Request(std::to_string(i), kDeadlineMs,
+                                     "x-api-key: first\r\n") +
+                CallFixture::Request(std::to_string(i), kDeadlineMs,
+                                     "x-api-key: second\r\n"));
+  }
+  int served = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    const HttpReply limited = caller.ReceiveNext(Milliseconds(kDeadlineMs));
+    if (limited.status == 200) {
+      ++served;
+      ExpectEqual(limited.body, std::to_string(i));
+    } else {
+      cr_expect_eq(limited.status, 429, "%s", limited.head.c_str());
+      cr_expect(!limited.Header("retry-after").empty());
+    }
+    const HttpReply other = caller.ReceiveNext(Milliseconds(kDeadlineMs));
+    cr_expect_eq(other.status, 200, "%s", other.head.c_str());
+    ExpectEqual(other.body, std::to_string(i));
+  }
+  const auto windows =
+      1 + (std::chrono::steady_clock::now() - start) / std::chrono::seconds(5);
+  cr_expect_leq(served, kBound * windows, "%d", served);
+  cr_expect_lt(served, kCalls, "%d", served);
+}
+
 // A home node that accepts connections and never responds would hold calls, and
 // the response of a call whose caller has left would be used after it is freed.
 Test(allowance_loopback, mute_home_node_holds_no_call) {
--- a/tests/pipelining_test.cc
+++ b/tests/pipelining_test.cc
@@ -256,6 +256,32 @@
   ExpectBody(&caller, "1");
 }
 
+// Guards against an early call that runs without a valid API key, or with that
+// of the request before it.
+Test(pipelining, each_call_needs_its_own_key) {
+  const auto fixture = MakeNodes();
+  HoldingTarget target(fixture->Address(1));
+  AccountRow account;
+  account.account = "a";
+  account.keys = {*KeyDigest::OfKey("secret")};
+  fixture->Publish(Row(ServiceKind::kIdempotent), {}, false,
+                   {{account.account, account}});
+  const std::string valid = "x-api-key: secret\r\n";
+  ExpectSoon([&] {
+    Socket probe(fixture->Address(0), CallFixture::kCallPort);
+    probe.Send("GET /s/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return probe.ReceiveNext(kPatience).status == 401;
+  });
+  Socket caller(fixture->Address(0), CallFixture::kCallPort);
+  caller.Send(Get("0", valid) + Get("1", valid) + Get("2") + Get("3", valid));
+  target.ExpectArrived(2);
+  target.ReleaseAll();
+  ExpectBody(&caller, "0");
+  ExpectBody(&caller, "1");
+  cr_expect_eq(caller.ReceiveNext(kPatience).status, 401);
+  ExpectBody(&caller, "3");
+}
+
 // Guards against calls of a disconnected caller that continue: before the first
 // response, and while a response is written that the caller does not read.
 Test(pipelining, calls_of_a_disconnected_caller_are_abandoned) {
