--- a/src/calls/request_head.cc
+++ b/src/calls/request_head.cc
@@ -111,7 +111,9 @@
   int hosts = 0;
   int connections = 0;
   bool closes = false;
-  for (const auto& [name, value] : headers) {
+  for (const auto& header : headers) {
+    const std::string& name = header.first;
+    const std::string& value = header.second;
     if (std::any_of(kMustWait.begin(), kMustWait.end(),
                     [&name](std::string_view other) {
                       return IsHeaderName(name, other);
