--- a/tests/pipelining_test.cc
+++ b/tests/pipelining_test.cc
@@ -307,37 +307,94 @@
 }
 
 // Guards against calls that continue if their caller disconnects while the
-// response before them is being written.
-Test(pipelining, calls_behind_an_unread_response_are_abandoned) {
-  const auto fixture = MakeNodes();
-  std::atomic<int> waiting = 0;
-  std::atomic<bool> released = false;
-  ScriptedTarget target(fixture->Address(1), CallFixture::kTargetPort,
-                        [&](int fd, const std::string& head, int /*n*/) {
-                          if (RequestId(head) == "0") {
-                            return ScriptedTarget::Respond(
-                                fd, std::string(4'000'000, 'a'));
-                          }
-                          ++waiting;
-                          while (!released) {
-                            std::this_thread::sleep_for(Milliseconds(5));
-                          }
-                          return RespondWithRequestId(fd, head, 0);
-                        });
-  auto caller =
-      std::make_unique<Socket>(fixture->Address(0), CallFixture::kCallPort);
-  const int small = 4096;
-  setsockopt(caller->fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-  caller->Send(Gets(0, 2));
-  ExpectSoon([&] { return waiting == 2; });
-  std::this_thread::sleep_for(kMoreRequests);
-  ResetConnection(caller->fd());
-  ExpectSoon([&] { return Events(fixture.get(), "abandoned") == 2; });
+// response before them is being written, and against a stop that waits for a
+// caller that does not read.
+Test(pipelining, calls_behind_an_unread_response_hold_up_nothing) {
+  for (const bool disconnects : {true, false}) {
+    constexpr int kDrainTimeoutMs = 1'000;
+    CallFixture fixture(1, Row(ServiceKind::kIdempotent), nullptr,
+                        kDrainTimeoutMs, CallFixture::Addressing::kServices,
+                        Settings().max_buffered_mb, kMaxPipelined);
+    std::atomic<bool> released = false;
+    // The kernel may take one of the two large responses, but not both.
+    ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
+                          [&](int fd, const std::string& head, int /*n*/) {
+                            const std::string id = RequestId(head);
+                            if (id == "0" || id == "1") {
+                              return ScriptedTarget::Respond(
+                                  fd, std::string(4'000'000, 'a'));
+                            }
+                            while (id == "2" && disconnects && !released) {
+                              std::this_thread::sleep_for(Milliseconds(5));
+                            }
+                            return ScriptedTarget::Respond(fd, id);
+                          });
+    const Socket caller(fixture.Address(0), CallFixture::kCallPort);
+    const int small = 4096;
+    setsockopt(caller.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    caller.Send(Gets(0, 3));
+    ExpectSoon([&] {
+      return Metric(&fixture,
+                    "dragonflytack_calls_total{outcome=\"done\",service="
+                    "\"s\"}") == (disconnects ? 3 : 4);
+    });
+    std::this_thread::sleep_for(kMoreRequests);
+    cr_expect_eq(Events(&fixture, "abandoned"), 0);
+    if (disconnects) {
+      ResetConnection(caller.fd());
+      ExpectSoon([&] { return Events(&fixture, "abandoned") >= 2; });
+      ExpectSoon([&] {
+        return Metric(&fixture,
+                      "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
+      });
+      cr_expect_eq(Events(&fixture, "answered") + Events(&fixture, "abandoned"),
+                   3);
+      released = true;
+    } else {
+      fixture.task(0)->PostStop();
+      cr_expect(fixture.WaitUntilStopped(0, kPatience));
+    }
+  }
+}
+
+// Guards against a one-time call that is started early behind an idempotent
+// one.
+Test(pipelining, a_one_time_call_waits_and_holds_back_the_next) {
+  CallFixture fixture(1, Row(ServiceKind::kIdempotent), nullptr,
+                      Settings().drain_timeout_ms,
+                      CallFixture::Addressing::kRoutes,
+                      Settings().max_buffered_mb, kMaxPipelined);
+  HoldingTarget target(fixture.Address(1));
+  RouteRow often;
+  often.name = "often";
+  often.host = "h";
+  often.prefix = "/s/";
+  often.timeout_ms = 8'000;
+  often.kind = ServiceKind::kIdempotent;
+  often.shares = {{"s", 1}};
+  RouteRow once = often;
+  once.name = "once";
+  once.prefix = "/once/";
+  once.kind = ServiceKind::kOneTime;
+  fixture.Publish(Row(ServiceKind::kIdempotent),
+                  {{often.name, often}, {once.name, once}});
   ExpectSoon([&] {
-    return Metric(fixture.get(),
-                  "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
+    Socket probe(fixture.Address(0), CallFixture::kCallPort);
+    probe.Send("GET /other HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return probe.ReceiveNext(kPatience).status == 404;
   });
-  released = true;
+  Socket caller(fixture.Address(0), CallFixture::kCallPort);
+  caller.Send(Gets(0, 1) +
+              "GET /once/x HTTP/1.1\r\nHost: h\r\nx-request-id: 2\r\n\r\n" +
+              Get("3"));
+  target.ExpectArrived(2);
+  target.Release("0");
+  target.Release("1");
+  target.ExpectArrived(3);
+  target.ReleaseAll();
+  for (int id = 0; id <= 3; ++id) {
+    ExpectBody(&caller, std::to_string(id));
+  }
 }
 
 // Guards against a node that stops and starts further requests early, that
@@ -381,6 +438,7 @@
     const HttpReply reply = caller.ReceiveNext(kPatience);
     cr_expect_eq(reply.status, id == 2 ? 200 : 504, "%d: %d", id, reply.status);
     ExpectEqual(reply.Header("x-outcome"), id == 2 ? "done" : "unknown");
+    ExpectEqual(reply.Header("x-reason"), id == 2 ? "" : "stopping");
   }
   cr_expect(fixture.WaitUntilStopped(0, kPatience));
 }
