--- a/tests/hostile_fixture.cc
+++ b/tests/hostile_fixture.cc
@@ -92,7 +92,7 @@
 
 }  // namespace
 
-HostileFixture::HostileFixture(const std::string& program)
+HostileFixture::HostileFixture(const std::string& program, int max_pipelined)
     : address_(LoopbackAddress(0)) {
   std::string directory = "/tmp/dragonflytack_test_XXXXXX";
   cr_assert(mkdtemp(directory.data()) != nullptr);
@@ -102,9 +102,10 @@
       "[node]\nid=n1\nregion=r\ndata_centre=d\naddress={}\n"
       "service=roster\ncall_port={}\nmesh_port={}\npeer_port={}\n"
       "admin_port={}\nready_port={}\ntarget_port={}\n[store]\n"
-      "address={}\nport=7006\nregion=r\n[calls]\nmax_buffered_mb={}\n",
+      "address={}\nport=7006\nregion=r\n[calls]\nmax_buffered_mb={}\n"
+      "max_pipelined={}\n",
       address_, kCallPort, kMeshPort, kPeerPort, kAdminPort, kReadyPort,
-      kTargetPort, address_, kBudgetBytes >> 20);
+      kTargetPort, address_, kBudgetBytes >> 20, max_pipelined);
   store_ = ChildProcess::Start({Program("store_standin"), "--listen", store,
                                 "--admin", address_ + ":7007"},
                                directory_ + "/store.log");
--- a/tests/hostile_fixture.h
+++ b/tests/hostile_fixture.h
@@ -48,7 +48,8 @@
 
   // `program` is dragonflytackd, or dragonflytackd-platform, which has a target
   // port but no table in this fixture.
-  explicit HostileFixture(const std::string& program = "dragonflytackd");
+  explicit HostileFixture(const std::string& program = "dragonflytackd",
+                          int max_pipelined = 1);
   ~HostileFixture();
   HostileFixture(const HostileFixture&) = delete;
   HostileFixture& operator=(const HostileFixture&) = delete;
--- a/tests/hostile_input_test.cc
+++ b/tests/hostile_input_test.cc
@@ -212,6 +212,22 @@
   }
 }
 
+// Guards against requests that are read ahead, or their results, and take
+// memory outside of the budget.
+Test(hostile_call, pipelined_requests_that_are_read_ahead) {
+  constexpr int kMaxPipelined = 8;
+  HostileFixture fixture("dragonflytackd", kMaxPipelined);
+  const std::string large_head =
+      "GET /roster/a HTTP/1.1\r\nHost: h\r\nA: " + std::string(16'000, 'a') +
+      "\r\n\r\n";
+  const std::vector<HostileInput> large_heads = {
+      {.unit = large_head, .bytes = kLimitedBody},
+      {.prefix = kCall + large_head + large_head.substr(0, 12'000)}};
+  for (const auto& inputs : {Heads(), Pipelined(kCall), large_heads}) {
+    fixture.Check(HostileFixture::kCallPort, inputs, kCall);
+  }
+}
+
 // Guards against limits that refuse clients within the documented limits: a
 // slow head of nearly 16 KB, the largest body, a slow but steady body, and a
 // connection that is used again after 15 s.
--- a/tests/pipelining_test.cc
+++ b/tests/pipelining_test.cc
@@ -1,150 +1,16 @@
 // Requests that callers send before earlier ones on the connection are
 // answered, at a node on loopback.
 
-#include <sys/socket.h>
-
-#include <algorithm>
 #include <atomic>
-#include <condition_variable>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include <criterion/criterion.h>
-#include <fmt/format.h>
-
-#include "call_fixture.h"
 #include "dragonflytack/base/random.h"
+#include "pipelining_fixture.h"
 
 namespace dragonflytack {
 
-namespace {
-
-constexpr Milliseconds kPatience{10'000};
-// A request that is not held back would have arrived by then.
-constexpr Milliseconds kMoreRequests{60};
-constexpr int kMaxPipelined = 8;
-
-// A target whose responses wait until the test lets them go.
-class HoldingTarget {
- public:
-  explicit HoldingTarget(const std::string& address)
-      : target_(address,
-                CallFixture::kTargetPort,
-                [this](int fd, const std::string& head, int /*n*/) {
-                  const std::string id = RequestId(head);
-                  std::unique_lock<std::mutex> lock(mutex_);
-                  events_.push_back("+" + id);
-                  changed_.notify_all();
-                  changed_.wait(lock, [&] {
-                    return releases_all_ || std::ranges::count(released_, id);
-                  });
-                  events_.push_back("-" + id);
-                  return ScriptedTarget::Respond(fd, id);
-                }) {}
-  ~HoldingTarget() { ReleaseAll(); }
-  HoldingTarget(const HoldingTarget&) = delete;
-  HoldingTarget& operator=(const HoldingTarget&) = delete;
-
-  void Release(const std::string& id) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    released_.push_back(id);
-    changed_.notify_all();
-  }
-  void ReleaseAll() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    releases_all_ = true;
-    changed_.notify_all();
-  }
-  // Holds the responses to requests from now on.
-  void HoldAgain() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    releases_all_ = false;
-    released_.clear();
-  }
-  // Waits until `count` requests have arrived and no further one does.
-  void ExpectArrived(size_t count) {
-    std::unique_lock<std::mutex> lock(mutex_);
-    changed_.wait_for(lock, kPatience, [&] { return Arrived() >= count; });
-    changed_.wait_for(lock, kMoreRequests, [&] { return Arrived() > count; });
-    cr_expect_eq(Arrived(), count, "%zu instead of %zu arrived", Arrived(),
-                 count);
-  }
-  // Returns "+ID" for each request and "-ID" for each response, in order.
-  std::vector<std::string> events() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return events_;
-  }
-  int closed() const { return target_.closed(); }
-
- private:
-  size_t Arrived() const {
-    return static_cast<size_t>(std::ranges::count(
-        events_, '+', [](auto& text) { return text.front(); }));
-  }
-
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  std::vector<std::string> released_;
-  std::vector<std::string> events_;
-  bool releases_all_ = false;
-  ScriptedTarget target_;
-};
-
-std::string Get(const std::string& id, const std::string& headers = "") {
-  return CallFixture::Request(id, 8'000, headers);
-}
-
-// Returns requests with the ids first, first + 1, ..., last.
-std::string Gets(int first, int last) {
-  std::string text;
-  for (int id = first; id <= last; ++id) {
-    text += Get(std::to_string(id));
-  }
-  return text;
-}
-
-std::unique_ptr<CallFixture> MakeNodes(
-    ServiceKind kind = ServiceKind::kIdempotent,
-    int max_pipelined = kMaxPipelined,
-    int max_buffered_mb = Settings().max_buffered_mb) {
-  return std::make_unique<CallFixture>(
-      1, Row(kind), nullptr, Settings().drain_timeout_ms,
-      CallFixture::Addressing::kServices, max_buffered_mb, max_pipelined);
-}
-
-void ExpectBody(Socket* caller, const std::string& body) {
-  const HttpReply reply = caller->ReceiveNext(kPatience);
-  cr_expect_eq(reply.status, 200, "%s: %d", body.c_str(), reply.status);
-  ExpectEqual(reply.body, body);
-}
-
-// Returns the value of a metric of the first node, 0 if it is missing.
-int Metric(CallFixture* fixture, const std::string& name) {
-  const std::string text = fixture->metrics(0)->RenderText();
-  const size_t at = text.find("\n" + name + " ");
-  return at == std::string::npos ? 0
-                                 : std::stoi(text.substr(at + name.size() + 2));
-}
-
-int Events(CallFixture* fixture, const std::string& event) {
-  return Metric(fixture,
-                "dragonflytack_pipelined_calls_total{event=\"" + event + "\"}");
-}
-
-template <typename Condition>
-void ExpectSoon(Condition condition) {
-  const TimePoint end = std::chrono::steady_clock::now() + kPatience;
-  while (!condition() && std::chrono::steady_clock::now() < end) {
-    std::this_thread::sleep_for(Milliseconds(5));
-  }
-  cr_expect(condition());
-}
-
-}  // namespace
-
 // Guards against requests that wait for the one before them, more at once than
 // the setting allows, responses out of order, and a caller that never gets the
 // rest.
@@ -282,81 +148,6 @@
   ExpectBody(&caller, "3");
 }
 
-// Guards against calls of a disconnected caller that continue: before the first
-// response, and while a response is written that the caller does not read.
-Test(pipelining, calls_of_a_disconnected_caller_are_abandoned) {
-  const auto fixture = MakeNodes();
-  HoldingTarget target(fixture->Address(1));
-  auto caller =
-      std::make_unique<Socket>(fixture->Address(0), CallFixture::kCallPort);
-  caller->Send(Gets(0, 3));
-  target.ExpectArrived(4);
-  target.Release("2");
-  caller.reset();
-  ExpectSoon([&] { return Events(fixture.get(), "abandoned") == 3; });
-  ExpectSoon([&] {
-    return Metric(fixture.get(),
-                  "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
-  });
-  target.ReleaseAll();
-  Socket other(fixture->Address(0), CallFixture::kCallPort);
-  other.Send(Gets(10, 12));
-  for (int id = 10; id <= 12; ++id) {
-    ExpectBody(&other, std::to_string(id));
-  }
-}
-
-// Guards against calls that continue if their caller disconnects while the
-// response before them is being written, and against a stop that waits for a
-// caller that does not read.
-Test(pipelining, calls_behind_an_unread_response_hold_up_nothing) {
-  for (const bool disconnects : {true, false}) {
-    constexpr int kDrainTimeoutMs = 1'000;
-    CallFixture fixture(1, Row(ServiceKind::kIdempotent), nullptr,
-                        kDrainTimeoutMs, CallFixture::Addressing::kServices,
-                        Settings().max_buffered_mb, kMaxPipelined);
-    std::atomic<bool> released = false;
-    // The kernel may take one of the two large responses, but not both.
-    ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
-                          [&](int fd, const std::string& head, int /*n*/) {
-                            const std::string id = RequestId(head);
-                            if (id == "0" || id == "1") {
-                              return ScriptedTarget::Respond(
-                                  fd, std::string(4'000'000, 'a'));
-                            }
-                            while (id == "2" && disconnects && !released) {
-                              std::this_thread::sleep_for(Milliseconds(5));
-                            }
-                            return ScriptedTarget::Respond(fd, id);
-                          });
-    const Socket caller(fixture.Address(0), CallFixture::kCallPort);
-    const int small = 4096;
-    setsockopt(caller.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-    caller.Send(Gets(0, 3));
-    ExpectSoon([&] {
-      return Metric(&fixture,
-                    "dragonflytack_calls_total{outcome=\"done\",service="
-                    "\"s\"}") == (disconnects ? 3 : 4);
-    });
-    std::this_thread::sleep_for(kMoreRequests);
-    cr_expect_eq(Events(&fixture, "abandoned"), 0);
-    if (disconnects) {
-      ResetConnection(caller.fd());
-      ExpectSoon([&] { return Events(&fixture, "abandoned") >= 2; });
-      ExpectSoon([&] {
-        return Metric(&fixture,
-                      "dragonflytack_calls_in_progress{side=\"entry\"}") == 0;
-      });
-      cr_expect_eq(Events(&fixture, "answered") + Events(&fixture, "abandoned"),
-                   3);
-      released = true;
-    } else {
-      fixture.task(0)->PostStop();
-      cr_expect(fixture.WaitUntilStopped(0, kPatience));
-    }
-  }
-}
-
 // Guards against a one-time call that is started early behind an idempotent
 // one.
 Test(pipelining, a_one_time_call_waits_and_holds_back_the_next) {
@@ -397,52 +188,6 @@
   }
 }
 
-// Guards against a node that stops and starts further requests early, that
-// closes the connection before it has answered those it has started, or that
-// forwards one behind the closing response.
-Test(pipelining, a_stopping_node_answers_what_it_has_started) {
-  const auto fixture = MakeNodes();
-  HoldingTarget target(fixture->Address(1));
-  Socket caller(fixture->Address(0), CallFixture::kCallPort);
-  caller.Send(Gets(0, 2));
-  target.ExpectArrived(3);
-  fixture->task(0)->PostStop();
-  std::this_thread::sleep_for(kMoreRequests);
-  caller.Send(Gets(3, 4));
-  target.ExpectArrived(3);
-  target.ReleaseAll();
-  for (int id = 0; id <= 2; ++id) {
-    const HttpReply reply = caller.ReceiveNext(kPatience);
-    ExpectEqual(reply.body, std::to_string(id));
-    ExpectEqual(reply.Header("connection"), id == 2 ? "close" : "");
-  }
-  cr_expect_eq(caller.ReceiveNext(kPatience).status, 0);
-  target.ExpectArrived(3);
-  cr_expect(fixture->WaitUntilStopped(0, kPatience));
-}
-
-// Guards against a call that is cut off at the end of a stop, may have run, and
-// is reported as not run when its turn comes.
-Test(pipelining, calls_that_are_cut_off_are_not_reported_as_not_run) {
-  constexpr int kDrainTimeoutMs = 1'000;
-  CallFixture fixture(1, Row(ServiceKind::kIdempotent), nullptr,
-                      kDrainTimeoutMs, CallFixture::Addressing::kServices,
-                      Settings().max_buffered_mb, kMaxPipelined);
-  HoldingTarget target(fixture.Address(1));
-  Socket caller(fixture.Address(0), CallFixture::kCallPort);
-  caller.Send(Gets(0, 2));
-  target.ExpectArrived(3);
-  target.Release("2");
-  fixture.task(0)->PostStop();
-  for (int id = 0; id <= 2; ++id) {
-    const HttpReply reply = caller.ReceiveNext(kPatience);
-    cr_expect_eq(reply.status, id == 2 ? 200 : 504, "%d: %d", id, reply.status);
-    ExpectEqual(reply.Header("x-outcome"), id == 2 ? "done" : "unknown");
-    ExpectEqual(reply.Header("x-reason"), id == 2 ? "" : "stopping");
-  }
-  cr_expect(fixture.WaitUntilStopped(0, kPatience));
-}
-
 // Guards against deadlines that begin when the turn of a call comes.
 Test(pipelining, the_deadline_runs_from_the_arrival) {
   const auto fixture = MakeNodes();
