--- a/tools/support/fleet_options.h
+++ b/tools/support/fleet_options.h
@@ -33,6 +33,8 @@
   // Enables roll-outs, with the bounds of the users' deployment. Targets start
   // with the release "v1".
   bool rollouts = false;
+  // calls.max_pipelined of the daemons.
+  int max_pipelined = 1;
 };
 
 }  // namespace dragonflytack
