Allowances: calls from before a lower limit do not count for it

Cause: the home node compared all calls of the window with a lower limit at once. An account with more calls than that was refused completely until they had left the window, though the lower limit binds one window after it is in force. Change: for one window the lower limit counts the calls since it was learned (and 250 ms before), the former one all. Result: allowance_ledger/lower_limit_replaces_the_former_one_within_a_window fails with two variants that count earlier calls (a reserve of 1 s, a gradual change) and passes now; allowance_model/lower_limit keeps its bound (-25 calls).

--- a/src/accounts/allowance_ledger.cc
+++ b/src/accounts/allowance_ledger.cc
@@ -78,6 +78,12 @@
   explicit Account(Milliseconds window) : past(window), used(window) {}
 
   AllowanceLimit limit;
+  // The limit before a lower one, and the change. Calls from before it count
+  // for the former limit only, because the lower one binds one window after it
+  // is in force. Otherwise an account with more calls than the lower limit
+  // would have no room until they leave the window.
+  std::optional<AllowanceLimit> former_limit;
+  TimePoint lowered_at{};
   // Calls that other home nodes permitted, by their newest statements; without
   // a name those that may have been permitted.
   struct Statement {
@@ -95,11 +101,11 @@
   TimePoint created{};
   TimePoint last_report{};
 
-  // Returns the calls that other home nodes permitted.
-  double Inherited(TimePoint now) {
+  // Returns the calls that other home nodes permitted since `begin`.
+  double Inherited(TimePoint begin, TimePoint now) {
     double total = 0;
     for (auto& [home, statement] : statements) {
-      total += statement.usage.Total(now);
+      total += statement.usage.TotalSince(begin, now);
     }
     return total;
   }
@@ -286,16 +292,30 @@
     account->past.TakeFrom(&account->used, now);
   }
   account->part = part;
-  const double base = account->limit.Base(bounds_);
-  const double margin = account->limit.Margin(bounds_);
-  const double cap = base + margin * kFirstMargin;
+  if (!account->former_limit || now - account->lowered_at >= bounds_.window) {
+    account->former_limit.reset();
+    return RoomSince(TimePoint::min(), account->limit, account, now);
+  }
+  return std::min(
+      RoomSince(account->lowered_at - kAllowanceLimitTime, account->limit,
+                account, now),
+      RoomSince(TimePoint::min(), *account->former_limit, account, now));
+}
+
+double AllowanceLedger::RoomSince(TimePoint begin,
+                                  const AllowanceLimit& limit,
+                                  Account* account,
+                                  TimePoint now) const {
+  const double margin = limit.Margin(bounds_);
+  const double cap = limit.Base(bounds_) + margin * kFirstMargin;
   double allowed =
-      part *
-      std::max(cap - account->Inherited(now) - account->past.Total(now), 0.0);
+      account->part * std::max(cap - account->Inherited(begin, now) -
+                                   account->past.TotalSince(begin, now),
+                               0.0);
   if (account->skipped > 0) {
     allowed += margin * kLaterMargin;
   }
-  return allowed - account->used.Total(now) - account->outstanding;
+  return allowed - account->used.TotalSince(begin, now) - account->outstanding;
 }
 
 AllowanceGrant AllowanceLedger::Grant(const AllowanceRequest& request,
@@ -303,6 +323,12 @@
                                       TimePoint now) {
   Account& account = FindOrCreate(report, now);
   if (report.limit.version > account.limit.version) {
+    if (report.limit.Base(bounds_) < account.limit.Base(bounds_)) {
+      account.former_limit = account.limit;
+      account.lowered_at = now;
+    } else if (report.limit.Base(bounds_) > account.limit.Base(bounds_)) {
+      account.former_limit.reset();
+    }
     account.limit = report.limit;
   }
   account.last_report = now;
@@ -378,7 +404,7 @@
     UpdateLosses(&account, now);
     std::erase_if(account.statements, [now](const auto& statement) {
       UsageWindow usage = statement.second.usage;
-      return usage.Total(now) == 0;
+      return usage.TotalSince(TimePoint::min(), now) == 0;
     });
     return now - account.last_report > bounds_.window + kAllowanceLease &&
            account.holders.empty();
--- a/src/accounts/allowance_ledger.h
+++ b/src/accounts/allowance_ledger.h
@@ -77,6 +77,11 @@
   double Part(Account* account, TimePoint now) const;
   // Returns the calls that may still be permitted.
   double Room(Account* account, TimePoint now) const;
+  // The same with a limit that counts the calls since `begin` only.
+  double RoomSince(TimePoint begin,
+                   const AllowanceLimit& limit,
+                   Account* account,
+                   TimePoint now) const;
 
   const NodeId self_;
   const AllowanceBounds bounds_;
--- a/src/accounts/allowance_timing.h
+++ b/src/accounts/allowance_timing.h
@@ -11,6 +11,11 @@
 // 74 nodes would process up to 296 messages/s, too many for a tenth of a core.
 inline constexpr Milliseconds kAllowanceReportPeriod{500};
 
+// Time until the first report with a new limit has reached the home node. An
+// account with many calls is reported by many nodes; one with few calls may
+// take longer, for which the slack of the bounds suffices.
+inline constexpr Milliseconds kAllowanceLimitTime{250};
+
 // Permits that were not used within this time after the request are void. It
 // covers four reports.
 inline constexpr Milliseconds kAllowanceLease{2'000};
--- a/src/accounts/usage_window.cc
+++ b/src/accounts/usage_window.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace dragonflytack {
 
@@ -39,9 +38,16 @@
   Slot(newest_) += count;
 }
 
-double UsageWindow::Total(TimePoint now) {
+double UsageWindow::TotalSince(TimePoint begin, TimePoint now) {
   Advance(now);
-  return std::accumulate(counts_.begin(), counts_.end(), 0.0);
+  const int64_t oldest = newest_ - kSlots;
+  const int64_t first =
+      begin == TimePoint::min() ? oldest : std::max(SlotOf(begin), oldest);
+  double total = 0;
+  for (int64_t number = first; number <= newest_; ++number) {
+    total += Slot(number);
+  }
+  return total;
 }
 
 Milliseconds UsageWindow::UntilNextLeaves(TimePoint now) {
--- a/src/accounts/usage_window.h
+++ b/src/accounts/usage_window.h
@@ -18,7 +18,8 @@
   explicit UsageWindow(Milliseconds window);
 
   void Add(double count, TimePoint now);
-  double Total(TimePoint now);
+  // Returns the calls of the window that were made since `begin`.
+  double TotalSince(TimePoint begin, TimePoint now);
   // Returns the time until at least one call leaves the window; the whole
   // window if there is none.
   Milliseconds UntilNextLeaves(TimePoint now);
