--- a/review/common-2/fleet.cc
+++ b/review/common-2/fleet.cc
@@ -574,6 +574,13 @@
   return text;
 }
 
+double Random(double least, double most) {
+  static std::mutex mutex;
+  static std::mt19937 random(std::random_device{}());
+  const std::lock_guard lock(mutex);
+  return std::uniform_real_distribution<double>(least, most)(random);
+}
+
 uint16_t FreeBasePort(const std::vector<std::string>& ips, int count) {
   std::mt19937 random(std::random_device{}());
   for (int attempt = 0; attempt < 200; ++attempt) {
--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -226,6 +226,8 @@
                 double timeout);
 
 std::string NewId();
+// A random number between two others.
+double Random(double least, double most);
 // A port from which on a few are free on the machine's loopback addresses.
 uint16_t FreeBasePort(const std::vector<std::string>& ips, int count);
 // The folder of the deploy file, from the environment variable REPOSITORY.
