Membership: an acknowledged departure outlives the process of the node

Cause: what a node acknowledges of its target was state of its process only. Evidence: the new process logs the event `target`, state `ready`, cause `announcement`, 1.2 s after its start, and no `announcement_ignored`. The first request reaches the endpoint 0.07 s after the report.

Fix: the node's record names the last run that announced that it leaves. It is passed to the kernel on all links before the acknowledgement is sent. Peers keep it when a restarted node publishes a record without it, and report it in the hello, which precedes any table; calls are served only with a table. A departure during a stop of the node itself, which was acknowledged without any record, is handled the same way.

--- a/include/dragonflytack/distribution/distribution_core.h
+++ b/include/dragonflytack/distribution/distribution_core.h
@@ -26,6 +26,7 @@
 struct Endpoint;
 struct RouteSnapshot;
 struct Settings;
+struct TargetRun;
 
 // Decides which table version and which endpoints are in force on this node and
 // which messages are sent to which peers. Performs no I/O itself and runs on
@@ -34,6 +35,7 @@
  public:
   using RoutesCallback =
       std::function<void(std::shared_ptr<const RouteSnapshot>)>;
+  using DepartureCallback = std::function<void(const TargetRun&)>;
 
   // All pointers must outlive the core. `seed` initializes the random numbers
   // for jitter and selection, so that tests are reproducible.
@@ -56,6 +58,12 @@
   // be done with its own snapshot by then.
   void set_on_routes(RoutesCallback on_routes);
 
+  // Sets the function that is called when a peer reports a departure of this
+  // node's target that an earlier process of this node acknowledged. It is
+  // called from within OnFrame() and must not destroy the core, but may call
+  // its other functions except the reports of links.
+  void set_on_departure(DepartureCallback on_departure);
+
   // Starts to join the fleet.
   void Start();
 
@@ -73,6 +81,11 @@
                  int slots,
                  const std::string& release = {});
 
+  // Records that a run of the local target leaves, and announces it on all
+  // links immediately. Ignored if the run is empty or earlier than the recorded
+  // one.
+  void SetDeparture(const TargetRun& run);
+
   // Sets whether this node publishes the roll-out shares that it knows.
   void SetRolloutRole(bool is_controller);
 
--- a/include/dragonflytack/distribution/link_layer.h
+++ b/include/dragonflytack/distribution/link_layer.h
@@ -31,6 +31,11 @@
   // Queues a frame. Frames for a link that no longer exists are dropped.
   virtual void Send(LinkId link, std::string frame) = 0;
 
+  // Passes the queued frames of all links to the operating system as far as it
+  // takes them, so that they are sent even if the process is killed next.
+  // Layers that do not queue frames in the process need not override it.
+  virtual void Flush() {}
+
   // Returns the number of bytes queued on the link, for backpressure.
   virtual size_t QueuedBytes(LinkId link) const = 0;
 };
--- a/include/dragonflytack/registry/node_record.h
+++ b/include/dragonflytack/registry/node_record.h
@@ -11,6 +11,7 @@
 #include "dragonflytack/registry/liveness.h"
 #include "dragonflytack/registry/node_id.h"
 #include "dragonflytack/registry/rollout_share.h"
+#include "dragonflytack/registry/target_run.h"
 #include "dragonflytack/registry/target_state.h"
 
 namespace dragonflytack {
@@ -52,6 +53,10 @@
   std::string release;
   // The shares that a roll-out controller publishes.
   std::vector<RolloutShare> rollout_shares;
+  // The last run of the local target that announced that it leaves, also while
+  // a later run serves; empty if there was none. Peers keep it for the node,
+  // which forgets it when its process ends.
+  TargetRun departure;
 
   // Compares the revisions, (incarnation, sequence), of two records of a node.
   std::strong_ordering CompareRevision(const NodeRecord& other) const {
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -122,6 +122,9 @@
   target_life_cycle_ = std::make_unique<TargetLifeCycle>(
       &loop_->timers(), Milliseconds(settings_.target_heartbeat_timeout_ms),
       [this](const LocalTarget& target) { OnTargetChanged(target); });
+  core_->set_on_departure([this](const TargetRun& run) {
+    target_life_cycle_->RestoreDeparture(run);
+  });
   fleet_report_ = std::make_unique<FleetReport>(
       FleetReport::Dependencies{core, links_.get(), store_.get(), &metrics_,
                                 &tracer_, clock_},
@@ -311,12 +314,10 @@
 }
 
 Failure ControlTask::OnAnnouncement(const LocalTarget& target) {
-  if (stopping_ && (target.state == TargetState::kDraining ||
-                    target.state == TargetState::kLeft)) {
-    // A stopping node sends its target no more calls anyway.
-    return {};
-  }
-  if (stopping_) {
+  const bool is_leaving = target.state == TargetState::kDraining ||
+                          target.state == TargetState::kLeft;
+  // While links are open, the peers can keep a departure for the next process.
+  if (stopping_ && (!is_leaving || calls_stopped_)) {
     return {FailureCode::kDraining, settings_.node_id, "the node is stopping"};
   }
   handling_announcement_ = true;
@@ -335,6 +336,8 @@
     return {FailureCode::kConflict, target.instance,
             "the announcement is older than the last accepted one"};
   }
+  // The acknowledgement binds later processes of this node, too.
+  core_->SetDeparture(target_life_cycle_->departure());
   return {};
 }
 
--- a/src/daemon/target_life_cycle.cc
+++ b/src/daemon/target_life_cycle.cc
@@ -20,6 +20,10 @@
   return std::find(values.begin(), values.end(), value) != values.end();
 }
 
+TargetRun RunOf(const LocalTarget& target) {
+  return TargetRun::Make(target.instance, target.started_ms);
+}
+
 // Adds a value and forgets the oldest one if there are too many.
 template <typename Value>
 void Remember(std::vector<Value>* values, const Value& value) {
@@ -65,17 +69,22 @@
 }
 
 bool TargetLifeCycle::FollowsTarget(const LocalTarget& announced) {
-  if (target_.instance.empty()) {
+  const bool has_target = !target_.instance.empty();
+  if (!departure_.empty() && departure_.IsSame(RunOf(announced))) {
+    return !has_target && IsLeaving(announced.state);
+  }
+  const int64_t known_start =
+      has_target ? target_.started_ms : departure_.started_ms;
+  const bool is_ordered = announced.started_ms != 0 && known_start != 0 &&
+                          announced.started_ms != known_start;
+  if (!has_target && !is_ordered) {
     return true;
   }
-  const bool is_ordered = announced.started_ms != 0 &&
-                          target_.started_ms != 0 &&
-                          announced.started_ms != target_.started_ms;
   if (Contains(left_runs_, {announced.instance, announced.started_ms}) ||
       (!is_ordered && Contains(past_instances_, announced.instance))) {
     return false;
   }
-  if (is_ordered && announced.started_ms > target_.started_ms) {
+  if (is_ordered && announced.started_ms > known_start) {
     return true;
   }
   if (IsLeaving(announced.state)) {
@@ -107,7 +116,8 @@
   }
   earlier_run_->sequence = announced.sequence;
   earlier_run_->last_seen = now;
-  const bool is_over = target_.state == TargetState::kLeft || is_silent_;
+  const bool is_over = target_.instance.empty() ||
+                       target_.state == TargetState::kLeft || is_silent_;
   return ++earlier_run_->announcements >= kConfirmingAnnouncements &&
          now - earlier_run_->first_seen >= announcement_timeout_ && is_over;
 }
@@ -139,6 +149,9 @@
   }
   target_.sequence = same_run ? std::max(previous.sequence, announced.sequence)
                               : announced.sequence;
+  if (IsLeaving(announced.state) && !target_.instance.empty()) {
+    departure_ = RunOf(target_);
+  }
   // A run that leaves may still announce that it has left, but nothing else
   // changes its state.
   const bool keeps_state = same_run && was_leaving &&
@@ -159,6 +172,21 @@
   return true;
 }
 
+void TargetLifeCycle::RestoreDeparture(const TargetRun& run) {
+  if (run.empty() || (!departure_.empty() && !departure_.IsEarlierThan(run))) {
+    return;
+  }
+  departure_ = run;
+  const TargetRun current = RunOf(target_);
+  if (run.IsSame(current) && !IsLeaving(target_.state)) {
+    machine_.Handle("draining");
+  } else if (!current.empty() && current.IsEarlierThan(run)) {
+    // It was accepted as the first run of this process and is not confirmed.
+    machine_.Handle("lost");
+    target_.instance.clear();
+  }
+}
+
 void TargetLifeCycle::Publish() {
   const std::optional<TargetState> state = ParseTargetState(machine_.state());
   assert(state.has_value());
--- a/src/daemon/target_life_cycle.h
+++ b/src/daemon/target_life_cycle.h
@@ -10,6 +10,7 @@
 
 #include "dragonflytack/base/timer_service.h"
 #include "dragonflytack/calls/local_target.h"
+#include "dragonflytack/registry/target_run.h"
 #include "dragonflytack/statechart/chart_machine.h"
 
 namespace dragonflytack {
@@ -45,6 +46,15 @@
   // announces later.
   bool HandleAnnouncement(const LocalTarget& announced);
 
+  // Restores a departure that an earlier process of this node acknowledged, at
+  // any time: if the run is the target, it drains from now on, and an earlier
+  // run has to be confirmed. May call `on_changed`.
+  void RestoreDeparture(const TargetRun& run);
+
+  // The last run that announced that it leaves; empty if there was none or if
+  // it had no instance name.
+  const TargetRun& departure() const { return departure_; }
+
   // Called when no connection to the target can be made. A target that does not
   // leave gets calls again after its next announcement.
   void OnUnreachable() { machine_.Handle("lost"); }
@@ -93,6 +103,7 @@
   // Instance names and start times of the last runs that have left and are not
   // the target; 0 for a run that left without a start time.
   std::vector<std::pair<std::string, int64_t>> left_runs_;
+  TargetRun departure_;
   std::optional<EarlierRun> earlier_run_;
   // Whether the announcement timeout has passed since the last announcement.
   bool is_silent_ = false;
--- a/src/distribution/distribution_core.cc
+++ b/src/distribution/distribution_core.cc
@@ -26,6 +26,10 @@
   impl_->set_on_routes(std::move(on_routes));
 }
 
+void DistributionCore::set_on_departure(DepartureCallback on_departure) {
+  impl_->set_on_departure(std::move(on_departure));
+}
+
 void DistributionCore::Start() {
   impl_->Start();
 }
@@ -51,6 +55,10 @@
   impl_->SetTarget(service, state, slots, release);
 }
 
+void DistributionCore::SetDeparture(const TargetRun& run) {
+  impl_->SetDeparture(run);
+}
+
 void DistributionCore::SetRolloutRole(bool is_controller) {
   impl_->SetRolloutRole(is_controller);
 }
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -54,6 +54,9 @@
   void set_on_routes(RoutesCallback on_routes) {
     on_routes_ = std::move(on_routes);
   }
+  void set_on_departure(DepartureCallback on_departure) {
+    on_departure_ = std::move(on_departure);
+  }
   void Start();
   void OnLinkUp(LinkId id, const NodeRecord& peer, bool outgoing);
   void OnFrame(LinkId id, std::string_view frame);
@@ -62,6 +65,7 @@
                  TargetState state,
                  int slots,
                  const std::string& release);
+  void SetDeparture(const TargetRun& run);
   void SetRolloutRole(bool is_controller);
   void PublishShare(const RolloutShare& share);
   const RolloutShares& rollout_shares() const {
@@ -96,6 +100,8 @@
   void Handle(LinkState* link, const EntryRequestMessage& message);
 
   void SendHello(LinkState* link);
+  // Handles the departure that a peer has for this node.
+  void OnKnownDeparture(const LinkState& link, const TargetRun& run);
   void Tick();
   void SendHeartbeats();
   void OnWatchServedChanged();
@@ -149,6 +155,7 @@
   Logger* const logger_;
   Random random_;
   RoutesCallback on_routes_;
+  DepartureCallback on_departure_;
   Registry registry_;
   LinkTable links_;
   RegistrySync registry_sync_;
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -65,6 +65,7 @@
   if (const RegistryEntry* entry = registry_.Find(link->peer)) {
     hello.known_incarnation = entry->incarnation;
     hello.known_sequence = entry->sequence;
+    hello.known_departure = entry->departure;
   }
   links_.Send(link, hello);
 }
@@ -75,6 +76,7 @@
   link->in_force = message.in_force;
   registry_sync_.OnKnownRevision(message.known_incarnation,
                                  message.known_sequence);
+  OnKnownDeparture(*link, message.known_departure);
   if (message.in_force) {
     peer_versions_.Record(link->peer, message.version,
                           timers_->clock().WallMillis());
@@ -114,6 +116,26 @@
 void DistributionCore::Impl::Handle(LinkState* link,
                                     const RecordsMessage& message) {
   registry_sync_.OnRecords(link, message);
+  // A snapshot contains the record of the node that joins.
+  for (const RecordUpdate& update : message.records) {
+    if (update.record.id == settings_.node_id) {
+      OnKnownDeparture(*link, update.record.departure);
+    }
+  }
+}
+
+void DistributionCore::Impl::OnKnownDeparture(const LinkState& link,
+                                              const TargetRun& run) {
+  const TargetRun& known = self().departure;
+  if (run.empty() || !(known.empty() || known.IsEarlierThan(run))) {
+    return;
+  }
+  logger_->Info("departure_restored",
+                {{"peer", link.peer}, {"started_ms", run.started_ms}});
+  SetDeparture(run);
+  if (on_departure_) {
+    on_departure_(run);
+  }
 }
 
 void DistributionCore::Impl::Handle(LinkState* link,
@@ -213,6 +235,19 @@
   }
 }
 
+void DistributionCore::Impl::SetDeparture(const TargetRun& run) {
+  const TargetRun& known = self().departure;
+  if (run.empty() || run == known || run.IsEarlierThan(known)) {
+    return;
+  }
+  NodeRecord changed = registry_sync_.self();
+  changed.departure = run;
+  registry_sync_.UpdateSelf(std::move(changed));
+  // The process may end as soon as the departure is acknowledged.
+  FlushBatch();
+  links_.Flush();
+}
+
 void DistributionCore::Impl::SetRolloutRole(bool is_controller) {
   NodeRecord changed = registry_sync_.self();
   changed.rollout_shares = is_controller ? registry_.rollout_shares().All()
--- a/src/distribution/link_table.cc
+++ b/src/distribution/link_table.cc
@@ -82,6 +82,10 @@
   SendFrame(link, message.index(), MessageCodec::Encode(message));
 }
 
+void LinkTable::Flush() {
+  layer_->Flush();
+}
+
 void LinkTable::SendFrame(LinkState* link,
                           size_t kind,
                           const std::string& frame) {
--- a/src/distribution/link_table.h
+++ b/src/distribution/link_table.h
@@ -49,6 +49,8 @@
   void Send(LinkState* link, const Message& message);
   // Sends an encoded frame, so that several links can share one encoding.
   void SendFrame(LinkState* link, size_t kind, const std::string& frame);
+  // See LinkLayer::Flush().
+  void Flush();
   void CountReceived(const LinkState& link, size_t kind, size_t bytes);
   size_t QueuedBytes(const LinkState& link) const;
 
--- a/src/distribution/messages.h
+++ b/src/distribution/messages.h
@@ -37,6 +37,8 @@
   // 0 if it has none.
   uint64_t known_incarnation = 0;
   uint64_t known_sequence = 0;
+  // The departure that the sender's registry has for the receiver.
+  TargetRun known_departure;
 
   friend bool operator==(const HelloMessage&, const HelloMessage&) = default;
 };
--- a/src/distribution/record_codec.cc
+++ b/src/distribution/record_codec.cc
@@ -90,7 +90,9 @@
                  static_cast<unsigned>(update.liveness),
                  update.ended_ago_s,
                  record.release,
-                 WriteShares(record.rollout_shares)};
+                 WriteShares(record.rollout_shares),
+                 record.departure.instance_hash,
+                 record.departure.started_ms};
   while (fields.size() > kRequiredFields &&
          (fields.back() == json(0) || fields.back() == json("") ||
           fields.back() == json::array())) {
@@ -160,6 +162,12 @@
   if (reader.ok() && !reader.AtEnd()) {
     record.rollout_shares = ReadShares(&reader);
   }
+  if (reader.ok() && !reader.AtEnd()) {
+    record.departure.instance_hash = reader.Unsigned(TargetRun::kMaxNumber);
+  }
+  if (reader.ok() && !reader.AtEnd()) {
+    record.departure.started_ms = reader.Signed(0, TargetRun::kMaxNumber);
+  }
   if (!reader.Finished() || record.id.empty() || record.address.empty() ||
       record.data_centre.empty() || record.region.empty()) {
     outer->Fail();
--- a/src/net/record_json.cc
+++ b/src/net/record_json.cc
@@ -85,6 +85,19 @@
   return shares;
 }
 
+TargetRun DepartureFromJson(const json& object, FieldReader* record) {
+  TargetRun run;
+  FieldReader reader(object);
+  if (object.is_object()) {
+    reader.Read("instance_hash", &run.instance_hash, TargetRun::kMaxNumber);
+    reader.Read("started_ms", &run.started_ms, TargetRun::kMaxNumber);
+  }
+  if (!reader.invalid_field().empty() || run.empty()) {
+    record->MarkInvalid("departure");
+  }
+  return run;
+}
+
 }  // namespace
 
 std::string_view TargetStateName(TargetState state) {
@@ -126,6 +139,10 @@
                                         {"share", share.share},
                                         {"epoch", share.epoch}});
   }
+  if (!record.departure.empty()) {
+    object["departure"] = {{"instance_hash", record.departure.instance_hash},
+                           {"started_ms", record.departure.started_ms}};
+  }
   return object;
 }
 
@@ -154,6 +171,9 @@
   if (const auto list = object.find("rollout_shares"); list != object.end()) {
     record.rollout_shares = SharesFromJson(*list, &reader);
   }
+  if (const auto run = object.find("departure"); run != object.end()) {
+    record.departure = DepartureFromJson(*run, &reader);
+  }
   const std::optional<TargetState> parsed_state = ParseTargetState(state);
   if (!parsed_state) {
     reader.MarkInvalid("state");
--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -150,6 +150,17 @@
   return evbuffer_get_length(bufferevent_get_output(socket_));
 }
 
+void WebSocketLink::Flush() {
+  evbuffer* const output = bufferevent_get_output(socket_);
+  if (evbuffer_get_length(output) == 0) {
+    return;
+  }
+  // A bufferevent keeps its output frozen except while it writes itself.
+  evbuffer_unfreeze(output, 1);
+  evbuffer_write(output, bufferevent_getfd(socket_));
+  evbuffer_freeze(output, 1);
+}
+
 void WebSocketLink::OnReadable(bufferevent* socket, void* self) {
   auto* const link = static_cast<WebSocketLink*>(self);
   evbuffer* const input = bufferevent_get_input(socket);
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -82,6 +82,9 @@
   // Whether Close() was called.
   bool is_closed_locally() const { return closed_locally_; }
   size_t queued_bytes() const;
+  // Writes queued bytes to the socket as far as it takes them. A failure is
+  // left to the next regular write, which reports it.
+  void Flush();
   uint64_t sent_bytes() const { return sent_bytes_; }
   uint64_t received_bytes() const { return received_bytes_; }
 
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -114,6 +114,14 @@
   }
 }
 
+void WebSocketLinkLayer::Flush() {
+  for (const auto& [id, link] : links_) {
+    if (link->is_up()) {
+      link->Flush();
+    }
+  }
+}
+
 size_t WebSocketLinkLayer::QueuedBytes(LinkId link) const {
   const auto found = links_.find(link);
   return found == links_.end() ? 0 : found->second->queued_bytes();
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -57,6 +57,7 @@
   LinkId Connect(const HostPort& peer) override;
   void Close(LinkId link) override;
   void Send(LinkId link, std::string frame) override;
+  void Flush() override;
   size_t QueuedBytes(LinkId link) const override;
 
   // Stops accepting and starting links, and closes all links after sending
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -27,23 +27,24 @@
 }  // namespace
 
 NodeRecord RegistryEntry::ToRecord() const {
-  return NodeRecord{id,
-                    incarnation,
-                    sequence,
-                    *region,
-                    *data_centre,
-                    address,
-                    peer_port,
-                    mesh_port,
-                    admin_port,
-                    *service,
-                    state,
-                    warming_since_ms,
-                    slots,
-                    *successor,
-                    *release,
-                    rollout_shares == nullptr ? std::vector<RolloutShare>()
-                                              : *rollout_shares};
+  return NodeRecord{
+      id,
+      incarnation,
+      sequence,
+      *region,
+      *data_centre,
+      address,
+      peer_port,
+      mesh_port,
+      admin_port,
+      *service,
+      state,
+      warming_since_ms,
+      slots,
+      *successor,
+      *release,
+      rollout_shares == nullptr ? std::vector<RolloutShare>() : *rollout_shares,
+      departure};
 }
 
 Registry::Registry(const Clock* clock) : clock_(clock) {}
@@ -218,6 +219,9 @@
   entry->admin_port = record.admin_port;
   entry->state = record.state;
   entry->release = pool_.Intern(record.release);
+  if (!record.departure.empty()) {
+    entry->departure = record.departure;
+  }
   entry->rollout_shares =
       record.rollout_shares.empty()
           ? nullptr
--- a/src/registry/registry_entry.h
+++ b/src/registry/registry_entry.h
@@ -32,6 +32,9 @@
   // Hash over the id, the revision and whether the node is dead, as it enters
   // the digests.
   uint64_t hash = 0;
+  // See NodeRecord. Kept if a newer record has none: the process of the node
+  // has restarted and does not know it yet.
+  TargetRun departure;
   int slots = 0;
   uint16_t peer_port = 0;
   uint16_t mesh_port = 0;
