--- a/tests/platform_rollout_orders_test.cc
+++ b/tests/platform_rollout_orders_test.cc
@@ -1,7 +1,13 @@
 #include "platform/rollout_orders.h"
 
+#include <chrono>
+#include <thread>
+
 #include <criterion/criterion.h>
 
+#include "call_fixture.h"
+#include "dragonflytack/base/system_clock.h"
+#include "holding_relay.h"
 #include "object_store_fixture.h"
 #include "platform/store_message.h"
 
@@ -9,6 +15,8 @@
 
 namespace {
 
+constexpr uint16_t kRelayPort = 7301;
+
 std::string Order(int revision, const std::string& status) {
   return fmt::format(
       R"({{"metadata":{{"name":"roster","revision":{}}},"spec":{{"service":)"
@@ -105,4 +113,51 @@
             "PUT /objects/rollouts/roster/status");
 }
 
+// Guards against a state that is written late, on a kept connection that has
+// gone silent together with that of the watch before.
+Test(platform_rollout_orders, state_is_written_after_a_silent_watch) {
+  ScriptedTarget server(
+      LoopbackAddress(0), kStorePort, [](int fd, const std::string& head, int) {
+        if (head.find("wait_ms") != std::string::npos) {
+          std::this_thread::sleep_for(Milliseconds(200));
+          return ScriptedTarget::Respond(fd, R"({"at":6,"events":[]})");
+        }
+        return ScriptedTarget::Respond(
+            fd, R"({"at":5,"items":[)" + Order(4, "") + "]}");
+      });
+  SystemClock clock;
+  const auto loop = EventLoop::Make(&clock);
+  HoldingRelay relay(loop.get(), {LoopbackAddress(0), kRelayPort},
+                     {LoopbackAddress(0), kStorePort});
+  PlatformRolloutOrders orders(loop.get(), relay.address(),
+                               Milliseconds(2'000));
+  const auto next = [&] {
+    std::optional<std::vector<RolloutOrder>> found;
+    orders.Next(Milliseconds(100), [&](auto listed, const Failure&) {
+      found = std::move(listed);
+      loop->Stop();
+    });
+    loop->Run();
+    return found;
+  };
+  const auto write = [&](const RolloutOrder& order) {
+    const TimePoint begin = std::chrono::steady_clock::now();
+    FailureCode code = FailureCode::kInternal;
+    orders.WriteProgress(order, RolloutProgress::kRunning,
+                         [&](const Failure& reason) {
+                           code = reason.code;
+                           loop->Stop();
+                         });
+    loop->Run();
+    cr_expect(code == FailureCode::kNone);
+    return std::chrono::steady_clock::now() - begin;
+  };
+  const auto listed = next();
+  cr_assert(listed && listed->size() == 1);
+  write(listed->front());
+  relay.Silence();
+  cr_assert(!next());
+  cr_expect(write(listed->front()) < Milliseconds(1'000));
+}
+
 }  // namespace dragonflytack::platform
