--- a/tests/distribution_version_test.cc
+++ b/tests/distribution_version_test.cc
@@ -316,6 +316,28 @@
   cr_assert_leq(fleet.store.calls["get table"], 4);
 }
 
+// Guards against an old table that stays in force on nodes whose links went
+// silent just before it was replaced, although new links would work.
+Test(distribution_version, silent_links_delay_no_version) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    CoreFleet fleet(seed);
+    fleet.WriteTable({"roster"});
+    fleet.StartMany({"north1", "north2", "south1"}, 5);
+    cr_assert(fleet.RunUntil(Milliseconds(30'000),
+                             [&] { return fleet.AllHaveNodes(15); }));
+    fleet.Run(Milliseconds(10'000));
+    for (const auto& [a, first] : fleet.nodes) {
+      for (const auto& [b, second] : fleet.nodes) {
+        fleet.network.DropFramesBetween(first.host, second.host);
+      }
+    }
+    const TableVersion version = fleet.WriteTable({"roster", "booking"});
+    cr_expect(fleet.RunUntil(Milliseconds(3'000),
+                             [&] { return fleet.AllHaveVersion(version); }),
+              "seed %lu", seed);
+  }
+}
+
 // Guards against starting nodes that each leave a watch at the store: the
 // registry of such a node contains only itself, so it counts as a designated
 // watcher. The watches of 5,300 nodes exceed the store's rate limit.
