--- a/tests/departure_test.cc
+++ b/tests/departure_test.cc
@@ -214,6 +214,26 @@
   }
 }
 
+// Guards against a departure that is forgotten when all hosts lose power.
+Test(departure, outlives_the_end_of_all_processes) {
+  CoreFleet fleet(1);
+  StartFleet(&fleet);
+  const NodeId id = "north1-0";
+  const TargetRun run = TargetRun::Make("i-1", 1'000);
+  fleet.nodes[id].core->SetDeparture(run);
+  fleet.Run(Milliseconds(500));
+  for (const auto& [name, node] : fleet.nodes) {
+    fleet.Crash(name, /*is_power_loss=*/true);
+  }
+  fleet.Run(Milliseconds(300));
+  for (const auto& [name, node] : fleet.nodes) {
+    if (name != id) {
+      fleet.Boot(name);
+    }
+  }
+  cr_expect(RestartAndAwaitDeparture(&fleet, id, Milliseconds(3'000)) == run);
+}
+
 // Guards against a node that puts a table in force, so that it may send calls
 // to its target, before a peer has reported the departure.
 Test(departure, peers_restore_it_before_calls_are_served) {
