--- a/tests/departure_test.cc
+++ b/tests/departure_test.cc
@@ -4,7 +4,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <memory>
 #include <optional>
 #include <string>
@@ -324,14 +327,15 @@
   // Whether the second node has the target of the first one in this state.
   bool HasState(const std::string& state) const {
     const HttpReply reply = Request(1, 7004, "GET", "/nodes", "");
-    const nlohmann::json nodes =
+    const nlohmann::json body =
         nlohmann::json::parse(reply.body, nullptr, false);
-    const std::string text = nodes.dump();
-    const size_t at = text.find("\"id\":\"n0\"");
-    const size_t begin = text.rfind('{', at);
-    return at != std::string::npos &&
-           text.substr(begin, text.find("\"warming", at) - begin)
-                   .find("\"state\":\"" + state + "\"") != std::string::npos;
+    if (!body.is_object()) {
+      return false;
+    }
+    const auto& nodes = body.at("nodes");
+    return std::any_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+      return node.at("id") == "n0" && node.at("state") == state;
+    });
   }
 
   template <typename Condition>
