Input guard: the memory of a dropped connection is free at once

What callers saw: 300 clients, one after another, that each announce a body of 4 MB and stop just short of its end took a node from 10 to 382 MB at calls.max_buffered_mb = 8, although nearly all of them were dropped by then.

Cause: evhttp leaves the bytes of an announced body, or of a chunk, in the input of the bufferevent until they are complete. The ledger no longer counted them. The peak was therefore the rate of the crowd times 250 ms. The same happened when a client left with its body incomplete. If bytes of the peer were still unread, evhttp itself ended the connection only after these were read and discarded, 4 KB in each turn of the event loop.

Evidence: the peak depends on the pace. With 300 connections and a driver in Python: 193 MB at a pause of 5 ms, 83 MB at 15 ms, 38 MB at 50 ms; 40 connections at 350 ms: 22 MB. Chunks that evhttp moves to the request do not show it (20 to 22 MB at each pace).

Fix: a dropped connection is looked at in the same turn of the event loop: its input is drained, evhttp gets the end of the stream, and the guard releases its reference. What is not counted can then only be what one turn reads.

--- a/src/base/input_guard.cc
+++ b/src/base/input_guard.cc
@@ -141,11 +141,12 @@
     if (std::exchange(dropped_, true)) {
       return;
     }
+    // Its memory is counted no longer, so it must be free before more bytes
+    // arrive.
+    guard_->CheckLater(bufev_);
     if (IsEnded()) {
       Release();
-      if (is_lingering_) {
-        EndLinger();
-      }
+      is_linger_over_ = true;
       return;
     }
     const int fd = bufferevent_getfd(bufev_);
@@ -164,6 +165,20 @@
     Release();
   }
 
+  // Frees the memory of a dropped connection and has evhttp end it now. Unread
+  // bytes would delay the end of the stream, and evhttp would keep the body.
+  // Must not be called from within callbacks of the connection.
+  void EndIfDropped() {
+    if (!dropped()) {
+      return;
+    }
+    evbuffer* const input = bufferevent_get_input(bufev_);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (!IsEnded()) {
+      bufferevent_trigger_event(bufev_, BEV_EVENT_READING | BEV_EVENT_EOF, 0);
+    }
+  }
+
   // A complete request was delivered.
   void OnRequest() {
     Enter(InputPhase::kHandling, guard_->Now());
@@ -510,6 +525,7 @@
     if (found == guard->connections_.end()) {
       continue;
     }
+    found->second->EndIfDropped();
     found->second->LingerIfEnded();
     if (found->second->IsOver()) {
       guard->connections_.erase(found);
--- a/tests/hostile_fixture.cc
+++ b/tests/hostile_fixture.cc
@@ -24,6 +24,8 @@
 
 // Time after which a connection that takes no more bytes has stopped reading.
 constexpr Milliseconds kNoProgress{1'500};
+// The same for a connection whose successor waits for it.
+constexpr Milliseconds kNoProgressOfOne{200};
 constexpr Milliseconds kStartLimit{30'000};
 constexpr Milliseconds kAnswerLimit{20'000};
 constexpr size_t kBlockBytes = 65'536;
@@ -34,6 +36,8 @@
       .string();
 }
 
+}  // namespace
+
 // One connection of a crowd.
 class Sender final {
  public:
@@ -90,8 +94,6 @@
   bool done_ = false;
 };
 
-}  // namespace
-
 HostileFixture::HostileFixture(const std::string& program, int max_pipelined)
     : address_(LoopbackAddress(0)) {
   std::string directory = "/tmp/dragonflytack_test_XXXXXX";
@@ -189,6 +191,28 @@
             reply.body.c_str());
 }
 
+int HostileFixture::SendOneAfterAnother(uint16_t port,
+                                        const HostileInput& input,
+                                        std::deque<Sender>* senders) const {
+  int descriptors = 0;
+  for (int i = 0; i < input.connections; ++i) {
+    if (i >= input.kept_open) {
+      senders->pop_front();
+    }
+    Sender& sender = senders->emplace_back(address_, port, input);
+    TimePoint progress = std::chrono::steady_clock::now();
+    while (!sender.done() &&
+           std::chrono::steady_clock::now() < progress + kNoProgressOfOne) {
+      if (sender.Step()) {
+        progress = std::chrono::steady_clock::now();
+      }
+    }
+    descriptors = std::max(descriptors, CountDescriptors());
+    std::this_thread::sleep_for(input.pause);
+  }
+  return descriptors;
+}
+
 void HostileFixture::Check(uint16_t port,
                            const std::vector<HostileInput>& inputs,
                            const std::string& request) {
@@ -199,8 +223,13 @@
   ExpectAnswer(port, request);
   const size_t memory = ReadStatus("VmRSS");
   int descriptors = 0;
-  std::vector<Sender> senders;
+  std::deque<Sender> senders;
   for (const HostileInput& input : inputs) {
+    if (input.one_after_another) {
+      descriptors =
+          std::max(descriptors, SendOneAfterAnother(port, input, &senders));
+      continue;
+    }
     for (int i = 0; i < input.connections; ++i) {
       senders.emplace_back(address_, port, input);
     }
--- a/tests/hostile_fixture.h
+++ b/tests/hostile_fixture.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYTACK_TESTS_HOSTILE_FIXTURE_H_
 #define DRAGONFLYTACK_TESTS_HOSTILE_FIXTURE_H_
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,8 +23,17 @@
   // Whether each unit is a TCP segment of its own. Each connection then sends
   // one unit in turn, so that the node reads them one at a time.
   bool separate_segments = false;
+  // Whether each connection is opened when the one before has sent everything,
+  // instead of all before the first byte is sent.
+  bool one_after_another = false;
+  // Time between two such connections.
+  Milliseconds pause{0};
+  // How many of these stay open. Beyond them the oldest one is closed.
+  int kept_open = 1'000;
 };
 
+class Sender;
+
 // A daemon with a store, a target and one table with the service "roster", all
 // of them processes of their own. Its budget of buffered bytes is the smallest
 // that the settings allow, and its descriptors are limited.
@@ -68,6 +78,11 @@
   int CountDescriptors() const;
 
  private:
+  // Opens the connections of the crowd one after another. Returns the largest
+  // number of descriptors of the daemon meanwhile.
+  int SendOneAfterAnother(uint16_t port,
+                          const HostileInput& input,
+                          std::deque<Sender>* senders) const;
   // Returns a value of the daemon in bytes, for example "VmHWM".
   size_t ReadStatus(const std::string& name) const;
   void ImportTable();
