Responses: a status that is none ends no call

What callers saw: an endpoint in trouble sends a status line such as "HTTP/1.1 0200", "+200", "200x", "", "600" or "999". The caller got it as the result of its call, as 200 or with the number as it came. A store that responds so had its response taken for a done write. A record of a one-time call that a node hands over could have any number as its status. "000" and what is below 100 was already a broken response.

Cause: evhttp reads the status with atoi() and refuses 0 only. ResponseLimiter saw the number, and let 200 to 999 pass. HandoverMessage checked its type.

Change: StatusLineChecker reads the bytes of each head, interim ones included, before evhttp does. A status has three digits, 100 to 599, and a final one is 200 to 599. Connections to targets, to nodes and to the store share it through ResponseLimiter. Such a response is broken: a one-time call is unknown (504), an idempotent one goes to another target, a write of the store has an unknown result. A handover with another status in a record is refused.

Measured: response_status/* with 21 invalid statuses on both hops, after interim responses and in two segments. On the code before, the four tests with invalid ones failed: 600, 999, 0200, 00200, +200, , 200x and 200 with a tab behind it were taken.

--- a/src/base/response_limiter.cc
+++ b/src/base/response_limiter.cc
@@ -1,5 +1,8 @@
 #include "base/response_limiter.h"
 
+#include <algorithm>
+#include <vector>
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -11,7 +14,6 @@
 constexpr int kContinue = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 999;
 
 // A server that handles a request sends one or two.
 constexpr int kMaxInterimResponses = 8;
@@ -31,6 +33,7 @@
 
 void ResponseLimiter::Begin(evhttp_request* request) {
   request_ = request;
+  status_line_.Begin();
   interim_responses_ = 0;
   chunked_bytes_ = 0;
 }
@@ -38,7 +41,7 @@
 bool ResponseLimiter::AcceptHead() {
   const int status = request_->response_code;
   if (status >= kFirstFinalStatus) {
-    return status <= kLastStatus;
+    return IsFinalStatus(status);
   }
   // 101 has no use here: requests to targets carry no Upgrade header.
   if (status < kContinue || status == kSwitchingProtocols ||
@@ -52,7 +55,11 @@
   return true;
 }
 
-bool ResponseLimiter::AcceptInput(const evbuffer_cb_info& change) {
+bool ResponseLimiter::AcceptInput(evbuffer* buffer,
+                                  const evbuffer_cb_info& change) {
+  if (!status_line_.is_complete() && !AcceptStatusLine(buffer, change)) {
+    return false;
+  }
   if (!request_->chunked) {
     return true;
   }
@@ -65,6 +72,24 @@
              kMaxFramingBytes + (1 + kMaxFramingPerByte) * request_->body_size;
 }
 
+bool ResponseLimiter::AcceptStatusLine(evbuffer* buffer,
+                                       const evbuffer_cb_info& change) {
+  evbuffer_ptr begin;
+  if (evbuffer_ptr_set(buffer, &begin, change.orig_size, EVBUFFER_PTR_SET) !=
+      0) {
+    return true;
+  }
+  const auto size = static_cast<ev_ssize_t>(change.n_added);
+  const int count = evbuffer_peek(buffer, size, &begin, nullptr, 0);
+  std::vector<evbuffer_iovec> parts(static_cast<size_t>(std::max(count, 0)));
+  evbuffer_peek(buffer, size, &begin, parts.data(), count);
+  return std::all_of(
+      parts.begin(), parts.end(), [this](const evbuffer_iovec& part) {
+        return status_line_.Accept(
+            {static_cast<const char*>(part.iov_base), part.iov_len});
+      });
+}
+
 bool ResponseLimiter::IsBodyTooLarge() const {
   // evhttp sets the rest of the chunk to 0 at the last chunk only.
   return !request_->chunked || request_->ntoread != 0;
--- a/src/calls/upstream_connection.cc
+++ b/src/calls/upstream_connection.cc
@@ -232,7 +232,7 @@
   }
 }
 
-void UpstreamConnection::OnInput(evbuffer* /*buffer*/,
+void UpstreamConnection::OnInput(evbuffer* buffer,
                                  const evbuffer_cb_info* info,
                                  void* self) {
   auto* connection = static_cast<UpstreamConnection*>(self);
@@ -245,7 +245,7 @@
     bufferevent_disable(
         evhttp_connection_get_bufferevent(connection->connection_), EV_WRITE);
     connection->EndExchange(ExchangeOutcome::kStaleConnection);
-  } else if (!connection->limiter_.AcceptInput(*info)) {
+  } else if (!connection->limiter_.AcceptInput(buffer, *info)) {
     connection->EndExchange(ExchangeOutcome::kBroken);
   } else if (!connection->received_.Add(info->n_added)) {
     connection->EndExchange(ExchangeOutcome::kOverBudget);
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -215,7 +215,7 @@
   connection->sent_ = connection->sent_ || info->n_deleted > 0;
 }
 
-void HttpConnection::OnInput(evbuffer* /*buffer*/,
+void HttpConnection::OnInput(evbuffer* buffer,
                              const evbuffer_cb_info* info,
                              void* self) {
   auto* connection = static_cast<HttpConnection*>(self);
@@ -230,7 +230,7 @@
         evhttp_connection_get_bufferevent(connection->connection_), EV_WRITE);
     connection->response_.outcome = HttpOutcome::kStaleConnection;
     connection->FinishLater();
-  } else if (!connection->limiter_.AcceptInput(*info)) {
+  } else if (!connection->limiter_.AcceptInput(buffer, *info)) {
     connection->response_.outcome = HttpOutcome::kMalformed;
     connection->FinishLater();
   }
--- a/src/onetime/handover_message.cc
+++ b/src/onetime/handover_message.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/cbor_bounds.h"
+#include "base/status_line_checker.h"
 #include "dragonflytack/base/hash.h"
 #include "onetime/recorded_response.h"
 
@@ -66,7 +67,8 @@
 
 bool ReadResponse(const Json& json, Record* record) {
   RecordedResponse response;
-  if (!ReadInteger(json[7], &response.status) || !json[8].is_array() ||
+  if (!ReadInteger(json[7], &response.status) ||
+      !IsFinalStatus(response.status) || !json[8].is_array() ||
       json[8].size() % 2 != 0 || !json[9].is_binary()) {
     return false;
   }
