Input guard: the limit of connections holds if none of them is idle

What callers saw: with all connections of a port in use, by requests that run or whose responses are not read, the node accepted one more each millisecond, up to the descriptors of the process. 400 callers that pipeline requests and read nothing took the admin port, whose limit is 24, to 255 descriptors.

Cause: at the limit the guard paused the listener for 1 ms and then accepted again, whether there was room or not. Only idle connections, those that receive a request and lingering ones made way.

Change: the listener stays paused until there is room. Meanwhile connections whose response has not been read for 3 s make way too, each kept connection is closed with its next response (of pipelined calls, behind the last one that was started), and callers that have waited for 50 ms are refused with 503 and the headers of a refusal: nothing of their requests has been read.

--- a/src/base/input_guard.cc
+++ b/src/base/input_guard.cc
@@ -5,8 +5,10 @@
 #include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -34,6 +36,16 @@
 // next turn of the event loop.
 constexpr size_t kSurplusConnections = 16;
 
+// Dropped connections are closed within this time.
+constexpr Milliseconds kListenPause{1};
+// A connection that waits for longer, because all others are in use, is
+// refused. The callers can then use another node.
+constexpr Milliseconds kMaxAcceptDelay{50};
+// Connections that are refused at once, so that others are served meanwhile.
+constexpr int kMaxRefusals = 64;
+// A request without a body.
+constexpr size_t kMaxRefusedBytes = 16 << 10;
+
 // A peer that reads slowly makes progress more often than this, and one that
 // has read everything closes the connection sooner.
 constexpr Milliseconds kMaxLingerPause{2'000};
@@ -60,6 +72,19 @@
   return text;
 }
 
+// Sends a refusal with these headers; nothing if there are none.
+void SendRefusal(int fd, DropCause cause, const std::string& headers) {
+  if (headers.empty()) {
+    return;
+  }
+  const bool timed_out =
+      cause == DropCause::kHeadTimeout || cause == DropCause::kBodyTimeout;
+  const std::string head = fmt::format(
+      "HTTP/1.1 {}\r\n{}Connection: close\r\nContent-Length: 0\r\n\r\n",
+      timed_out ? "408 Request Timeout" : "503 Service Unavailable", headers);
+  send(fd, head.data(), head.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
 void Discard(bufferevent* bufev, void* /*connection*/) {
   evbuffer* const input = bufferevent_get_input(bufev);
   evbuffer_drain(input, evbuffer_get_length(input));
@@ -67,6 +92,16 @@
 
 }  // namespace
 
+// The order in which connections are dropped at the limit of their number,
+// beginning with those whose loss costs least.
+enum class InputGuard::DropOrder {
+  kLingering,
+  kNotServed,
+  kServed,
+  kNotReading,
+  kNever
+};
+
 // A connection of the server. It holds a reference to the bufferevent, because
 // evhttp does not report the end of a connection without a request. evhttp
 // clears the callbacks of a bufferevent that it frees.
@@ -98,6 +133,19 @@
 
   bool is_lingering() const { return is_lingering_; }
 
+  DropOrder FindDropOrder(TimePoint now) const {
+    if (is_lingering_) {
+      return DropOrder::kLingering;
+    }
+    if (phase() == InputPhase::kIdle || IsReceiving()) {
+      return served() ? DropOrder::kServed : DropOrder::kNotServed;
+    }
+    return phase() == InputPhase::kResponding &&
+                   now - last_progress() >= InputLedger::kReaderStalled
+               ? DropOrder::kNotReading
+               : DropOrder::kNever;
+  }
+
   // Begins to linger if evhttp has ended the connection and the peer has not.
   void LingerIfEnded() {
     if (is_lingering_ || !IsEnded() || !CanLinger()) {
@@ -157,9 +205,8 @@
     void* argument = nullptr;
     bufferevent_getcb(bufev_, nullptr, &on_write, &on_event, &argument);
     bufferevent_setcb(bufev_, &Discard, on_write, on_event, argument);
-    if (IsReceiving() && !has_written_ &&
-        !guard_->options_.refusal_headers.empty()) {
-      SendRefusal(fd, cause);
+    if (IsReceiving() && !has_written_) {
+      SendRefusal(fd, cause, guard_->options_.refusal_headers);
     }
     shutdown(fd, SHUT_RDWR);
     Release();
@@ -228,20 +275,6 @@
                              limited ? guard_->options_.read_ahead_bytes : 0);
   }
 
-  static void SendRefusal(int fd, const std::string& head) {
-    send(fd, head.data(), head.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-  }
-
-  void SendRefusal(int fd, DropCause cause) const {
-    const bool timed_out =
-        cause == DropCause::kHeadTimeout || cause == DropCause::kBodyTimeout;
-    SendRefusal(fd, fmt::format("HTTP/1.1 {}\r\n{}Connection: close\r\n"
-                                "Content-Length: 0\r\n\r\n",
-                                timed_out ? "408 Request Timeout"
-                                          : "503 Service Unavailable",
-                                guard_->options_.refusal_headers));
-  }
-
   static void OnInput(evbuffer* buffer,
                       const evbuffer_cb_info* info,
                       void* self) {
@@ -439,23 +472,33 @@
     return;
   }
   ForgetEnded();
-  // Connections in use that have not been dropped yet, and the one of them
-  // whose loss costs least: one that lingers, else one without a request so
-  // far, else an idle one.
+  DropLeastInUse();
+  if (IsFull() && socket_ != nullptr && listen_timer_ == 0) {
+    evconnlistener_disable(evhttp_bound_socket_get_listener(socket_));
+    paused_since_ = Now();
+    ResumeListeningLater();
+  }
+}
+
+bool InputGuard::IsFull() const {
+  return connections_.size() + 1 >=
+         options_.max_connections + kSurplusConnections;
+}
+
+void InputGuard::DropLeastInUse() {
+  const TimePoint now = Now();
+  // Connections that have not been dropped yet.
   size_t count = 0;
   Connection* victim = nullptr;
-  std::tuple<bool, bool, TimePoint> lowest;
+  std::tuple<DropOrder, TimePoint> lowest;
   for (const auto& [bufev, connection] : connections_) {
     if (connection->dropped()) {
       continue;
     }
     ++count;
-    const bool idle = connection->phase() == InputPhase::kIdle;
-    const bool receiving = connection->phase() == InputPhase::kHead ||
-                           connection->phase() == InputPhase::kBody;
-    const std::tuple order(!connection->is_lingering(), connection->served(),
+    const std::tuple order(connection->FindDropOrder(now),
                            connection->last_progress());
-    if ((idle || receiving || connection->is_lingering()) &&
+    if (std::get<DropOrder>(order) != DropOrder::kNever &&
         (victim == nullptr || order < lowest)) {
       victim = connection.get();
       lowest = order;
@@ -464,18 +507,44 @@
   if (count >= options_.max_connections && victim != nullptr) {
     victim->Drop(DropCause::kConnectionLimit);
   }
-  if (connections_.size() + 1 >=
-          options_.max_connections + kSurplusConnections &&
-      socket_ != nullptr && listen_timer_ == 0) {
-    evconnlistener* const listener = evhttp_bound_socket_get_listener(socket_);
-    evconnlistener_disable(listener);
-    listen_timer_ = loop_->timers().SubscribeOnce(Milliseconds(1), [this] {
-      listen_timer_ = 0;
-      ForgetEnded();
-      if (socket_ != nullptr) {
-        evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
-      }
-    });
+}
+
+void InputGuard::ResumeListeningLater() {
+  listen_timer_ = loop_->timers().SubscribeOnce(kListenPause, [this] {
+    listen_timer_ = 0;
+    ForgetEnded();
+    is_short_of_connections_ = IsFull();
+    if (socket_ == nullptr) {
+      return;
+    }
+    if (!IsFull()) {
+      evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
+      return;
+    }
+    DropLeastInUse();
+    if (Now() - paused_since_ >= kMaxAcceptDelay) {
+      RefuseWaiting();
+    }
+    ResumeListeningLater();
+  });
+}
+
+void InputGuard::RefuseWaiting() const {
+  const int listener =
+      evconnlistener_get_fd(evhttp_bound_socket_get_listener(socket_));
+  for (int i = 0; i < kMaxRefusals; ++i) {
+    const int fd =
+        accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      return;
+    }
+    on_dropped_({DropCause::kConnectionLimit, PeerOf(fd), 0});
+    SendRefusal(fd, DropCause::kConnectionLimit, options_.refusal_headers);
+    shutdown(fd, SHUT_WR);
+    // Unread bytes would make the kernel reset the connection.
+    std::array<char, kMaxRefusedBytes> bytes;
+    recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    close(fd);
   }
 }
 
--- a/src/base/input_guard.h
+++ b/src/base/input_guard.h
@@ -81,16 +81,28 @@
 
   size_t connections() const { return connections_.size(); }
 
+  // Whether new connections wait because all are in use. Each should then be
+  // closed with its next response.
+  bool is_short_of_connections() const { return is_short_of_connections_; }
+
   // Returns the number of connections that linger. Each ends at the latest 2 s
   // after the peer has last acknowledged bytes, and 30 s after evhttp ended it.
   size_t CountLingering() const;
 
  private:
   class Connection;
+  enum class DropOrder;
 
   static bufferevent* OnAccept(event_base* base, void* self);
-  // Drops the connection that is least in use if there are too many.
+  // Makes room for another connection, or stops accepting any until there is
+  // room.
   void LimitConnections();
+  bool IsFull() const;
+  // Drops the connection that is least in use if there are too many.
+  void DropLeastInUse();
+  void ResumeListeningLater();
+  // Refuses connections that wait to be accepted.
+  void RefuseWaiting() const;
   // Forgets ended connections and drops those that exceed a time limit.
   void Sweep();
   // Forgets connections that have ended, and lets those linger that evhttp has
@@ -111,7 +123,10 @@
   event* const check_event_;
   std::vector<bufferevent*> to_check_;
   TimerId sweep_timer_;
+  // Set while no connections are accepted.
   TimerId listen_timer_ = 0;
+  TimePoint paused_since_;
+  bool is_short_of_connections_ = false;
   TimePoint last_sweep_;
 };
 
--- a/src/base/input_ledger.cc
+++ b/src/base/input_ledger.cc
@@ -9,9 +9,6 @@
 // A sender that pauses for this long makes way for others. TCP resends a lost
 // segment within a second between the most distant hosts.
 constexpr Milliseconds kStalled{1'000};
-// A response is cut off only if its reader takes nothing for this long, because
-// its call has run.
-constexpr Milliseconds kReaderStalled{3'000};
 
 }  // namespace
 
@@ -91,8 +88,8 @@
     const auto pause = now - sender->last_progress_;
     const bool receiving = sender->phase_ == InputPhase::kHead ||
                            sender->phase_ == InputPhase::kBody;
-    const bool unread =
-        sender->phase_ == InputPhase::kResponding && pause >= kReaderStalled;
+    const bool unread = sender->phase_ == InputPhase::kResponding &&
+                        pause >= InputLedger::kReaderStalled;
     if (sender->dropped_ || sender->bytes() == 0 || !(receiving || unread)) {
       continue;
     }
--- a/src/base/input_ledger.h
+++ b/src/base/input_ledger.h
@@ -90,6 +90,10 @@
     Milliseconds body_timeout{10'000};
   };
 
+  // A response is cut off only if its reader takes nothing for this long,
+  // because its call has run.
+  static constexpr Milliseconds kReaderStalled{3'000};
+
   // `budget` must outlive the ledger and is used on its thread only.
   InputLedger(BufferBudget* budget, const Limits& limits)
       : budget_(budget), limits_(limits) {}
--- a/src/calls/entry_pipeline.cc
+++ b/src/calls/entry_pipeline.cc
@@ -58,8 +58,8 @@
 }
 
 void CallEntry::ReadAhead(Pipeline* pipeline) {
-  while (!starts_none_early_ && pipeline->current != nullptr &&
-         pipeline->input.HasMore()) {
+  while (!starts_none_early_ && !pipeline->is_closing &&
+         pipeline->current != nullptr && pipeline->input.HasMore()) {
     if (!pipeline->is_checked) {
       // No request was started early, so this is still the first call.
       if (!MayBeOvertaken(pipeline->current->inbound->request())) {
@@ -138,11 +138,16 @@
   pipeline->early.pop_front();
   --early_calls_;
   context_->metrics->CountPipelined(PipelineEvent::kAnswered);
+  evkeyvalq* const headers = evhttp_request_get_output_headers(request);
+  pipeline->is_closing |= evhttp_find_header(headers, "Connection") != nullptr;
   if (!pipeline->early.empty()) {
-    // The last early call closes the connection of a node that stops: its
-    // caller could not tell whether a call after a closing response has run.
-    evhttp_remove_header(evhttp_request_get_output_headers(request),
-                         "Connection");
+    // The last early call closes the connection of a node that stops, or has
+    // too many: its caller could not tell whether a call after a closing
+    // response has run.
+    evhttp_remove_header(headers, "Connection");
+  } else if (pipeline->is_closing) {
+    evhttp_remove_header(headers, "Connection");
+    evhttp_add_header(headers, "Connection", "close");
   }
   call->Deliver(this, request);
   call->pipeline = pipeline;
--- a/src/calls/entry_pipeline.h
+++ b/src/calls/entry_pipeline.h
@@ -27,6 +27,8 @@
   // Whether the head of the first request was checked, and others may overtake
   // it. It is checked only if bytes follow it.
   bool is_checked = false;
+  // Whether the connection is closed after the calls that were started.
+  bool is_closing = false;
 };
 
 }  // namespace dragonflytack
--- a/src/calls/http_server.cc
+++ b/src/calls/http_server.cc
@@ -101,7 +101,9 @@
     evhttp_send_reply(request, HTTP_SERVUNAVAIL, nullptr, nullptr);
     return;
   }
-  if (server->close_after_responses_) {
+  if (server->close_after_responses_ ||
+      (server->guard_ != nullptr &&
+       server->guard_->is_short_of_connections())) {
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
                       "close");
   }
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -110,6 +110,10 @@
     evhttp_send_reply(request, HTTP_SERVUNAVAIL, nullptr, nullptr);
     return;
   }
+  if (server->guard_ != nullptr && server->guard_->is_short_of_connections()) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+  }
   const AdminResponse response = server->handler_->Handle(FromHttp(request));
   evhttp_add_header(evhttp_request_get_output_headers(request), "content-type",
                     response.content_type.c_str());
