Links: a slow handshake makes way for another node at the limit

What operators saw: 300 connections to the peer port that never send anything keep nodes from connecting for 3 s, again and again if the crowd returns.

Cause: at the limit of inbound links new ones were refused, although accepted ones had made no progress in their handshake. These ended only by the timeout of the handshake, 3 s.

Change: at the limit, the oldest accepted connection that is not up makes way if it is older than 500 ms. Younger ones stay, so that in a reconnect storm of nodes the handshakes that were begun are completed.

--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -138,6 +138,14 @@
   machine_.Handle("closed");
 }
 
+void WebSocketLink::Abort(const std::string& detail) {
+  Fail(FailureCode::kOverloaded, detail);
+  // A link that is closing waits for the peer.
+  if (!machine_.is_final()) {
+    machine_.Handle("failed");
+  }
+}
+
 bool WebSocketLink::is_up() const {
   return machine_.state() == "up";
 }
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -71,6 +71,10 @@
   // yet.
   void Close();
 
+  // Ends the link at once, without waiting for the peer, as kOverloaded. Calls
+  // OnDown() and OnReleased() if they were not called yet.
+  void Abort(const std::string& detail);
+
   LinkId id() const { return id_; }
   bool outgoing() const { return outgoing_; }
   const HostPort& remote() const { return remote_; }
--- a/src/net/websocket_link_layer.cc
+++ b/src/net/websocket_link_layer.cc
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr int kListenBacklog = 512;
+// A handshake takes three round trips, and a node that is short of processor
+// time sends its messages within this time.
+constexpr Milliseconds kSlowHandshake{500};
 
 HostPort ToHostPort(const sockaddr* address) {
   char text[INET6_ADDRSTRLEN] = {};
@@ -172,6 +175,9 @@
                                   void* self) {
   auto* const layer = static_cast<WebSocketLinkLayer*>(self);
   const HostPort remote = ToHostPort(address);
+  if (layer->inbound_count_ >= layer->options_.max_inbound) {
+    layer->EndSlowHandshake();
+  }
   if (layer->inbound_count_ >= layer->options_.max_inbound) {
     layer->logger_->Warning("link_refused",
                             {{"peer", remote.ToString()},
@@ -179,7 +185,22 @@
     evutil_closesocket(fd);
     return;
   }
-  layer->Add(fd, /*outgoing=*/false, remote)->Start();
+  WebSocketLink* const link = layer->Add(fd, /*outgoing=*/false, remote);
+  layer->handshakes_.emplace(link->id(), layer->loop_->clock().Now());
+  link->Start();
+}
+
+void WebSocketLinkLayer::EndSlowHandshake() {
+  if (handshakes_.empty()) {
+    return;
+  }
+  const auto& [id, accepted_at] = *handshakes_.begin();
+  if (loop_->clock().Now() - accepted_at < kSlowHandshake) {
+    return;
+  }
+  if (const auto found = links_.find(id); found != links_.end()) {
+    found->second->Abort("a slow handshake makes way for another connection");
+  }
 }
 
 WebSocketLink* WebSocketLinkLayer::Add(int fd,
@@ -210,6 +231,7 @@
 }
 
 void WebSocketLinkLayer::OnUp(WebSocketLink* link) {
+  handshakes_.erase(link->id());
   logger_->Log(LogLevel::kDebug, "connection_up",
                {{"link", link->id()},
                 {"peer", link->peer().id},
@@ -257,6 +279,7 @@
   ended.sent += link->sent_bytes();
   ended.received += link->received_bytes();
   inbound_count_ -= link->outgoing() ? 0 : 1;
+  handshakes_.erase(link->id());
   deferred_tasks_.Post([this, id = link->id()] {
     links_.erase(id);
     if (links_.empty() && on_closed_) {
--- a/src/net/websocket_link_layer.h
+++ b/src/net/websocket_link_layer.h
@@ -95,6 +95,9 @@
                        int size,
                        void* self);
   WebSocketLink* Add(int fd, bool outgoing, const HostPort& remote);
+  // Ends the oldest accepted connection whose handshake takes long, if there is
+  // one, to make room for another.
+  void EndSlowHandshake();
   // Starts a link on a later turn of the loop, so that Connect() calls no
   // callback.
   void StartLater(LinkId id);
@@ -112,6 +115,9 @@
   evconnlistener* listener_ = nullptr;
   LinkId next_id_ = 1;
   size_t inbound_count_ = 0;
+  // Accepted links that have not been up, with the times of their accept. Their
+  // order is that of the accepts.
+  std::map<LinkId, TimePoint> handshakes_;
   std::unordered_map<LinkId, std::unique_ptr<WebSocketLink>> links_;
   // Links that were requested after Shutdown() and not reported down yet.
   std::set<LinkId> refused_;
--- a/tests/hostile_crowd_test.cc
+++ b/tests/hostile_crowd_test.cc
@@ -2,8 +2,9 @@
 // The crowds were fixed on the code that failed with them. The tests run one at
 // a time, apart from other load.
 
+#include <deque>
 #include <string>
-#include <vector>
+#include <thread>
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
@@ -88,4 +89,19 @@
 HOSTILE_BODY_TESTS(hostile_call_bodies, HostileFixture::kCallPort, kCall)
 HOSTILE_BODY_TESTS(hostile_mesh_bodies, HostileFixture::kMeshPort, kForwarded)
 
+// Guards against connections that never authenticate and keep nodes from
+// connecting.
+Test(hostile_peer_crowd, idle_connections) {
+  const HostileFixture fixture;
+  const std::string upgrade = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  fixture.ExpectAnswer(HostileFixture::kPeerPort, upgrade);
+  std::deque<Socket> crowd;
+  for (int i = 0; i < kCrowd; ++i) {
+    crowd.emplace_back(fixture.address(), HostileFixture::kPeerPort);
+  }
+  // Half of the time after which such a connection ends anyway.
+  std::this_thread::sleep_for(Milliseconds(1'500));
+  fixture.ExpectAnswer(HostileFixture::kPeerPort, upgrade);
+}
+
 }  // namespace dragonflytack
--- a/tests/websocket_link_layer_test.cc
+++ b/tests/websocket_link_layer_test.cc
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "call_fixture.h"
 #include "link_fixture.h"
 
 namespace dragonflytack {
@@ -346,6 +347,21 @@
   cr_assert_eq(fixture.b.peers.size(), 1u);
 }
 
+// Guards against connections that never authenticate and keep a node from
+// connecting until they time out.
+Test(websocket_link_layer, slow_handshake_makes_way_for_a_node) {
+  LinkOptions one = OptionsWithKey();
+  one.max_inbound = 1;
+  one.handshake_timeout = Milliseconds(60'000);
+  LinkFixture fixture(OptionsWithKey(), one);
+  const Socket silent(fixture.b.address.address, fixture.b.address.port);
+  const TimePoint later = fixture.clock.Now() + Milliseconds(700);
+  cr_assert(fixture.Run([&] { return fixture.clock.Now() > later; }));
+  fixture.a.layer->Connect(fixture.b.address);
+  cr_assert(fixture.Run([&] { return fixture.b.peers.size() == 1; }));
+  cr_expect_eq(fixture.b.EndCount("overloaded"), 1u);
+}
+
 // Guards against a node without a key that connects to peers on other hosts.
 Test(websocket_link_layer, without_key_rejects_peers_outside_loopback) {
   LinkFixture fixture(OptionsWithKey(""), OptionsWithKey(""));
