Input guard: connections have a file of their own

InputConnection is the former InputGuard::Connection, moved without a change of its behaviour. The loop over the parts of an evbuffer, which stood in it and in ResponseLimiter, is now ViewBytes().

--- a/src/base/input_guard.h
+++ b/src/base/input_guard.h
@@ -14,8 +14,6 @@
 struct bufferevent;
 struct event;
 struct event_base;
-struct evbuffer;
-struct evbuffer_cb_info;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_request;
@@ -23,6 +21,7 @@
 namespace dragonflytack {
 
 class EventLoop;
+class InputConnection;
 
 // Limits what the connections of one evhttp server hold and how many there are.
 // It creates the bufferevents of accepted connections, so it sees each byte
@@ -90,8 +89,7 @@
   size_t CountLingering() const;
 
  private:
-  class Connection;
-  enum class DropOrder;
+  friend class InputConnection;
 
   static bufferevent* OnAccept(event_base* base, void* self);
   // Makes room for another connection, or stops accepting any until there is
@@ -119,7 +117,8 @@
   const Options options_;
   const std::function<void(const Dropped&)> on_dropped_;
   evhttp_bound_socket* socket_ = nullptr;
-  std::unordered_map<bufferevent*, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<bufferevent*, std::unique_ptr<InputConnection>>
+      connections_;
   event* const check_event_;
   std::vector<bufferevent*> to_check_;
   TimerId sweep_timer_;
--- a/src/base/response_limiter.cc
+++ b/src/base/response_limiter.cc
@@ -1,12 +1,14 @@
 #include "base/response_limiter.h"
 
 #include <algorithm>
-#include <vector>
+#include <string_view>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include "base/buffer_view.h"
+
 namespace dragonflytack {
 
 namespace {
@@ -74,20 +76,10 @@
 
 bool ResponseLimiter::AcceptStatusLine(evbuffer* buffer,
                                        const evbuffer_cb_info& change) {
-  evbuffer_ptr begin;
-  if (evbuffer_ptr_set(buffer, &begin, change.orig_size, EVBUFFER_PTR_SET) !=
-      0) {
-    return true;
-  }
-  const auto size = static_cast<ev_ssize_t>(change.n_added);
-  const int count = evbuffer_peek(buffer, size, &begin, nullptr, 0);
-  std::vector<evbuffer_iovec> parts(static_cast<size_t>(std::max(count, 0)));
-  evbuffer_peek(buffer, size, &begin, parts.data(), count);
-  return std::all_of(
-      parts.begin(), parts.end(), [this](const evbuffer_iovec& part) {
-        return status_line_.Accept(
-            {static_cast<const char*>(part.iov_base), part.iov_len});
-      });
+  const auto parts = ViewBytes(buffer, change.orig_size, change.n_added);
+  return std::all_of(parts.begin(), parts.end(), [this](std::string_view part) {
+    return status_line_.Accept(part);
+  });
 }
 
 bool ResponseLimiter::IsBodyTooLarge() const {
