--- a/tests/hostile_crowd_test.cc
+++ b/tests/hostile_crowd_test.cc
@@ -5,6 +5,7 @@
 #include <deque>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
@@ -64,6 +65,12 @@
                      kAnnouncedChunk);
 }
 
+// Requests without end whose responses are not read, on more connections than
+// the node has descriptors.
+std::vector<HostileInput> UnreadResponses(const std::string& request) {
+  return {{.connections = 700, .unit = request, .bytes = 256 << 10}};
+}
+
 }  // namespace
 
 // Each test guards against the memory of connections that were dropped or whose
@@ -89,6 +96,24 @@
 HOSTILE_BODY_TESTS(hostile_call_bodies, HostileFixture::kCallPort, kCall)
 HOSTILE_BODY_TESTS(hostile_mesh_bodies, HostileFixture::kMeshPort, kForwarded)
 
+// Each test guards against a caller that is refused because many connections of
+// others pipeline calls without reading the responses.
+Test(hostile_crowd, unread_responses_of_the_call_port, .timeout = 240) {
+  HostileFixture().Check(HostileFixture::kCallPort, UnreadResponses(kCall),
+                         kCall);
+}
+
+Test(hostile_crowd, unread_responses_of_pipelined_calls, .timeout = 240) {
+  constexpr int kMaxPipelined = 8;
+  HostileFixture("dragonflytackd", kMaxPipelined)
+      .Check(HostileFixture::kCallPort, UnreadResponses(kCall), kCall);
+}
+
+Test(hostile_crowd, unread_responses_of_the_mesh_port, .timeout = 240) {
+  HostileFixture().Check(HostileFixture::kMeshPort, UnreadResponses(kForwarded),
+                         kForwarded);
+}
+
 // Guards against connections that never authenticate and keep nodes from
 // connecting.
 Test(hostile_peer_crowd, idle_connections) {
