--- a/review/common-3/broken_copy_cases.cc
+++ b/review/common-3/broken_copy_cases.cc
@@ -2,8 +2,6 @@
 // the next answer is expected, and breaks it off within its head.
 #include "broken_copy_cases.h"
 
-#include <sys/socket.h>
-
 #include <atomic>
 #include <map>
 #include <memory>
@@ -58,18 +56,6 @@
   std::map<std::string, std::vector<std::string>> runs_;
 };
 
-void Answer(EndpointConnection* connection, const std::string& bytes) {
-  size_t sent = 0;
-  while (sent < bytes.size()) {
-    const ssize_t size = send(connection->fd, bytes.data() + sent,
-                              bytes.size() - sent, MSG_NOSIGNAL);
-    if (size <= 0) {
-      return;
-    }
-    sent += static_cast<size_t>(size);
-  }
-}
-
 std::string Signature(const std::string& endpoint, const std::string& attempt) {
   return "Upstream-Signature: " + endpoint + "." + attempt + "\r\n";
 }
@@ -120,7 +106,7 @@
       connection->note = DatedResponse("503 Service Unavailable",
                                        "Not-Executed: 1\r\n", "", attempt, "");
       record->Line(attempt + " i-1 rejects it (503, Not-Executed)");
-      Answer(connection, connection->note);
+      SendAll(connection->fd, connection->note);
       return true;
     }
     const bool fails = !variant.copies_rejection && turn == kOneIn / 2;
@@ -137,14 +123,14 @@
         record->Line(attempt + " i-1 runs it; first sends " +
                      std::to_string(extra.size()) +
                      " bytes of a copy of its answer before");
-        Answer(connection, extra);
+        SendAll(connection->fd, extra);
       }
     }
     if (spoils) {
       record->Line(attempt + " i-1 answers " + (fails ? "500" : "200"));
     }
     connection->note = variant.copies_rejection ? "" : response;
-    Answer(connection, response);
+    SendAll(connection->fd, response);
     return true;
   };
   const auto sound = [=](const Message& request,
@@ -152,8 +138,9 @@
     const std::string attempt = request.Find("attempt-id");
     ledger->Run(attempt, "i-2", 200);
     Sleep(0.005);
-    Answer(connection, DatedResponse("200 OK", "", Signature("i-2", attempt),
-                                     attempt, "paid"));
+    SendAll(connection->fd,
+            DatedResponse("200 OK", "", Signature("i-2", attempt), attempt,
+                          "paid"));
     return true;
   };
   new Endpoint(nodes[0].get(), "i-1", faulty);
--- a/review/common-3/cases.cc
+++ b/review/common-3/cases.cc
@@ -2,6 +2,7 @@
 
 #include "broken_copy_cases.h"
 #include "lab.h"
+#include "odd_entry_case.h"
 
 namespace review {
 
@@ -10,6 +11,7 @@
       {"pay_twice", &PayTwice},
       {"failure_as_success", &FailureAsSuccess},
       {"run_as_refused", &RunAsRefused},
+      {"fleet_stays_apart", &FleetStaysApart},
   };
   const auto found = kCases.find(name);
   return found == kCases.end() ? nullptr : found->second;
--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -132,11 +132,11 @@
   return result;
 }
 
-bool Socket::Send(const std::string& bytes) {
+bool SendAll(int fd, const std::string& bytes) {
   size_t sent = 0;
   while (sent < bytes.size()) {
     const ssize_t size =
-        send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (size <= 0) {
       return false;
     }
@@ -145,6 +145,10 @@
   return true;
 }
 
+bool Socket::Send(const std::string& bytes) {
+  return SendAll(fd_, bytes);
+}
+
 std::string Message::Find(const std::string& name) const {
   for (const auto& [key, value] : headers) {
     if (Lower(key) == name) {
@@ -311,6 +315,34 @@
   PutLocked(kind, name, std::move(spec));
 }
 
+std::vector<std::string> Store::Kinds() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> kinds;
+  for (const auto& [key, object] : objects_) {
+    if (kinds.empty() || kinds.back() != key.first) {
+      kinds.push_back(key.first);
+    }
+  }
+  return kinds;
+}
+
+std::string Store::Overwrite(const std::string& kind, const json& spec) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> names;
+  for (const auto& [key, object] : objects_) {
+    if (key.first == kind) {
+      names.push_back(key.second);
+    }
+  }
+  std::string text;
+  for (const std::string& name : names) {
+    text += kind + "/" + name + " was " +
+            objects_[{kind, name}]["spec"].dump() + ", now " + spec.dump();
+    PutLocked(kind, name, spec);
+  }
+  return text;
+}
+
 void Store::Serve(Socket socket) {
   Reader reader(socket.fd());
   Message request;
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -44,6 +44,9 @@
   FILE* file_;
 };
 
+// Sends all bytes. Returns false if the peer has gone.
+bool SendAll(int fd, const std::string& bytes);
+
 // A connected socket that is closed at the end.
 class Socket {
  public:
@@ -116,6 +119,9 @@
   Store(const std::string& ip, int port);
   ~Store();
   void Put(const std::string& kind, const std::string& name, json spec);
+  std::vector<std::string> Kinds();
+  // Replaces the value of each object of a kind. Returns what was replaced.
+  std::string Overwrite(const std::string& kind, const json& spec);
 
  private:
   struct Change {
