Review case 13: work reaches an endpoint long after its leaving was acknowledged

A node that is being stopped acknowledges that its endpoint is draining and goes on passing queued requests to it.

--- a/review/common-3/cases.cc
+++ b/review/common-3/cases.cc
@@ -2,6 +2,7 @@
 
 #include "broken_copy_cases.h"
 #include "lab.h"
+#include "leaving_case.h"
 #include "odd_entry_case.h"
 
 namespace review {
@@ -11,6 +12,7 @@
       {"pay_twice", &PayTwice},
       {"failure_as_success", &FailureAsSuccess},
       {"run_as_refused", &RunAsRefused},
+      {"late_after_leaving", &LateAfterLeaving},
       {"fleet_stays_apart", &FleetStaysApart},
   };
   const auto found = kCases.find(name);
--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -430,8 +430,8 @@
   json rows = json::array();
   for (const Route& route : routes) {
     rows.push_back({route.name, "desk.example", route.prefix, route.kind,
-                    route.timeout, "300ms", 1, route.service, route.attempts,
-                    nullptr});
+                    route.timeout, route.target_latency, 1, route.service,
+                    route.attempts, nullptr});
   }
   json service_rows = json::array();
   for (const std::string& service : services) {
@@ -496,7 +496,7 @@
       {"app_address", ip_ + ":8301"},
       {"heartbeat", "1500ms"},
       {"bounds.grace", "6s"},
-      {"bounds.drain", "2000ms"},
+      {"bounds.drain", drain_},
       {"bounds.retry_budget_ratio", "0.2"},
       {"bounds.budget_window", "10s"},
       {"bounds.budget_slack", "60"}};
@@ -579,10 +579,11 @@
   }
 }
 
-Endpoint::Endpoint(const Node* node, std::string id, Handler handler)
+Endpoint::Endpoint(const Node* node, std::string id, Handler handler, int slots)
     : node_(node),
       id_(std::move(id)),
       handler_(std::move(handler)),
+      slots_(slots),
       born_(WallMillis()),
       listener_(std::make_unique<Listener>(
           node->ip(),
@@ -612,7 +613,7 @@
        {{"service", node_->service()},
         {"version", "v1"},
         {"zone", node_->zone()},
-        {"slots", 12}}},
+        {"slots", slots_}}},
       {"status",
        {{"state", state}, {"seq", ++sequence_}, {"warmup_left", "0ms"}}}};
   const std::string text = body.dump();
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -149,6 +149,7 @@
   std::string service;
   int attempts = 2;
   std::string timeout = "1200ms";
+  std::string target_latency = "300ms";
 };
 
 // Returns the value of config/main.
@@ -167,6 +168,8 @@
        const std::string& service,
        const std::string& store);
   ~Node();
+  // Replaces the bound `drain` of the settings.
+  void set_drain(const std::string& drain) { drain_ = drain; }
   void Start();
   void Signal(int signal) const;
   // Waits for the end of the process. Returns false if it still runs.
@@ -185,6 +188,7 @@
   const std::string region_;
   const std::string service_;
   const std::string store_;
+  std::string drain_ = "2000ms";
   pid_t pid_ = -1;
 };
 
@@ -211,7 +215,7 @@
   using Handler =
       std::function<bool(const Message& request, EndpointConnection*)>;
 
-  Endpoint(const Node* node, std::string id, Handler handler);
+  Endpoint(const Node* node, std::string id, Handler handler, int slots = 12);
   ~Endpoint();
   const std::string& id() const { return id_; }
   void StopBeats() { stop_ = true; }
@@ -224,6 +228,7 @@
   const Node* node_;
   const std::string id_;
   const Handler handler_;
+  const int slots_;
   const int64_t born_;
   std::atomic<int> sequence_{0};
   std::atomic<bool> stop_{false};
