--- a/review/common-3/cases.cc
+++ b/review/common-3/cases.cc
@@ -13,6 +13,7 @@
       {"failure_as_success", &FailureAsSuccess},
       {"run_as_refused", &RunAsRefused},
       {"late_after_leaving", &LateAfterLeaving},
+      {"leaving_forgotten", &LeavingForgotten},
       {"fleet_stays_apart", &FleetStaysApart},
   };
   const auto found = kCases.find(name);
--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -606,21 +606,33 @@
 }
 
 int Endpoint::Beat(const std::string& state) {
-  const json body = {
-      {"address", node_->ip() + ":" + std::to_string(kApp)},
-      {"born", born_},
-      {"info",
-       {{"service", node_->service()},
-        {"version", "v1"},
-        {"zone", node_->zone()},
-        {"slots", slots_}}},
-      {"status",
-       {{"state", state}, {"seq", ++sequence_}, {"warmup_left", "0ms"}}}};
+  return LateBeat(state, ++sequence_);
+}
+
+int Endpoint::LateBeat(const std::string& state, int sequence) {
+  return Post(
+      "heartbeat",
+      {{"address", node_->ip() + ":" + std::to_string(kApp)},
+       {"born", born_},
+       {"info",
+        {{"service", node_->service()},
+         {"version", "v1"},
+         {"zone", node_->zone()},
+         {"slots", slots_}}},
+       {"status",
+        {{"state", state}, {"seq", sequence}, {"warmup_left", "0ms"}}}});
+}
+
+int Endpoint::Deregister() {
+  return Post("deregister", {{"born", born_}});
+}
+
+int Endpoint::Post(const std::string& call, const json& body) const {
   const std::string text = body.dump();
   Socket socket = Socket::Connect(node_->ip(), kControl, 0.5);
   Message answer;
   if (!socket.ok() ||
-      !socket.Send("POST /rpc?call=instances.heartbeat&of=" + id_ +
+      !socket.Send("POST /rpc?call=instances." + call + "&of=" + id_ +
                    " HTTP/1.1\r\nHost: c\r\nContent-Type: application/json\r\n"
                    "Content-Length: " +
                    std::to_string(text.size()) + "\r\n\r\n" + text) ||
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -221,9 +221,13 @@
   void StopBeats() { stop_ = true; }
   // Sends a report and returns the status of the answer, 0 if there is none.
   int Beat(const std::string& state);
+  // Sends the report of an earlier moment, with that sequence number.
+  int LateBeat(const std::string& state, int sequence);
+  int Deregister();
 
  private:
   void Serve(Socket socket);
+  int Post(const std::string& call, const json& body) const;
 
   const Node* node_;
   const std::string id_;
--- a/review/common-3/leaving_case.h
+++ b/review/common-3/leaving_case.h
@@ -9,6 +9,9 @@
 // acknowledged that the endpoint is leaving.
 int LateAfterLeaving(const Environment& environment);
 
+// An endpoint that has left gets requests after all processes were killed.
+int LeavingForgotten(const Environment& environment);
+
 }  // namespace review
 
 #endif  // REVIEW_COMMON_3_LEAVING_CASE_H_
