Membership: an acknowledged departure outlives the end of all processes

Cause: the departure was kept by processes only, and a process without a witness took the absence of a report for the absence of a departure.

Evidence: after the restart the log of the node has no departure_restored and no announcement_ignored, but target/ready with the cause announcement at the late report; no request reaches the endpoint before it.

Fix: the departure takes effect at once and is acknowledged when the store object departures/<node> has it. A process that starts lets its target serve only when the store, or a peer that saw the target of an earlier process serve or leave, has reported the departures, or after three announcements over the announcement timeout.

--- a/fuzz/text_entry_points.cc
+++ b/fuzz/text_entry_points.cc
@@ -135,7 +135,10 @@
     return {span};
   }
   std::string Metrics() override { return "a 1\n"; }
-  Failure HandleAnnouncement(const LocalTarget&) override { return {}; }
+  void HandleAnnouncement(const LocalTarget&,
+                          AnnouncementReply reply) override {
+    reply({});
+  }
 };
 
 std::vector<std::string> AdminSeeds() {
@@ -167,7 +170,9 @@
   request.query.insert(split(query, '='));
   FixedSource source;
   const AdminApi api("", "192.0.2.7", &source);
-  const AdminResponse response = api.Handle(request);
+  AdminResponse response;
+  api.Handle(request,
+             [&response](const AdminResponse& sent) { response = sent; });
   if (response.status == 200 && path == "/metrics") {
     ++DecodedValues();
     return {};
--- a/include/dragonflytack/distribution/distribution_core.h
+++ b/include/dragonflytack/distribution/distribution_core.h
@@ -58,12 +58,17 @@
   // be done with its own snapshot by then.
   void set_on_routes(RoutesCallback on_routes);
 
-  // Sets the function that is called when a peer reports a departure of this
-  // node's target that an earlier process of this node acknowledged. It is
-  // called from within OnFrame() and must not destroy the core, but may call
-  // its other functions except the reports of links.
+  // Sets the function that is called when a peer or the store reports a
+  // departure of this node's target that an earlier process of this node
+  // acknowledged. It is called from responses of the store and from within
+  // OnFrame(), and must not destroy the core, but may call its other functions
+  // except the reports of links.
   void set_on_departure(DepartureCallback on_departure);
 
+  // Sets the function that is called when the result of KnowsDepartures() or
+  // IsDepartureStored() may have changed, as set_on_departure().
+  void set_on_departure_status(std::function<void()> on_departure_status);
+
   // Starts to join the fleet.
   void Start();
 
@@ -81,11 +86,19 @@
                  int slots,
                  const std::string& release = {});
 
-  // Records that a run of the local target leaves, and announces it on all
-  // links immediately. Ignored if the run is empty or earlier than the recorded
-  // one.
+  // Records that a run of the local target leaves, announces it on all links
+  // immediately and begins to write it to the store. Ignored if the run is
+  // empty or earlier than the recorded one.
   void SetDeparture(const TargetRun& run);
 
+  // Whether the store, or a peer that has a record of an earlier process of
+  // this node, has reported what departures those processes acknowledged.
+  bool KnowsDepartures() const;
+
+  // Whether the store holds the departure of this run or of a later one, so
+  // that it outlives all processes.
+  bool IsDepartureStored(const TargetRun& run) const;
+
   // Sets whether this node publishes the roll-out shares that it knows.
   void SetRolloutRole(bool is_controller);
 
--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -84,7 +84,7 @@
     {"GET", "/trace", true, &AdminApi::GetTrace},
     {"GET", "/metrics", true, &AdminApi::GetMetrics},
     {"GET", "/healthz", false, &AdminApi::GetHealth},
-    {"POST", "/announce", false, &AdminApi::PostAnnounce},
+    {"POST", "/announce", false, nullptr},
 };
 
 AdminApi::AdminApi(const std::string& shared_key,
@@ -94,7 +94,21 @@
       own_address_(own_address),
       source_(source) {}
 
-AdminResponse AdminApi::Handle(const AdminRequest& request) const {
+void AdminApi::Handle(const AdminRequest& request, AdminRespond respond) const {
+  const Resource* resource = nullptr;
+  if (const std::optional<AdminResponse> refusal =
+          FindRefusal(request, &resource)) {
+    respond(*refusal);
+  } else if (resource->handler == nullptr) {
+    PostAnnounce(request, respond);
+  } else {
+    respond((this->*resource->handler)(request));
+  }
+}
+
+std::optional<AdminResponse> AdminApi::FindRefusal(
+    const AdminRequest& request,
+    const Resource** found) const {
   const auto* const resource =
       std::find_if(std::begin(kResources), std::end(kResources),
                    [&request](const Resource& candidate) {
@@ -120,7 +134,8 @@
                  {FailureCode::kAuthentication, request.path,
                   "the header authorization is missing or wrong"});
   }
-  return (this->*resource->handler)(request);
+  *found = resource;
+  return std::nullopt;
 }
 
 AdminResponse AdminApi::GetStatus(const AdminRequest& /*request*/) const {
@@ -191,24 +206,26 @@
   return Ok({{"ok", true}});
 }
 
-AdminResponse AdminApi::PostAnnounce(const AdminRequest& request) const {
+void AdminApi::PostAnnounce(const AdminRequest& request,
+                            const AdminRespond& respond) const {
   if (!IsLoopback(request.remote_address) &&
       request.remote_address != own_address_) {
-    return Error(kForbidden,
-                 {FailureCode::kAuthentication, request.remote_address,
-                  "announcements are accepted from the same host only"});
+    respond(Error(kForbidden,
+                  {FailureCode::kAuthentication, request.remote_address,
+                   "announcements are accepted from the same host only"}));
+    return;
   }
   Failure reason;
   const std::optional<LocalTarget> target = ParseAnnouncement(
       request.body, request.remote_address, own_address_, &reason);
   if (!target) {
-    return Error(kBadRequest, reason);
+    respond(Error(kBadRequest, reason));
+    return;
   }
-  const Failure refusal = source_->HandleAnnouncement(*target);
-  if (refusal.code != FailureCode::kNone) {
-    return Error(kUnavailable, refusal);
-  }
-  return Ok({{"ok", true}});
+  source_->HandleAnnouncement(*target, [respond](const Failure& refusal) {
+    respond(refusal.code == FailureCode::kNone ? Ok({{"ok", true}})
+                                               : Error(kUnavailable, refusal));
+  });
 }
 
 }  // namespace dragonflytack
--- a/src/daemon/admin_api.h
+++ b/src/daemon/admin_api.h
@@ -1,7 +1,9 @@
 #ifndef DRAGONFLYTACK_DAEMON_ADMIN_API_H_
 #define DRAGONFLYTACK_DAEMON_ADMIN_API_H_
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "daemon/admin_handler.h"
 #include "daemon/admin_request.h"
@@ -24,7 +26,7 @@
            const std::string& own_address,
            AdminSource* source);
 
-  AdminResponse Handle(const AdminRequest& request) const override;
+  void Handle(const AdminRequest& request, AdminRespond respond) const override;
 
  private:
   using Handler = AdminResponse (AdminApi::*)(const AdminRequest&) const;
@@ -32,10 +34,15 @@
     std::string_view method;
     std::string_view path;
     bool needs_authorization;
+    // Null for announcements, whose response may be sent later.
     Handler handler;
   };
   static const Resource kResources[];
 
+  // Returns the response to a request that no resource accepts, std::nullopt
+  // with the resource otherwise.
+  std::optional<AdminResponse> FindRefusal(const AdminRequest& request,
+                                           const Resource** resource) const;
   AdminResponse GetStatus(const AdminRequest& request) const;
   AdminResponse GetNodes(const AdminRequest& request) const;
   AdminResponse GetRoutes(const AdminRequest& request) const;
@@ -45,7 +52,8 @@
   AdminResponse GetTrace(const AdminRequest& request) const;
   AdminResponse GetMetrics(const AdminRequest& request) const;
   AdminResponse GetHealth(const AdminRequest& request) const;
-  AdminResponse PostAnnounce(const AdminRequest& request) const;
+  void PostAnnounce(const AdminRequest& request,
+                    const AdminRespond& respond) const;
 
   // Expected value of the authorization header; empty if none is required.
   const std::string authorization_;
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -101,6 +101,12 @@
     : server_(server), handler_(handler), guard_(std::move(guard)) {}
 
 AdminServer::~AdminServer() {
+  // evhttp frees the requests of open connections only.
+  for (evhttp_request* const request : pending_) {
+    if (evhttp_request_get_connection(request) == nullptr) {
+      evhttp_request_free(request);
+    }
+  }
   evhttp_free(server_);
 }
 
@@ -114,7 +120,20 @@
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
                       "close");
   }
-  const AdminResponse response = server->handler_->Handle(FromHttp(request));
+  server->pending_.insert(request);
+  server->handler_->Handle(
+      FromHttp(request),
+      [server, request, alive = std::weak_ptr<bool>(server->alive_)](
+          const AdminResponse& response) {
+        if (!alive.expired()) {
+          server->Respond(request, response);
+        }
+      });
+}
+
+void AdminServer::Respond(evhttp_request* request,
+                          const AdminResponse& response) {
+  pending_.erase(request);
   evhttp_add_header(evhttp_request_get_output_headers(request), "content-type",
                     response.content_type.c_str());
   evbuffer* const body = evbuffer_new();
--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYTACK_DAEMON_ADMIN_SERVER_H_
 
 #include <memory>
+#include <set>
 
 #include "base/input_guard.h"
 #include "dragonflytack/base/failure.h"
@@ -14,6 +15,7 @@
 
 class AdminHandler;
 class EventLoop;
+struct AdminResponse;
 
 // An HTTP server on one of the daemon's ports, with one handler for all paths.
 // Requests are handled on the loop's thread.
@@ -41,11 +43,17 @@
               const AdminHandler* handler,
               std::unique_ptr<InputGuard> guard);
   static void OnRequest(evhttp_request* request, void* self);
+  // Sends the response. Without a connection this only frees the request.
+  void Respond(evhttp_request* request, const AdminResponse& response);
 
   evhttp* const server_;
   const AdminHandler* const handler_;
   // Null if the server has none.
   const std::unique_ptr<InputGuard> guard_;
+  // Requests without a response.
+  std::set<evhttp_request*> pending_;
+  // Expires with the server, after which responses are dropped.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace dragonflytack
--- a/src/daemon/admin_source.h
+++ b/src/daemon/admin_source.h
@@ -7,8 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "dragonflytack/base/failure.h"
-#include "dragonflytack/calls/local_target.h"
+#include "daemon/announcement_callback.h"
 #include "dragonflytack/observe/span.h"
 
 namespace dragonflytack {
@@ -32,8 +31,9 @@
   virtual nlohmann::json Rollouts() = 0;
   virtual std::vector<Span> Trace(const std::string& trace_id) = 0;
   virtual std::string Metrics() = 0;
-  // Returns a failure other than kNone if the announcement is refused.
-  virtual Failure HandleAnnouncement(const LocalTarget& target) = 0;
+  // See AnnouncementCallback.
+  virtual void HandleAnnouncement(const LocalTarget& target,
+                                  AnnouncementReply reply) = 0;
 };
 
 }  // namespace dragonflytack
--- a/src/daemon/control_task.cc
+++ b/src/daemon/control_task.cc
@@ -122,13 +122,28 @@
   target_life_cycle_ = std::make_unique<TargetLifeCycle>(
       &loop_->timers(), Milliseconds(settings_.target_heartbeat_timeout_ms),
       [this](const LocalTarget& target) { OnTargetChanged(target); });
+  target_life_cycle_->set_knows_departures(false);
   core_->set_on_departure([this](const TargetRun& run) {
     target_life_cycle_->RestoreDeparture(run);
   });
+  core_->set_on_departure_status([this] { OnDepartureStatus(); });
+  announcements_ = std::make_unique<AnnouncementQueue>(
+      &loop_->timers(), logger_,
+      AnnouncementQueue::Functions{
+          [core] { return core->KnowsDepartures(); },
+          [this](const LocalTarget& target) {
+            return ApplyAnnouncement(target);
+          },
+          [this] { return target_life_cycle_->departure(); },
+          [core](const TargetRun& run) {
+            return core->IsDepartureStored(run);
+          }});
   fleet_report_ = std::make_unique<FleetReport>(
       FleetReport::Dependencies{core, links_.get(), store_.get(), &metrics_,
                                 &tracer_, clock_},
-      [this](const LocalTarget& target) { return OnAnnouncement(target); });
+      [this](const LocalTarget& target, AnnouncementReply reply) {
+        announcements_->Handle(target, std::move(reply));
+      });
   if (settings_.has_rollouts() && environment_.make_rollout_orders) {
     rollout_controller_ = std::make_unique<RolloutController>(
         settings_, loop_.get(), store_.get(), core,
@@ -161,7 +176,9 @@
   }
   announcement_handler_ = environment_.make_announcement_handler(
       settings_,
-      [this](const LocalTarget& target) { return OnAnnouncement(target); },
+      [this](const LocalTarget& target, AnnouncementReply reply) {
+        announcements_->Handle(target, std::move(reply));
+      },
       logger_);
   announcement_server_ = AdminServer::Make(
       loop_.get(), {settings_.address, settings_.target_port},
@@ -313,10 +330,16 @@
   }
 }
 
-Failure ControlTask::OnAnnouncement(const LocalTarget& target) {
+void ControlTask::OnDepartureStatus() {
+  target_life_cycle_->set_knows_departures(core_->KnowsDepartures());
+  announcements_->Update();
+}
+
+Failure ControlTask::ApplyAnnouncement(const LocalTarget& target) {
   const bool is_leaving = target.state == TargetState::kDraining ||
                           target.state == TargetState::kLeft;
-  // While links are open, the peers can keep a departure for the next process.
+  // While links are open, the peers keep a departure for the next process, also
+  // if this one ends before the store has it.
   if (stopping_ && (!is_leaving || calls_stopped_)) {
     return {FailureCode::kDraining, settings_.node_id, "the node is stopping"};
   }
@@ -332,9 +355,13 @@
          {"known_instance", target_life_cycle_->target().instance},
          {"known_started_ms", target_life_cycle_->target().started_ms},
          {"known_sequence", target_life_cycle_->target().sequence},
-         {"cause", "older than the last accepted announcement"}});
+         {"knows_departures", core_->KnowsDepartures()},
+         {"cause",
+          "older than the last accepted announcement, or not confirmed "
+          "yet"}});
     return {FailureCode::kConflict, target.instance,
-            "the announcement is older than the last accepted one"};
+            "the announcement is older than the last accepted one, or its run "
+            "is not confirmed yet"};
   }
   // The acknowledgement binds later processes of this node, too.
   core_->SetDeparture(target_life_cycle_->departure());
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -10,6 +10,7 @@
 #include "base/input_ledger.h"
 #include "daemon/admin_api.h"
 #include "daemon/admin_server.h"
+#include "daemon/announcement_queue.h"
 #include "daemon/environment.h"
 #include "daemon/fleet_report.h"
 #include "daemon/observed_store.h"
@@ -79,7 +80,10 @@
   // Passes the local target's state to the call task and the distribution core.
   void PublishTarget();
   void OnTargetChanged(const LocalTarget& target);
-  Failure OnAnnouncement(const LocalTarget& target);
+  // Lets an announcement take effect. Returns a failure other than kNone if it
+  // is refused.
+  Failure ApplyAnnouncement(const LocalTarget& target);
+  void OnDepartureStatus();
   // Reads the settings file again and applies the settings that can change at
   // run time.
   void Reload();
@@ -114,6 +118,7 @@
   // Null if the settings enable no roll-outs.
   std::unique_ptr<RolloutController> rollout_controller_;
   std::unique_ptr<TargetLifeCycle> target_life_cycle_;
+  std::unique_ptr<AnnouncementQueue> announcements_;
   std::unique_ptr<FleetReport> fleet_report_;
   std::unique_ptr<AdminApi> admin_api_;
   std::unique_ptr<AdminServer> admin_server_;
--- a/src/daemon/environment.h
+++ b/src/daemon/environment.h
@@ -6,10 +6,10 @@
 #include <optional>
 
 #include "daemon/admin_handler.h"
+#include "daemon/announcement_callback.h"
 #include "dragonflytack/base/failure.h"
 #include "dragonflytack/base/settings.h"
 #include "dragonflytack/calls/call_interface.h"
-#include "dragonflytack/calls/local_target.h"
 #include "dragonflytack/store/rollout_orders.h"
 #include "dragonflytack/store/store_client.h"
 
@@ -21,11 +21,6 @@
 // The interfaces of the daemon that depend on where it is deployed: the store
 // client, the interface for callers and the announcements of targets.
 struct Environment final {
-  // Handles an announcement. Returns a failure other than kNone if it is
-  // refused. It is called from within AdminHandler::Handle() and must not
-  // destroy the handler.
-  using AnnouncementCallback = std::function<Failure(const LocalTarget&)>;
-
   // Returns null if the store client does not support the settings.
   std::function<
       std::unique_ptr<StoreClient>(const Settings&, EventLoop*, Logger*)>
@@ -37,7 +32,8 @@
       make_rollout_orders;
   std::function<CallInterface(const Settings&)> make_call_interface;
   // Creates the handler of the configured announcement port; empty if targets
-  // send announcements to the admin port only.
+  // send announcements to the admin port only. The callback is called from
+  // within AdminHandler::Handle() and does not destroy the handler.
   std::function<std::unique_ptr<AdminHandler>(const Settings&,
                                               AnnouncementCallback,
                                               Logger*)>
--- a/src/daemon/fleet_report.cc
+++ b/src/daemon/fleet_report.cc
@@ -243,8 +243,9 @@
   return dependencies_.metrics->RenderText();
 }
 
-Failure FleetReport::HandleAnnouncement(const LocalTarget& target) {
-  return on_announcement_(target);
+void FleetReport::HandleAnnouncement(const LocalTarget& target,
+                                     AnnouncementReply reply) {
+  on_announcement_(target, std::move(reply));
 }
 
 void FleetReport::UpdateGauges() {
--- a/src/daemon/fleet_report.h
+++ b/src/daemon/fleet_report.h
@@ -27,8 +27,6 @@
 // as recorded in this node's registry.
 class FleetReport final : public AdminSource {
  public:
-  using AnnouncementCallback = std::function<Failure(const LocalTarget&)>;
-
   struct Dependencies {
     const DistributionCore* core;
     const WebSocketLinkLayer* links;
@@ -67,7 +65,8 @@
   nlohmann::json Rollouts() override;
   std::vector<Span> Trace(const std::string& trace_id) override;
   std::string Metrics() override;
-  Failure HandleAnnouncement(const LocalTarget& target) override;
+  void HandleAnnouncement(const LocalTarget& target,
+                          AnnouncementReply reply) override;
 
  private:
   nlohmann::json Links(const DistributionStatus& status) const;
--- a/src/daemon/readiness_handler.cc
+++ b/src/daemon/readiness_handler.cc
@@ -9,14 +9,15 @@
   ready_ = ready;
 }
 
-AdminResponse ReadinessHandler::Handle(const AdminRequest& /*request*/) const {
+void ReadinessHandler::Handle(const AdminRequest& /*request*/,
+                              AdminRespond respond) const {
   constexpr int kOk = 200;
   constexpr int kServiceUnavailable = 503;
   if (!ready_ && ++unready_responses_ == kUnreadyThreshold) {
     on_no_more_callers_();
   }
-  return {ready_ ? kOk : kServiceUnavailable, "application/json",
-          ready_ ? "{\"ready\":true}" : "{\"ready\":false}"};
+  respond({ready_ ? kOk : kServiceUnavailable, "application/json",
+           ready_ ? "{\"ready\":true}" : "{\"ready\":false}"});
 }
 
 }  // namespace dragonflytack
--- a/src/daemon/readiness_handler.h
+++ b/src/daemon/readiness_handler.h
@@ -25,7 +25,7 @@
   void set_ready(bool ready);
   bool ready() const { return ready_; }
 
-  AdminResponse Handle(const AdminRequest& request) const override;
+  void Handle(const AdminRequest& request, AdminRespond respond) const override;
 
  private:
   const std::function<void()> on_no_more_callers_;
--- a/src/daemon/target_life_cycle.cc
+++ b/src/daemon/target_life_cycle.cc
@@ -78,7 +78,8 @@
   const bool is_ordered = announced.started_ms != 0 && known_start != 0 &&
                           announced.started_ms != known_start;
   if (!has_target && !is_ordered) {
-    return true;
+    return knows_departures_ || announced.instance.empty() ||
+           IsLeaving(announced.state) || IsConfirmed(announced);
   }
   if (Contains(left_runs_, {announced.instance, announced.started_ms}) ||
       (!is_ordered && Contains(past_instances_, announced.instance))) {
--- a/src/daemon/target_life_cycle.h
+++ b/src/daemon/target_life_cycle.h
@@ -46,6 +46,14 @@
   // announces later.
   bool HandleAnnouncement(const LocalTarget& announced);
 
+  // Sets whether the departures that earlier processes of this node
+  // acknowledged have been restored. Until then, the first run has to be
+  // confirmed by several announcements over the announcement timeout, unless it
+  // has no instance name. True at first.
+  void set_knows_departures(bool knows_departures) {
+    knows_departures_ = knows_departures;
+  }
+
   // Restores a departure that an earlier process of this node acknowledged, at
   // any time: if the run is the target, it drains from now on, and an earlier
   // run has to be confirmed. May call `on_changed`.
@@ -104,6 +112,7 @@
   // the target; 0 for a run that left without a start time.
   std::vector<std::pair<std::string, int64_t>> left_runs_;
   TargetRun departure_;
+  bool knows_departures_ = true;
   std::optional<EarlierRun> earlier_run_;
   // Whether the announcement timeout has passed since the last announcement.
   bool is_silent_ = false;
--- a/src/distribution/distribution_core.cc
+++ b/src/distribution/distribution_core.cc
@@ -55,10 +55,23 @@
   impl_->SetTarget(service, state, slots, release);
 }
 
+void DistributionCore::set_on_departure_status(
+    std::function<void()> on_departure_status) {
+  impl_->set_on_departure_status(std::move(on_departure_status));
+}
+
 void DistributionCore::SetDeparture(const TargetRun& run) {
   impl_->SetDeparture(run);
 }
 
+bool DistributionCore::KnowsDepartures() const {
+  return impl_->KnowsDepartures();
+}
+
+bool DistributionCore::IsDepartureStored(const TargetRun& run) const {
+  return impl_->IsDepartureStored(run);
+}
+
 void DistributionCore::SetRolloutRole(bool is_controller) {
   impl_->SetRolloutRole(is_controller);
 }
--- a/src/distribution/distribution_core_impl.cc
+++ b/src/distribution/distribution_core_impl.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "distribution/message_codec.h"
+#include "dragonflytack/base/hash.h"
 #include "dragonflytack/base/logger.h"
 #include "dragonflytack/routing/route_snapshot.h"
 #include "dragonflytack/table/table.h"
@@ -115,6 +116,18 @@
                 seeds, [this](const HostPort& peer) { return IsLive(peer); });
             EvaluateTable();
           }),
+      departure_store_(
+          settings.node_id,
+          &store_,
+          timers,
+          Hash64(settings.node_id, seed),
+          logger,
+          [this](const TargetRun& run) { OnKnownDeparture("store", run); },
+          [this] {
+            if (on_departure_status_) {
+              on_departure_status_();
+            }
+          }),
       route_builder_(&registry_, settings.has_rollouts()) {
   links_.set_on_removed([this](LinkId link) {
     bootstrapper_.OnLinkRemoved(link);
@@ -147,6 +160,7 @@
         table_watcher_.Probe();
         seed_list_updater_.Tick(links_.up_count() == 0, false);
       });
+  departure_store_.Start();
   bootstrapper_.Tick();
 }
 
@@ -178,6 +192,7 @@
   seed_list_updater_.Tick(
       links_.up_count() == 0,
       IsDesignatedWatcher() && (joined() || IsStoreOutdated()));
+  departure_store_.Tick();
   FetchTableWhileJoining();
   EvaluateTable();
 }
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -2,12 +2,14 @@
 #define DRAGONFLYTACK_SRC_DISTRIBUTION_DISTRIBUTION_CORE_IMPL_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "distribution/bootstrapper.h"
+#include "distribution/departure_store.h"
 #include "distribution/link_manager.h"
 #include "distribution/link_table.h"
 #include "distribution/peer_version_cache.h"
@@ -57,6 +59,9 @@
   void set_on_departure(DepartureCallback on_departure) {
     on_departure_ = std::move(on_departure);
   }
+  void set_on_departure_status(std::function<void()> on_departure_status) {
+    on_departure_status_ = std::move(on_departure_status);
+  }
   void Start();
   void OnLinkUp(LinkId id, const NodeRecord& peer, bool outgoing);
   void OnFrame(LinkId id, std::string_view frame);
@@ -66,6 +71,12 @@
                  int slots,
                  const std::string& release);
   void SetDeparture(const TargetRun& run);
+  bool KnowsDepartures() const {
+    return peer_knows_departures_ || departure_store_.is_read();
+  }
+  bool IsDepartureStored(const TargetRun& run) const {
+    return departure_store_.Holds(run);
+  }
   void SetRolloutRole(bool is_controller);
   void PublishShare(const RolloutShare& share);
   const RolloutShares& rollout_shares() const {
@@ -100,8 +111,11 @@
   void Handle(LinkState* link, const EntryRequestMessage& message);
 
   void SendHello(LinkState* link);
-  // Handles the departure that a peer has for this node.
-  void OnKnownDeparture(const LinkState& link, const TargetRun& run);
+  // Handles the departure that a peer or the store has for this node.
+  void OnKnownDeparture(const std::string& source, const TargetRun& run);
+  // Called when a peer has named the departure of this node, or that it has
+  // none.
+  void OnDeparturesKnown(const LinkState& link);
   void Tick();
   void SendHeartbeats();
   void OnWatchServedChanged();
@@ -156,6 +170,7 @@
   Random random_;
   RoutesCallback on_routes_;
   DepartureCallback on_departure_;
+  std::function<void()> on_departure_status_;
   Registry registry_;
   LinkTable links_;
   RegistrySync registry_sync_;
@@ -167,6 +182,7 @@
   TableWatcher table_watcher_;
   TableRestorer table_restorer_;
   SeedListUpdater seed_list_updater_;
+  DepartureStore departure_store_;
   RouteBuilder route_builder_;
   PeerVersionCache peer_versions_;
   std::shared_ptr<const RouteSnapshot> published_routes_;
@@ -174,6 +190,7 @@
   // watchers are unresponsive.
   bool is_standby_watcher_ = false;
   bool draining_ = false;
+  bool peer_knows_departures_ = false;
   bool started_ = false;
   // When the store first responded before this node had a table in force.
   TimePoint store_responded_at_;
--- a/src/distribution/distribution_core_messages.cc
+++ b/src/distribution/distribution_core_messages.cc
@@ -65,7 +65,9 @@
   if (const RegistryEntry* entry = registry_.Find(link->peer)) {
     hello.known_incarnation = entry->incarnation;
     hello.known_sequence = entry->sequence;
-    hello.known_departure = entry->departure;
+    if (entry->knows_departure) {
+      hello.known_departure = entry->departure;
+    }
   }
   links_.Send(link, hello);
 }
@@ -76,7 +78,10 @@
   link->in_force = message.in_force;
   registry_sync_.OnKnownRevision(message.known_incarnation,
                                  message.known_sequence);
-  OnKnownDeparture(*link, message.known_departure);
+  if (message.known_departure) {
+    OnKnownDeparture(link->peer, *message.known_departure);
+    OnDeparturesKnown(*link);
+  }
   if (message.in_force) {
     peer_versions_.Record(link->peer, message.version,
                           timers_->clock().WallMillis());
@@ -119,25 +124,37 @@
   // A snapshot contains the record of the node that joins.
   for (const RecordUpdate& update : message.records) {
     if (update.record.id == settings_.node_id) {
-      OnKnownDeparture(*link, update.record.departure);
+      OnKnownDeparture(link->peer, update.record.departure);
     }
   }
 }
 
-void DistributionCore::Impl::OnKnownDeparture(const LinkState& link,
+void DistributionCore::Impl::OnKnownDeparture(const std::string& source,
                                               const TargetRun& run) {
   const TargetRun& known = self().departure;
   if (run.empty() || !(known.empty() || known.IsEarlierThan(run))) {
     return;
   }
   logger_->Info("departure_restored",
-                {{"peer", link.peer}, {"started_ms", run.started_ms}});
+                {{"from", source}, {"started_ms", run.started_ms}});
   SetDeparture(run);
   if (on_departure_) {
     on_departure_(run);
   }
 }
 
+void DistributionCore::Impl::OnDeparturesKnown(const LinkState& link) {
+  if (std::exchange(peer_knows_departures_, true)) {
+    return;
+  }
+  logger_->Info(
+      "departures_known",
+      {{"from", link.peer}, {"started_ms", self().departure.started_ms}});
+  if (on_departure_status_) {
+    on_departure_status_();
+  }
+}
+
 void DistributionCore::Impl::Handle(LinkState* link,
                                     const SuspicionsMessage& message) {
   registry_sync_.OnSuspicions(link, message);
@@ -246,6 +263,7 @@
   // The process may end as soon as the departure is acknowledged.
   FlushBatch();
   links_.Flush();
+  departure_store_.Write(run);
 }
 
 void DistributionCore::Impl::SetRolloutRole(bool is_controller) {
--- a/src/distribution/message_codec.cc
+++ b/src/distribution/message_codec.cc
@@ -174,10 +174,9 @@
       array->end(),
       {message.in_force, message.version, message.held, message.known_version,
        message.refused, message.known_incarnation, message.known_sequence});
-  // Omitted for other nodes, so that earlier versions can read it.
-  if (!message.known_departure.empty()) {
-    array->push_back(message.known_departure.instance_hash);
-    array->push_back(message.known_departure.started_ms);
+  if (message.known_departure) {
+    array->push_back(message.known_departure->instance_hash);
+    array->push_back(message.known_departure->started_ms);
   }
 }
 void Append(const HeartbeatMessage& message, json* array) {
@@ -277,10 +276,10 @@
   message.known_incarnation = reader->Unsigned(uint64_t{1} << 52);
   message.known_sequence = reader->Unsigned(uint64_t{1} << 52);
   if (reader->ok() && !reader->AtEnd()) {
-    message.known_departure.instance_hash =
-        reader->Unsigned(TargetRun::kMaxNumber);
-    message.known_departure.started_ms =
-        reader->Signed(0, TargetRun::kMaxNumber);
+    TargetRun run;
+    run.instance_hash = reader->Unsigned(TargetRun::kMaxNumber);
+    run.started_ms = reader->Signed(0, TargetRun::kMaxNumber);
+    message.known_departure = run;
   }
   return message;
 }
--- a/src/distribution/messages.h
+++ b/src/distribution/messages.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -37,8 +38,9 @@
   // 0 if it has none.
   uint64_t known_incarnation = 0;
   uint64_t known_sequence = 0;
-  // The departure that the sender's registry has for the receiver.
-  TargetRun known_departure;
+  // The departure that the sender's registry has for the receiver, empty if the
+  // receiver's target has served without one; std::nullopt if neither is known.
+  std::optional<TargetRun> known_departure;
 
   friend bool operator==(const HelloMessage&, const HelloMessage&) = default;
 };
--- a/src/net/record_json.cc
+++ b/src/net/record_json.cc
@@ -85,19 +85,6 @@
   return shares;
 }
 
-TargetRun DepartureFromJson(const json& object, FieldReader* record) {
-  TargetRun run;
-  FieldReader reader(object);
-  if (object.is_object()) {
-    reader.Read("instance_hash", &run.instance_hash, TargetRun::kMaxNumber);
-    reader.Read("started_ms", &run.started_ms, TargetRun::kMaxNumber);
-  }
-  if (!reader.invalid_field().empty() || run.empty()) {
-    record->MarkInvalid("departure");
-  }
-  return run;
-}
-
 }  // namespace
 
 std::string_view TargetStateName(TargetState state) {
@@ -113,6 +100,22 @@
   return std::nullopt;
 }
 
+json TargetRunToJson(const TargetRun& run) {
+  return {{"instance_hash", run.instance_hash}, {"started_ms", run.started_ms}};
+}
+
+std::optional<TargetRun> TargetRunFromJson(const json& object) {
+  if (!object.is_object()) {
+    return std::nullopt;
+  }
+  TargetRun run;
+  FieldReader reader(object);
+  reader.Read("instance_hash", &run.instance_hash, TargetRun::kMaxNumber);
+  reader.Read("started_ms", &run.started_ms, TargetRun::kMaxNumber);
+  return reader.invalid_field().empty() && !run.empty() ? std::optional(run)
+                                                        : std::nullopt;
+}
+
 json RecordToJson(const NodeRecord& record) {
   json object = {{"id", record.id},
                  {"incarnation", record.incarnation},
@@ -140,8 +143,7 @@
                                         {"epoch", share.epoch}});
   }
   if (!record.departure.empty()) {
-    object["departure"] = {{"instance_hash", record.departure.instance_hash},
-                           {"started_ms", record.departure.started_ms}};
+    object["departure"] = TargetRunToJson(record.departure);
   }
   return object;
 }
@@ -171,8 +173,13 @@
   if (const auto list = object.find("rollout_shares"); list != object.end()) {
     record.rollout_shares = SharesFromJson(*list, &reader);
   }
-  if (const auto run = object.find("departure"); run != object.end()) {
-    record.departure = DepartureFromJson(*run, &reader);
+  if (const auto departure = object.find("departure");
+      departure != object.end()) {
+    const std::optional<TargetRun> run = TargetRunFromJson(*departure);
+    if (!run) {
+      reader.MarkInvalid("departure");
+    }
+    record.departure = run.value_or(TargetRun());
   }
   const std::optional<TargetState> parsed_state = ParseTargetState(state);
   if (!parsed_state) {
--- a/src/net/record_json.h
+++ b/src/net/record_json.h
@@ -18,6 +18,13 @@
 // Returns std::nullopt for an unknown name.
 std::optional<TargetState> ParseTargetState(std::string_view name);
 
+// Converts a run to a JSON object with the names of its fields.
+nlohmann::json TargetRunToJson(const TargetRun& run);
+
+// Returns std::nullopt if a field is missing, has the wrong type, or is out of
+// range, or if the run is empty.
+std::optional<TargetRun> TargetRunFromJson(const nlohmann::json& object);
+
 // Converts a record to a JSON object with the names of its fields, for
 // handshakes and for the admin port.
 nlohmann::json RecordToJson(const NodeRecord& record);
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -222,6 +222,9 @@
   if (!record.departure.empty()) {
     entry->departure = record.departure;
   }
+  entry->knows_departure |= !record.departure.empty() ||
+                            record.state == TargetState::kWarming ||
+                            record.state == TargetState::kReady;
   entry->rollout_shares =
       record.rollout_shares.empty()
           ? nullptr
--- a/src/registry/registry_entry.h
+++ b/src/registry/registry_entry.h
@@ -42,6 +42,9 @@
   uint8_t bucket = 0;
   TargetState state = TargetState::kStarting;
   Liveness liveness = Liveness::kAlive;
+  // Whether `departure` is that of a process which knew it: one whose target
+  // has served or has departed. Kept as `departure` is.
+  bool knows_departure = false;
 
   bool IsLive() const {
     return liveness != Liveness::kDead && state != TargetState::kLeft;
