Store: an own object that another writer has replaced can be written again

Cause: the platform's store client reported such an object as a lost response, and a caller cannot write what it has not read.

Evidence: the logs of the case have neither seeds_refused nor node_found; the same list with an unreadable text is replaced already.

--- a/tests/distribution_join_test.cc
+++ b/tests/distribution_join_test.cc
@@ -160,6 +160,29 @@
   }
 }
 
+// Guards against a fleet that falls apart behind a seed list that another
+// writer has replaced by something unreadable, when all processes end.
+Test(distribution_join, unreadable_seed_list_is_replaced) {
+  for (const char* value : {"", "x", "7", "[]", "null"}) {
+    CoreFleet fleet;
+    fleet.WriteTable({"roster"});
+    fleet.StartMany({"north1", "north2", "south1"}, 2);
+    cr_assert(fleet.RunUntil(Milliseconds(10'000),
+                             [&] { return fleet.AllHaveNodes(6); }));
+    fleet.store.Write("seeds", value);
+    for (const auto& [id, node] : fleet.nodes) {
+      fleet.Crash(id);
+    }
+    fleet.Run(Milliseconds(1'000));
+    for (const auto& [id, node] : fleet.nodes) {
+      fleet.Boot(id);
+    }
+    cr_expect(fleet.RunUntil(Milliseconds(15'000),
+                             [&] { return fleet.AllHaveNodes(6); }),
+              "behind \"%s\"", value);
+  }
+}
+
 // Guards against a data centre that is listed with fewer nodes than it has, and
 // against many calls to the store when all data centres update their entries.
 Test(distribution_join, seed_list_follows_a_growing_fleet) {
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -101,6 +101,29 @@
   }
 }
 
+// Guards against an object of this system that another writer has replaced and
+// that counts as a failure of the store, so that nobody writes it again.
+Test(odd_entry, in_place_of_an_own_object_can_be_written_over) {
+  std::vector<std::string> specs = {"", R"(,"spec":{})", R"(,"spec":true)"};
+  for (const std::string& odd : OddValues()) {
+    if (!odd.starts_with('"')) {
+      specs.push_back(R"(,"spec":)" + odd);
+    }
+  }
+  for (const std::string& spec : specs) {
+    const std::string object =
+        R"({"metadata":{"name":"seeds","revision":8})" + spec + "}";
+    StoreFixture fixture({{200, object},
+                          {200, R"({"metadata":{"name":"seeds","revision":9},)"
+                                R"("spec":"text"})"}});
+    const std::optional<StoreObject> found = fixture.Get("seeds");
+    cr_assert(found.has_value(), "%.80s", spec.c_str());
+    cr_expect(found->version == 8 && found->value.empty() && found->defect,
+              "%.80s", spec.c_str());
+    cr_expect(fixture.Put("seeds", found->version) == 9, "%.80s", spec.c_str());
+  }
+}
+
 // Guards against a heartbeat that ends the process or replaces the endpoint of
 // the node.
 Test(odd_entry, in_a_heartbeat_is_refused_alone) {
