--- a/tests/rollout_share_test.cc
+++ b/tests/rollout_share_test.cc
@@ -167,6 +167,27 @@
   cr_expect(held().empty());
 }
 
+// Guards against a release under roll-out that gets all calls after the end of
+// all processes: the first release that a new process sees counts as the old
+// one until the share is known again.
+Test(rollout_share, the_old_release_keeps_its_calls_in_a_new_process) {
+  ManualClock clock;
+  Registry registry(&clock);
+  RouteBuilder builder(&registry, /*holds_new_releases=*/true);
+  ServiceRow row;
+  row.service = "s";
+  Failure reason;
+  const auto table = Table::Make(1, {{"s", row}}, &reason);
+  cr_assert(table != nullptr, "%s", reason.ToString().c_str());
+  // The node's own target is of the new release; the others are found later.
+  registry.Merge(MakeTarget("v2", 1).record, Liveness::kAlive, 0);
+  builder.Build(table, 1);
+  clock.Advance(Milliseconds(100));
+  registry.Merge(MakeTarget("v1", 1).record, Liveness::kAlive, 0);
+  cr_expect_not(
+      builder.Build(table, 1)->Find("s")->held_releases.contains("v1"));
+}
+
 // Guards against a share that is lost with the record that carried it.
 Test(rollout_share, a_share_outlives_its_record) {
   ManualClock clock;
