--- a/include/dragonflytack/store/store_object.h
+++ b/include/dragonflytack/store/store_object.h
@@ -26,8 +26,8 @@
   // The table, if the store keeps it in another form than the JSON of
   // TableDocument. `value` is empty then.
   std::shared_ptr<const TableDocument> document;
-  // Why the store's form of the object cannot be read, if it cannot. `value` and
-  // `document` are empty then, and the whole version is refused.
+  // Why the store's form of the object cannot be read, if it cannot. `value`
+  // and `document` are empty then, and the whole version is refused.
   std::optional<Failure> defect;
 
   friend bool operator==(const StoreObject&, const StoreObject&) = default;
