Membership: the store precedes a peer that reports departures

What callers saw (in the model): a run that had left served again. A process that had no link yet acknowledged a departure, which the store had, and was killed; its next process believed a peer that knew only the departure before, some 100 ms before the store responded.

Cause: the first answer of a peer counted as the whole truth, though a peer knows only what it was told.

Fix: a peer counts only when a read of the store has failed or 1 s has passed.

--- a/include/dragonflytack/distribution/distribution_core.h
+++ b/include/dragonflytack/distribution/distribution_core.h
@@ -91,8 +91,9 @@
   // empty or earlier than the recorded one.
   void SetDeparture(const TargetRun& run);
 
-  // Whether the store, or a peer that has a record of an earlier process of
-  // this node, has reported what departures those processes acknowledged.
+  // Whether the store has reported what departures earlier processes of this
+  // node acknowledged, or, while the store does not respond, a peer that has a
+  // record of one of them.
   bool KnowsDepartures() const;
 
   // Whether the store holds the departure of this run or of a later one, so
--- a/src/distribution/departure_store.cc
+++ b/src/distribution/departure_store.cc
@@ -42,13 +42,22 @@
 
 DepartureStore::~DepartureStore() {
   timers_->Cancel(step_timer_);
+  timers_->Cancel(overdue_timer_);
 }
 
 void DepartureStore::Start() {
+  overdue_timer_ =
+      timers_->SubscribeOnce(kMaxResponseTime, [this] { SetOverdue(); });
   StepAfter(Milliseconds(
       random_.Below(static_cast<uint64_t>(kMaxStartDelay.count()))));
 }
 
+void DepartureStore::SetOverdue() {
+  if (!is_read_ && !std::exchange(is_overdue_, true)) {
+    on_changed_();
+  }
+}
+
 void DepartureStore::Write(const TargetRun& run) {
   if (wanted_ == run) {
     return;
@@ -102,6 +111,7 @@
           OnRead(*object);
         } else {
           StepAfter(backoff_.Next(&random_));
+          SetOverdue();
         }
       });
   if (!is_calling_) {
@@ -130,6 +140,7 @@
   if (!stored_.empty()) {
     on_read_(stored_);
   }
+  SetOverdue();
   on_changed_();
   Step();
 }
--- a/src/distribution/departure_store.h
+++ b/src/distribution/departure_store.h
@@ -24,6 +24,8 @@
  public:
   // Spreads the reads of nodes that start together.
   static constexpr Milliseconds kMaxStartDelay{500};
+  // Time from Start() after which the store counts as away.
+  static constexpr Milliseconds kMaxResponseTime{1'000};
   // Spreads the repeated writes of all nodes after the store has come back from
   // an older copy.
   static constexpr Milliseconds kMaxRewriteDelay{10'000};
@@ -31,7 +33,8 @@
   using RunCallback = std::function<void(const TargetRun&)>;
 
   // `on_read` is called with a departure that the object has. `on_changed` is
-  // called when is_read() or the result of Holds() may have changed. Both are
+  // called when is_read(), is_overdue() or the result of Holds() may have
+  // changed. Both are
   // called from responses of the store and may call Write(), but must not
   // destroy the object. The pointers must outlive it. `seed` initializes the
   // random delays.
@@ -62,10 +65,15 @@
   // older copy.
   bool is_read() const { return is_read_; }
 
+  // Whether a read has failed or has no such result, or is_read() has not
+  // become true in kMaxResponseTime.
+  bool is_overdue() const { return is_overdue_; }
+
   // Whether the store holds the departure of this run, or of a later one.
   bool Holds(const TargetRun& run) const;
 
  private:
+  void SetOverdue();
   // Makes the next call to the store, if one is needed.
   void Step();
   void StepAfter(Milliseconds delay);
@@ -92,8 +100,10 @@
   // The departure to be written; empty if there was none.
   TargetRun wanted_;
   bool is_read_ = false;
+  bool is_overdue_ = false;
   bool is_calling_ = false;
   TimerId step_timer_ = 0;
+  TimerId overdue_timer_ = 0;
 };
 
 }  // namespace dragonflytack
--- a/src/distribution/distribution_core_impl.h
+++ b/src/distribution/distribution_core_impl.h
@@ -72,7 +72,10 @@
                  const std::string& release);
   void SetDeparture(const TargetRun& run);
   bool KnowsDepartures() const {
-    return peer_knows_departures_ || departure_store_.is_read();
+    // A process that had no link yet may have acknowledged a departure that the
+    // peers do not know, so the store comes first.
+    return departure_store_.is_read() ||
+           (peer_knows_departures_ && departure_store_.is_overdue());
   }
   bool IsDepartureStored(const TargetRun& run) const {
     return departure_store_.Holds(run);
--- a/tests/departure_store_test.cc
+++ b/tests/departure_store_test.cc
@@ -4,6 +4,7 @@
 #include "distribution/departure_store.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -192,6 +193,54 @@
 
 namespace {
 
+// Lets a node acknowledge two departures, the second one while its peer is cut
+// off, and restarts the node when both are linked again.
+void RestartBesideOutdatedPeer(SingleNode* node,
+                               const std::function<void()>& before_restart) {
+  node->fleet.Start("north1-1", "north1");
+  cr_assert(node->fleet.RunUntil(Milliseconds(10'000),
+                                 [&] { return node->fleet.AllHaveNodes(2); }));
+  node->core().SetDeparture(kRun);
+  cr_assert(node->IsStoredWithin(Milliseconds(1'000), kRun));
+  node->fleet.Run(Milliseconds(1'000));
+  node->fleet.network.is_partitioned = [](const HostPort&, const HostPort&) {
+    return true;
+  };
+  node->core().SetDeparture(kLaterRun);
+  cr_assert(node->IsStoredWithin(Milliseconds(1'000), kLaterRun));
+  before_restart();
+  node->Restart();
+  node->fleet.network.is_partitioned = [](const HostPort&, const HostPort&) {
+    return false;
+  };
+}
+
+}  // namespace
+
+// Guards against a peer that missed the last departure and that responds before
+// the store does.
+Test(departure_store, store_precedes_a_peer_that_missed_a_departure) {
+  SingleNode node;
+  RestartBesideOutdatedPeer(
+      &node, [&] { node.fleet.store.delay = Milliseconds(300); });
+  cr_assert(node.fleet.RunUntil(Milliseconds(20'000),
+                                [&] { return node.core().KnowsDepartures(); }));
+  cr_expect(node.core().self().departure == kLaterRun);
+}
+
+// Guards against the same peer while the store rejects the node.
+Test(departure_store, peer_that_missed_a_departure_is_no_witness) {
+  SingleNode node;
+  RestartBesideOutdatedPeer(&node, [&] {
+    node.fleet.store.rejected_clients = {&node.fleet.nodes[kId].paused};
+  });
+  node.fleet.Run(Milliseconds(20'000));
+  cr_expect(!node.core().KnowsDepartures() ||
+            node.core().self().departure == kLaterRun);
+}
+
+namespace {
+
 // Draws runs of targets, ends of processes and faults of the store, and checks
 // that no process counts the departures as known and lacks one that was
 // acknowledged.
