Tests: the drain begins when its calls have arrived

It slept for 50 ms before the stop; in the failed runs none or one of its two calls had reached the node by then ("in progress 0 0"), and a call that arrives after the stop is rightly refused as draining, not-run. Without calls the node also stops after kEntryGrace, 1 s, which the limit of the test, counted from an earlier moment, does not cover.

The test now waits until both calls are in progress, and the target responds only after the new call has been refused, so that the drain has to wait for them.

--- a/tests/call_task_queue_test.cc
+++ b/tests/call_task_queue_test.cc
@@ -108,8 +108,10 @@
   ServiceRow row = Row(ServiceKind::kOneTime);
   row.slots = 1;
   CallFixture fixture(1, row);
+  std::atomic<bool> released = false;
   ScriptedTarget target(fixture.Address(1), CallFixture::kTargetPort,
-                        [](int fd, const std::string& head, int n) {
+                        [&released](int fd, const std::string& head, int n) {
+                          released.wait(false);
                           std::this_thread::sleep_for(Milliseconds(100));
                           return RespondWithRequestId(fd, head, n);
                         });
@@ -120,7 +122,14 @@
     callers[i] = std::thread(
         [&, i] { replies[i] = fixture.Call(std::to_string(i), 2000); });
   }
-  std::this_thread::sleep_for(Milliseconds(50));
+  // A call that arrives after the stop would be a new one.
+  for (int i = 0; i < 1000; ++i) {
+    if (fixture.task(1)->calls_in_progress().target == 2) {
+      break;
+    }
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  cr_assert_eq(fixture.task(1)->calls_in_progress().target, 2u);
   fixture.task(1)->PostStop();
   std::this_thread::sleep_for(Milliseconds(20));
   const HttpReply refused = fixture.Call("new", 1000);
@@ -128,6 +137,8 @@
   ExpectEqual(refused.Header("x-reason"), "draining");
   ExpectEqual(refused.Header("x-outcome"), "not-run");
   cr_expect(!fixture.WaitUntilStopped(1, Milliseconds(0)));
+  released = true;
+  released.notify_all();
   for (std::thread& caller : callers) {
     caller.join();
   }
